--- /dev/null
+++ b/tests/config/snapshot_test.cc
@@ -0,0 +1,169 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <vector>
+
+#include "gcw/config/codec.h"
+#include "gcw/config/snapshot_builder.h"
+#include "gcw/config/validate.h"
+
+namespace gcw::config {
+namespace {
+
+constexpr Endpoint kAddressA{0x0a000001, 80};
+constexpr Endpoint kAddressB{0x0a000002, 80};
+constexpr Endpoint kServerAddress{0x0a000101, 9000};
+
+ObjectRecord Record(const Resource& resource, Version version) {
+  return {KeyOf(IdOf(resource)), version, version,
+          EncodeStored("op", resource)};
+}
+
+Service MakeService(std::string name, std::string firm, Endpoint address) {
+  Service service;
+  service.name = std::move(name);
+  service.firm = std::move(firm);
+  service.addresses = {address};
+  return service;
+}
+
+BackendServer MakeServer(std::string name, std::string firm, Endpoint address) {
+  BackendServer server;
+  server.name = std::move(name);
+  server.firm = std::move(firm);
+  server.address = address;
+  server.zone = "tirano";
+  return server;
+}
+
+// Two firms, a zone, a shared server, one server and one service of each.
+std::vector<ObjectRecord> BaseRecords() {
+  Service service = MakeService("dispatch", "valtellina", kAddressA);
+  service.servers = {{"shared", 100}, {"own", 100}};
+  return {Record(Firm{"valtellina", ""}, 1),
+          Record(Firm{"tayside", ""}, 2),
+          Record(AvailabilityZone{"tirano"}, 3),
+          Record(MakeServer("shared", "", kServerAddress), 4),
+          Record(MakeServer("own", "valtellina", {0x0a000102, 9000}), 5),
+          Record(MakeServer("desk1", "tayside", {0x0a000103, 9000}), 6),
+          Record(service, 7)};
+}
+
+std::vector<ResultCode> Codes(const std::vector<Error>& errors) {
+  std::vector<ResultCode> codes;
+  for (const Error& error : errors) {
+    codes.push_back(error.code);
+  }
+  return codes;
+}
+
+std::vector<ResultCode> Validate(const ResourceId& id,
+                                 std::optional<Resource> after) {
+  const BuiltSnapshot built = BuildSnapshot(BaseRecords(), 7);
+  return Codes(ValidateChange(*built.snapshot, {id, std::move(after)}));
+}
+
+std::vector<ResultCode> ValidateWrite(const Resource& after) {
+  return Validate(IdOf(after), after);
+}
+
+TEST_CASE("a broken object is left out and reported, the rest stays") {
+  std::vector<ObjectRecord> records = BaseRecords();
+  records.push_back({"config/zone/morbegno", 8, 8, "{\"spec\":"});
+  records.push_back({"config/zone/sondrio", 9, 9, "{}"});
+  records.push_back({"lease/x", 10, 10, "7"});
+  const BuiltSnapshot built = BuildSnapshot(records, 20);
+  CHECK(built.snapshot->revision == 20);
+  CHECK(built.snapshot->zones.size() == 1);
+  CHECK(built.snapshot->services.size() == 1);
+  REQUIRE(built.problems.size() == 2);
+  CHECK(built.problems[0].key == "config/zone/morbegno");
+  CHECK(built.problems[0].error.code == ResultCode::kMalformedJson);
+  CHECK(built.problems[1].error.code == ResultCode::kMissingField);
+}
+
+TEST_CASE("a shared address goes to the later write in any order of records") {
+  std::vector<ObjectRecord> records = BaseRecords();
+  records.push_back(Record(MakeService("desk", "tayside", kAddressA), 9));
+  for (int turn = 0; turn < 2; ++turn) {
+    const BuiltSnapshot built = BuildSnapshot(records, 9);
+    CHECK(built.snapshot->services.at("dispatch").addresses.empty());
+    CHECK(built.snapshot->services.at("desk").addresses.size() == 1);
+    REQUIRE(built.problems.size() == 1);
+    CHECK(built.problems[0].error.code == ResultCode::kAddressClaimed);
+    std::reverse(records.begin(), records.end());
+  }
+}
+
+TEST_CASE("a member that now belongs to another firm is dropped") {
+  std::vector<ObjectRecord> records = BaseRecords();
+  records.push_back(Record(MakeServer("own", "tayside", {0x0a000110, 1}), 9));
+  records.erase(records.begin() + 4);
+  const BuiltSnapshot built = BuildSnapshot(records, 9);
+  const Service& service = built.snapshot->services.at("dispatch");
+  REQUIRE(service.servers.size() == 1);
+  CHECK(service.servers[0].server == "shared");
+  REQUIRE(built.problems.size() == 1);
+  CHECK(built.problems[0].error.code == ResultCode::kForbidden);
+}
+
+TEST_CASE("a builder with kept objects builds what a new one builds") {
+  SnapshotBuilder builder;
+  std::vector<ObjectRecord> records = BaseRecords();
+  builder.Build(records, 7);
+  records[2] = Record(AvailabilityZone{"tirano", ZoneState::kOut}, 8);
+  records.erase(records.begin() + 5);
+  const BuiltSnapshot again = builder.Build(records, 9);
+  const BuiltSnapshot fresh = BuildSnapshot(records, 9);
+  CHECK(again.snapshot->zones == fresh.snapshot->zones);
+  CHECK(again.snapshot->servers == fresh.snapshot->servers);
+  CHECK(again.snapshot->services == fresh.snapshot->services);
+  CHECK(again.snapshot->zones.at("tirano").state == ZoneState::kOut);
+}
+
+TEST_CASE("an address of another service or server cannot be claimed") {
+  CHECK(ValidateWrite(MakeService("desk", "tayside", kAddressB)).empty());
+  CHECK(ValidateWrite(MakeService("desk", "tayside", kAddressA)) ==
+        std::vector{ResultCode::kAddressClaimed});
+  CHECK(ValidateWrite(MakeService("desk", "tayside", kServerAddress)) ==
+        std::vector{ResultCode::kAddressClaimed});
+  CHECK(ValidateWrite(MakeServer("new", "", kAddressA)) ==
+        std::vector{ResultCode::kAddressClaimed});
+}
+
+TEST_CASE("references must exist and stay within the firm") {
+  Service service = MakeService("desk", "tayside", kAddressB);
+  service.servers = {{"shared", 1}, {"desk1", 1}};
+  CHECK(ValidateWrite(service).empty());
+  service.servers = {{"own", 1}, {"nowhere", 1}};
+  service.firm = "nobody";
+  CHECK(ValidateWrite(service) == std::vector{ResultCode::kBrokenReference,
+                                              ResultCode::kForbidden,
+                                              ResultCode::kBrokenReference});
+  BackendServer server = MakeServer("new", "", kAddressB);
+  server.zone = "nowhere";
+  CHECK(ValidateWrite(server) == std::vector{ResultCode::kBrokenReference});
+}
+
+TEST_CASE("what is still named cannot be deleted") {
+  using enum ResourceKind;
+  CHECK(Validate({kZone, "tirano"}, {}).size() == 3);
+  CHECK(Validate({kServer, "own"}, {}) ==
+        std::vector{ResultCode::kStillReferenced});
+  CHECK(Validate({kFirm, "tayside"}, {}) ==
+        std::vector{ResultCode::kStillReferenced});
+  CHECK(Validate({kServer, "desk1"}, {}).empty());
+  CHECK(Validate({kService, "dispatch"}, {}).empty());
+}
+
+TEST_CASE("firm, address and zone of a backend server are fixed") {
+  BackendServer server = MakeServer("own", "valtellina", {0x0a000102, 9000});
+  server.state = ServerState::kDraining;
+  CHECK(ValidateWrite(server).empty());
+  server.address = kAddressB;
+  server.firm = "";
+  CHECK(ValidateWrite(server) ==
+        std::vector{ResultCode::kInvalidField, ResultCode::kInvalidField});
+}
+
+}  // namespace
+}  // namespace gcw::config
