--- /dev/null
+++ b/include/gcw/wire/relay_header.h
@@ -0,0 +1,43 @@
+#ifndef GCW_WIRE_RELAY_HEADER_H_
+#define GCW_WIRE_RELAY_HEADER_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+namespace gcw::wire {
+
+// What a daemon says of a packet that it relays to another daemon. It travels
+// as the private data of a GUE variant 0 header:
+//
+//   bytes 0-3   GUE: version 0, control 0, header length 5 words, protocol 4
+//               (IPv4), flags with the private bit set
+//   byte  4     hops so far
+//   byte  5     flags: bit 0 the sender has no entry for the flow
+//   bytes 6-7   zero
+//   bytes 8-15  the sender's configuration revision
+//   bytes 16-23 a stable hash of the service's name as the sender knows it
+struct RelayHeader {
+  static constexpr std::size_t kSize = 24;
+  static constexpr std::uint8_t kMaxHops = 3;
+
+  std::uint8_t hops = 0;
+  bool unknown_flow = false;
+  std::uint64_t revision = 0;
+  std::uint64_t service_hash = 0;
+
+  bool operator==(const RelayHeader&) const = default;
+
+  // Thread-safe; never fails.
+  std::array<std::uint8_t, kSize> Encode() const;
+
+  // Decodes the header at the front of `bytes`. Returns nothing if it is cut
+  // or of another kind. Thread-safe.
+  static std::optional<RelayHeader> Decode(std::span<const std::uint8_t> bytes);
+};
+
+}  // namespace gcw::wire
+
+#endif  // GCW_WIRE_RELAY_HEADER_H_
--- /dev/null
+++ b/src/wire/relay_header.cc
@@ -0,0 +1,61 @@
+#include "gcw/wire/relay_header.h"
+
+#include <endian.h>
+
+#include <cstring>
+
+namespace gcw::wire {
+namespace {
+
+// GUE (draft-ietf-intarea-gue) counts its header length in words after the
+// first; the private flag says that private data follows.
+constexpr std::uint8_t kHeaderWords = (RelayHeader::kSize - 4) / 4;
+constexpr std::uint8_t kProtocolIpv4 = 4;
+constexpr std::uint8_t kPrivateFlag = 0x01;
+constexpr std::uint8_t kUnknownFlowFlag = 0x01;
+
+constexpr std::size_t kHopsAt = 4;
+constexpr std::size_t kFlagsAt = 5;
+constexpr std::size_t kRevisionAt = 8;
+constexpr std::size_t kServiceHashAt = 16;
+
+void Store64(std::uint8_t* to, std::uint64_t value) {
+  const std::uint64_t big = htobe64(value);
+  std::memcpy(to, &big, sizeof(big));
+}
+
+std::uint64_t Load64(const std::uint8_t* from) {
+  std::uint64_t big = 0;
+  std::memcpy(&big, from, sizeof(big));
+  return be64toh(big);
+}
+
+}  // namespace
+
+std::array<std::uint8_t, RelayHeader::kSize> RelayHeader::Encode() const {
+  std::array<std::uint8_t, kSize> bytes{};
+  bytes[0] = kHeaderWords;
+  bytes[1] = kProtocolIpv4;
+  bytes[3] = kPrivateFlag;
+  bytes[kHopsAt] = hops;
+  bytes[kFlagsAt] = unknown_flow ? kUnknownFlowFlag : 0;
+  Store64(&bytes[kRevisionAt], revision);
+  Store64(&bytes[kServiceHashAt], service_hash);
+  return bytes;
+}
+
+std::optional<RelayHeader> RelayHeader::Decode(
+    std::span<const std::uint8_t> bytes) {
+  if (bytes.size() < kSize || bytes[0] != kHeaderWords ||
+      bytes[1] != kProtocolIpv4 || bytes[3] != kPrivateFlag) {
+    return std::nullopt;
+  }
+  RelayHeader header;
+  header.hops = bytes[kHopsAt];
+  header.unknown_flow = (bytes[kFlagsAt] & kUnknownFlowFlag) != 0;
+  header.revision = Load64(&bytes[kRevisionAt]);
+  header.service_hash = Load64(&bytes[kServiceHashAt]);
+  return header;
+}
+
+}  // namespace gcw::wire
--- a/tools/format.sh
+++ b/tools/format.sh
@@ -2,7 +2,7 @@
 # Formats all C++ sources; with --check only verifies them.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mapfile -t files < <(find include src tests bench tools examples -name '*.h' -o -name '*.cc' | sort)
+mapfile -t files < <(git ls-files -co --exclude-standard -- '*.h' '*.cc' | sort -u)
 if [ "${1:-}" = "--check" ]; then
   clang-format --dry-run --Werror "${files[@]}"
 else
