kernel: services by name, tasks, mailboxes and batched UDP

Cause: daemons need tasks that own their sockets and talk by messages. Conclusion: a mailbox is bounded, so a slow task cannot eat the memory.

--- /dev/null
+++ b/src/kernel/event_loop.cc
@@ -0,0 +1,176 @@
+#include "gcw/kernel/event_loop.h"
+
+#include <fmt/format.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <cassert>
+#include <cerrno>
+#include <utility>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+
+namespace gcw::kernel {
+namespace {
+
+constexpr int kMaxEvents = 64;
+constexpr absl::Duration kLongestWait = absl::Seconds(1);
+
+struct Timer {
+  absl::Duration period;
+  absl::Time due;
+  EventLoop::Handler handler;
+};
+
+}  // namespace
+
+class EventLoop::Impl {
+ public:
+  ~Impl() {
+    if (epoll_fd_ >= 0) {
+      close(epoll_fd_);
+    }
+    if (wake_fd_ >= 0) {
+      close(wake_fd_);
+    }
+  }
+
+  Status Open() {
+    epoll_fd_ = epoll_create1(EPOLL_CLOEXEC);
+    wake_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
+    if (epoll_fd_ < 0 || wake_fd_ < 0) {
+      return Error{ResultCode::kInternal, "", "out of file descriptors"};
+    }
+    return WatchReadable(wake_fd_, [this] { DrainWake(); });
+  }
+
+  Status WatchReadable(int fd, Handler handler) {
+    epoll_event event{};
+    event.events = EPOLLIN;
+    event.data.fd = fd;
+    if (epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event) != 0) {
+      return Error{ResultCode::kInternal, "",
+                   fmt::format("cannot watch a descriptor: errno {}", errno)};
+    }
+    readers_[fd] = std::make_shared<Handler>(std::move(handler));
+    return OkStatus();
+  }
+
+  void Unwatch(int fd) {
+    if (readers_.erase(fd) > 0) {
+      epoll_ctl(epoll_fd_, EPOLL_CTL_DEL, fd, nullptr);
+    }
+  }
+
+  void AddTimer(absl::Duration period, Handler handler) {
+    assert(period > absl::ZeroDuration());
+    timers_.push_back({period, MonotonicNow() + period, std::move(handler)});
+  }
+
+  void Run() {
+    while (!stopped_.load(std::memory_order_acquire)) {
+      ServeSockets(WaitTime());
+      ServeTimers();
+    }
+  }
+
+  void Stop() {
+    stopped_.store(true, std::memory_order_release);
+    const std::uint64_t one = 1;
+    [[maybe_unused]] const ssize_t written = write(wake_fd_, &one, sizeof(one));
+  }
+
+ private:
+  void DrainWake() {
+    std::uint64_t count = 0;
+    [[maybe_unused]] const ssize_t got = read(wake_fd_, &count, sizeof(count));
+  }
+
+  absl::Duration WaitTime() const {
+    absl::Duration wait = kLongestWait;
+    const absl::Time now = MonotonicNow();
+    for (const Timer& timer : timers_) {
+      wait = std::min(wait, timer.due - now);
+    }
+    return std::max(wait, absl::ZeroDuration());
+  }
+
+  void ServeSockets(absl::Duration wait) {
+    std::array<epoll_event, kMaxEvents> events;
+    // Rounded up, so that a timer is due when the wait ends.
+    const auto wait_ms = static_cast<int>(
+        absl::ToInt64Milliseconds(wait + absl::Microseconds(999)));
+    const int count = epoll_wait(epoll_fd_, events.data(), kMaxEvents, wait_ms);
+    for (int i = 0; i < count; ++i) {
+      const auto it =
+          readers_.find(events[static_cast<std::size_t>(i)].data.fd);
+      if (it == readers_.end()) {
+        continue;
+      }
+      // A handler may unwatch its own descriptor.
+      const std::shared_ptr<Handler> handler = it->second;
+      (*handler)();
+    }
+  }
+
+  void ServeTimers() {
+    // A handler may add timers, so the vector is walked by index.
+    for (std::size_t i = 0; i < timers_.size(); ++i) {
+      const absl::Time now = MonotonicNow();
+      if (timers_[i].due > now) {
+        continue;
+      }
+      timers_[i].due = std::max(timers_[i].due + timers_[i].period, now);
+      const Handler handler = timers_[i].handler;
+      handler();
+    }
+  }
+
+  int epoll_fd_ = -1;
+  int wake_fd_ = -1;
+  absl::flat_hash_map<int, std::shared_ptr<Handler>> readers_;
+  std::vector<Timer> timers_;
+  std::atomic<bool> stopped_{false};
+};
+
+Result<std::unique_ptr<EventLoop>> EventLoop::Make() {
+  auto impl = std::make_unique<Impl>();
+  const Status opened = impl->Open();
+  if (!opened.ok()) {
+    return opened.error();
+  }
+  return std::unique_ptr<EventLoop>(new EventLoop(std::move(impl)));
+}
+
+EventLoop::EventLoop(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+EventLoop::~EventLoop() = default;
+
+Status EventLoop::WatchReadable(int fd, Handler handler) {
+  return impl_->WatchReadable(fd, std::move(handler));
+}
+void EventLoop::Unwatch(int fd) {
+  impl_->Unwatch(fd);
+}
+void EventLoop::AddTimer(absl::Duration period, Handler handler) {
+  impl_->AddTimer(period, std::move(handler));
+}
+void EventLoop::Run() {
+  impl_->Run();
+}
+void EventLoop::Stop() {
+  impl_->Stop();
+}
+
+absl::Time MonotonicNow() {
+  timespec now{};
+  clock_gettime(CLOCK_MONOTONIC, &now);
+  return absl::TimeFromTimespec(now);
+}
+
+}  // namespace gcw::kernel
--- /dev/null
+++ b/src/kernel/task.cc
@@ -0,0 +1,39 @@
+#include "gcw/kernel/task.h"
+
+#include <pthread.h>
+
+#include <cassert>
+#include <utility>
+
+namespace gcw::kernel {
+
+Task::Task(std::string name) : name_(std::move(name)) {}
+
+Task::~Task() {
+  assert(!thread_.joinable());
+}
+
+Status Task::Start() {
+  assert(!loop_);
+  Result<std::unique_ptr<EventLoop>> loop = EventLoop::Make();
+  if (!loop.ok()) {
+    return loop.error();
+  }
+  loop_ = std::move(loop).value();
+  Status set_up = Setup(*loop_);
+  if (!set_up.ok()) {
+    return set_up;
+  }
+  thread_ = std::thread([this] { loop_->Run(); });
+  pthread_setname_np(thread_.native_handle(), name_.substr(0, 15).c_str());
+  return OkStatus();
+}
+
+void Task::Stop() {
+  if (thread_.joinable()) {
+    loop_->Stop();
+    thread_.join();
+  }
+}
+
+}  // namespace gcw::kernel
--- /dev/null
+++ b/tests/kernel/kernel_test.cc
@@ -0,0 +1,139 @@
+#include "gcw/kernel/kernel.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "absl/synchronization/notification.h"
+#include "gcw/kernel/task.h"
+#include "gcw/kernel/udp_socket.h"
+
+namespace gcw::kernel {
+namespace {
+
+struct Add {
+  int value;
+};
+struct Finish {};
+using SumMessage = std::variant<Add, Finish>;
+
+class SumTask : public Task {
+ public:
+  explicit SumTask(Kernel& kernel) : Task("sum"), kernel_(kernel) {}
+  ~SumTask() override { Stop(); }
+
+  int WaitForSum() {
+    finished_.WaitForNotification();
+    return sum_;
+  }
+
+ protected:
+  Status Setup(EventLoop& loop) override {
+    auto mailbox = Mailbox<SumMessage>::Make(1000);
+    if (!mailbox.ok()) {
+      return mailbox.error();
+    }
+    mailbox_ = mailbox.value();
+    const Status attached =
+        mailbox_->Attach(loop, [this](SumMessage& m) { OnMessage(m); });
+    if (!attached.ok()) {
+      return attached;
+    }
+    return kernel_.Register<SumMessage>("sum", mailbox_);
+  }
+
+ private:
+  void OnMessage(const SumMessage& message) {
+    if (const auto* add = std::get_if<Add>(&message)) {
+      sum_ += add->value;
+      return;
+    }
+    finished_.Notify();
+  }
+
+  Kernel& kernel_;
+  std::shared_ptr<Mailbox<SumMessage>> mailbox_;
+  int sum_ = 0;
+  absl::Notification finished_;
+};
+
+TEST_CASE("a task found by name gets all messages in order") {
+  Kernel kernel;
+  SumTask task(kernel);
+  REQUIRE(task.Start().ok());
+  const auto sink = kernel.Find<SumMessage>("sum");
+  REQUIRE(sink.ok());
+  for (int i = 1; i <= 100; ++i) {
+    CHECK(sink.value()->Send(Add{i}));
+  }
+  CHECK(sink.value()->Send(Finish{}));
+  CHECK(task.WaitForSum() == 5050);
+}
+
+TEST_CASE("names are unique, typed and can be given up") {
+  Kernel kernel;
+  auto mailbox = Mailbox<int>::Make(1);
+  REQUIRE(mailbox.ok());
+  const std::shared_ptr<Sink<int>> sink = mailbox.value();
+  REQUIRE(kernel.Register<int>("a", sink).ok());
+  CHECK_FALSE(kernel.Register<int>("a", sink).ok());
+  CHECK(kernel.Find<SumMessage>("a").error().code == ResultCode::kInternal);
+  CHECK(kernel.Find<int>("b").error().code == ResultCode::kNotFound);
+  kernel.Unregister("a");
+  CHECK(kernel.Find<int>("a").error().code == ResultCode::kNotFound);
+}
+
+TEST_CASE("a full mailbox refuses instead of growing") {
+  auto mailbox = Mailbox<int>::Make(2);
+  REQUIRE(mailbox.ok());
+  CHECK(mailbox.value()->Send(1));
+  CHECK(mailbox.value()->Send(2));
+  CHECK_FALSE(mailbox.value()->Send(3));
+}
+
+TEST_CASE("datagrams keep order, content and sender over a batch") {
+  const Endpoint a{0x7f4d0001, 9123};
+  const Endpoint b{0x7f4d0001, 9124};
+  auto sender = UdpSocket::Make(a);
+  auto receiver = UdpSocket::Make(b);
+  REQUIRE(sender.ok());
+  REQUIRE(receiver.ok());
+  constexpr std::uint8_t kCount = 100;
+  const std::vector<std::uint8_t> head{7};
+  for (std::uint8_t i = 0; i < kCount; ++i) {
+    const std::vector<std::uint8_t> body{i};
+    sender.value()->Queue(b, head, body);
+  }
+  sender.value()->Flush();
+  std::uint8_t next = 0;
+  const auto check = [&](const Endpoint& from,
+                         std::span<const std::uint8_t> datagram) {
+    CHECK(from == a);
+    REQUIRE(datagram.size() == 2);
+    CHECK(datagram[0] == 7);
+    CHECK(datagram[1] == next);
+    ++next;
+  };
+  while (receiver.value()->Receive(check) > 0) {
+  }
+  CHECK(next == kCount);
+  CHECK(sender.value()->datagrams_sent() == kCount);
+  const std::vector<std::uint8_t> huge(UdpSocket::kMaxDatagram + 1);
+  sender.value()->Queue(b, huge);
+  CHECK(sender.value()->datagrams_dropped() == 1);
+}
+
+TEST_CASE("an address in use is refused with its name") {
+  const Endpoint a{0x7f4d0001, 9125};
+  const auto first = UdpSocket::Make(a);
+  REQUIRE(first.ok());
+  const auto second = UdpSocket::Make(a);
+  REQUIRE_FALSE(second.ok());
+  CHECK(second.error().code == ResultCode::kBindFailed);
+  CHECK(second.error().message.find("127.77.0.1:9125") != std::string::npos);
+}
+
+}  // namespace
+}  // namespace gcw::kernel
