dispatch: messages and their CBOR codec

Callers, backend servers and daemons need one codec for docs/WIRE.md. Messages between dispatchers are in it too.

--- /dev/null
+++ b/src/dispatch/peer_codec.cc
@@ -0,0 +1,282 @@
+#include <limits>
+#include <utility>
+
+#include "gcw/dispatch/codec.h"
+#include "src/dispatch/message_fields.h"
+
+namespace gcw::dispatch {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::uint64_t kMax32 = std::numeric_limits<std::uint32_t>::max();
+constexpr std::uint64_t kMax64 = std::numeric_limits<std::uint64_t>::max();
+
+json EndpointFields(const Endpoint& endpoint) {
+  return json::array({endpoint.ip, endpoint.port});
+}
+
+Endpoint ReadEndpoint(FieldReader& reader, const char* name) {
+  const json& list = reader.List(name);
+  const bool valid = list.size() == 2 && list[0].is_number_unsigned() &&
+                     list[1].is_number_unsigned() &&
+                     list[0].get<std::uint64_t>() <= kMax32 &&
+                     list[1].get<std::uint64_t>() <= 0xffff;
+  if (!valid) {
+    reader.Fail(name, "is not an address and a port");
+    return {};
+  }
+  return Endpoint{list[0].get<std::uint32_t>(), list[1].get<std::uint16_t>()};
+}
+
+json RoutedFields(const RoutedRequest& routed) {
+  return {{"req", ToFields(routed.request)},
+          {"from", EndpointFields(routed.caller)},
+          {"to", EndpointFields(routed.service_address)}};
+}
+
+RoutedRequest ReadRouted(FieldReader& reader) {
+  RoutedRequest routed;
+  FieldReader inner(reader.Map("req"), reader.Path("req"));
+  routed.request = ReadRequest(inner);
+  reader.Join(inner);
+  routed.caller = ReadEndpoint(reader, "from");
+  routed.service_address = ReadEndpoint(reader, "to");
+  return routed;
+}
+
+json HintFields(const SlotHint& hint) {
+  return {{"s", hint.service},
+          {"f", hint.free},
+          {"q", hint.queued},
+          {"n", hint.slots}};
+}
+
+SlotHint ReadHint(FieldReader& reader) {
+  SlotHint hint;
+  hint.service = reader.Text("s");
+  hint.free = static_cast<std::uint32_t>(reader.Number("f", kMax32));
+  hint.queued = static_cast<std::uint32_t>(reader.Number("q", kMax32));
+  hint.slots = static_cast<std::uint32_t>(reader.Number("n", kMax32));
+  return hint;
+}
+
+json ToFields(const ForwardRequest& message) {
+  json map = RoutedFields(message.routed);
+  map["t"] = "fwd";
+  return map;
+}
+
+json ToFields(const ForwardCancel& message) {
+  return {{"t", "fcan"}, {"id", message.id}};
+}
+
+json ToFields(const Settled& message) {
+  return {{"t", "done"}, {"id", message.id}};
+}
+
+json ToFields(const Claim& message) {
+  return {{"t", "claim"}, {"id", message.id}};
+}
+
+json ToFields(const ClaimReply& message) {
+  return {{"t", "vote"},
+          {"id", message.id},
+          {"v", static_cast<std::uint8_t>(message.verdict)}};
+}
+
+json ToFields(const HandRequest& message) {
+  json map = RoutedFields(message.routed);
+  map["t"] = "hand";
+  map["h"] = message.hand_over;
+  map["a"] = message.attempts;
+  if (!message.avoid.empty()) {
+    map["x"] = message.avoid;
+  }
+  return map;
+}
+
+json ToFields(const HandCancel& message) {
+  return {{"t", "hcan"}, {"id", message.id}, {"h", message.hand_over}};
+}
+
+json ToFields(const HandAnswer& message) {
+  return {
+      {"t", "hans"}, {"h", message.hand_over}, {"ans", ToFields(message.part)}};
+}
+
+json ToFields(const HandOutcome& message) {
+  json map = {{"t", "hout"},
+              {"id", message.id},
+              {"h", message.hand_over},
+              {"k", static_cast<std::uint8_t>(message.kind)},
+              {"code", static_cast<std::uint16_t>(message.code)},
+              {"a", message.attempts},
+              {"hint", HintFields(message.hint)}};
+  if (!message.server.empty()) {
+    map["srv"] = message.server;
+  }
+  return map;
+}
+
+json ToFields(const SlotHints& message) {
+  json list = json::array();
+  for (const SlotHint& hint : message.hints) {
+    list.push_back(HintFields(hint));
+  }
+  return {{"t", "hints"}, {"l", std::move(list)}};
+}
+
+json ToFields(const ClaimRecords& message) {
+  json list = json::array();
+  for (const ClaimRecord& record : message.records) {
+    list.push_back({{"id", record.id}, {"o", record.owner}});
+  }
+  return {{"t", "recs"}, {"l", std::move(list)}, {"last", message.last}};
+}
+
+json ToFields(const PeerAck& message) {
+  return {{"t", "ack"}, {"n", message.sequence}};
+}
+
+std::uint32_t ReadHandOver(FieldReader& reader) {
+  return static_cast<std::uint32_t>(reader.Number("h", kMax32));
+}
+
+HandRequest ReadHandRequest(FieldReader& reader) {
+  HandRequest message;
+  message.routed = ReadRouted(reader);
+  message.hand_over = ReadHandOver(reader);
+  message.attempts = static_cast<std::uint32_t>(reader.Number("a", kMax32));
+  message.avoid = reader.Text("x", false);
+  return message;
+}
+
+HandAnswer ReadHandAnswer(FieldReader& reader) {
+  HandAnswer message;
+  message.hand_over = ReadHandOver(reader);
+  FieldReader inner(reader.Map("ans"), reader.Path("ans"));
+  message.part = ReadAnswerPart(inner);
+  reader.Join(inner);
+  return message;
+}
+
+HandOutcome ReadHandOutcome(FieldReader& reader) {
+  HandOutcome message;
+  message.id = reader.Text("id");
+  message.hand_over = ReadHandOver(reader);
+  message.kind = static_cast<HandOutcomeKind>(
+      reader.Number("k", static_cast<std::uint64_t>(HandOutcomeKind::kCut)));
+  message.code = ReadCode(reader, "code");
+  message.attempts = static_cast<std::uint32_t>(reader.Number("a", kMax32));
+  message.server = reader.Text("srv", false);
+  FieldReader inner(reader.Map("hint"), reader.Path("hint"));
+  message.hint = ReadHint(inner);
+  reader.Join(inner);
+  return message;
+}
+
+SlotHints ReadSlotHints(FieldReader& reader) {
+  SlotHints message;
+  for (const json& item : reader.List("l")) {
+    FieldReader inner(item, reader.Path("l"));
+    message.hints.push_back(ReadHint(inner));
+    reader.Join(inner);
+  }
+  return message;
+}
+
+ClaimRecords ReadClaimRecords(FieldReader& reader) {
+  ClaimRecords message;
+  for (const json& item : reader.List("l")) {
+    FieldReader inner(item, reader.Path("l"));
+    ClaimRecord record;
+    record.id = inner.Text("id");
+    record.owner = inner.Text("o");
+    message.records.push_back(std::move(record));
+    reader.Join(inner);
+  }
+  message.last = reader.Flag("last");
+  return message;
+}
+
+ClaimReply ReadClaimReply(FieldReader& reader) {
+  ClaimReply message;
+  message.id = reader.Text("id");
+  message.verdict = static_cast<ClaimVerdict>(
+      reader.Number("v", static_cast<std::uint64_t>(ClaimVerdict::kTaken)));
+  return message;
+}
+
+PeerBody ReadHandMessage(FieldReader& reader, const std::string& type) {
+  if (type == "hand") {
+    return ReadHandRequest(reader);
+  }
+  if (type == "hcan") {
+    const std::string id = reader.Text("id");
+    return HandCancel{id, ReadHandOver(reader)};
+  }
+  if (type == "hans") {
+    return ReadHandAnswer(reader);
+  }
+  if (type == "hout") {
+    return ReadHandOutcome(reader);
+  }
+  reader.Fail("t", "is no known message type");
+  return PeerAck{};
+}
+
+PeerBody ReadBody(FieldReader& reader) {
+  const std::string type = reader.Text("t");
+  if (type == "fwd") {
+    return ForwardRequest{ReadRouted(reader)};
+  }
+  if (type == "fcan") {
+    return ForwardCancel{reader.Text("id")};
+  }
+  if (type == "done") {
+    return Settled{reader.Text("id")};
+  }
+  if (type == "claim") {
+    return Claim{reader.Text("id")};
+  }
+  if (type == "vote") {
+    return ReadClaimReply(reader);
+  }
+  if (type == "hints") {
+    return ReadSlotHints(reader);
+  }
+  if (type == "recs") {
+    return ReadClaimRecords(reader);
+  }
+  if (type == "ack") {
+    return PeerAck{reader.Number("n", kMax64)};
+  }
+  return ReadHandMessage(reader, type);
+}
+
+}  // namespace
+
+Bytes EncodePeer(const PeerMessage& message) {
+  json map = std::visit([](const auto& m) -> json { return ToFields(m); },
+                        message.body);
+  map["q"] = message.sequence;
+  return json::to_cbor(map);
+}
+
+Result<PeerMessage> DecodePeer(std::span<const std::uint8_t> bytes) {
+  Result<json> map = ParseCborMap(bytes);
+  if (!map.ok()) {
+    return map.error();
+  }
+  FieldReader reader(map.value(), "");
+  PeerMessage message;
+  message.body = ReadBody(reader);
+  message.sequence = reader.Number("q", kMax64);
+  if (!reader.ok()) {
+    return reader.error();
+  }
+  return message;
+}
+
+}  // namespace gcw::dispatch
