--- /dev/null
+++ b/src/lab/config_watch.cc
@@ -0,0 +1,77 @@
+#include "src/lab/config_watch.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace gcw::lab {
+
+ConfigWatch::ConfigWatch(const Scheduler& scheduler,
+                         const World& world,
+                         Ledger& notes)
+    : scheduler_(scheduler),
+      world_(world),
+      notes_(notes),
+      revisions_(world.topology().daemons.size(), 0) {}
+
+void ConfigWatch::Accepted(std::uint64_t version) {
+  pending_.push_back({version, scheduler_.now()});
+}
+
+void ConfigWatch::Reported(DaemonIndex daemon, std::uint64_t revision) {
+  if (revision < revisions_[daemon]) {
+    ++reverts_;
+    notes_.AddNote("config.reverts",
+                   fmt::format("{} went from {} to {}",
+                               world_.topology().daemons[daemon].name,
+                               revisions_[daemon], revision));
+  }
+  revisions_[daemon] = revision;
+  while (!pending_.empty() && InForce(pending_.front().version)) {
+    longest_ = std::max(longest_, Age(pending_.front()));
+    pending_.pop_front();
+  }
+}
+
+void ConfigWatch::Forget(DaemonIndex daemon) {
+  revisions_[daemon] = 0;
+}
+
+bool ConfigWatch::InForce(std::uint64_t version) const {
+  for (DaemonIndex i = 0; i < revisions_.size(); ++i) {
+    const DaemonTruth& truth = world_.daemon(i);
+    const bool expected =
+        truth.state == DaemonState::kLive && revisions_[i] > 0 &&
+        truth.informed_since != absl::InfiniteFuture();
+    if (expected && revisions_[i] < version) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void ConfigWatch::Finish() {
+  for (const Pending& pending : pending_) {
+    if (!InForce(pending.version)) {
+      longest_ = std::max(longest_, Age(pending));
+      notes_.AddNote("config.in_force_s",
+                     fmt::format("{} is not in force", pending.version));
+    }
+  }
+  pending_.clear();
+}
+
+absl::Duration ConfigWatch::Age(const Pending& pending) const {
+  // A daemon that was cut off or paused has its time from then on.
+  absl::Time since = pending.accepted;
+  for (DaemonIndex i = 0; i < revisions_.size(); ++i) {
+    const DaemonTruth& truth = world_.daemon(i);
+    if (truth.state == DaemonState::kLive &&
+        truth.informed_since != absl::InfiniteFuture()) {
+      since = std::max(since, truth.informed_since);
+    }
+  }
+  return std::max(scheduler_.now() - since, absl::ZeroDuration());
+}
+
+}  // namespace gcw::lab
--- /dev/null
+++ b/src/lab/daemon_fleet.cc
@@ -0,0 +1,224 @@
+#include "src/lab/daemon_fleet.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace gcw::lab {
+namespace {
+
+constexpr const char* kClusterKey =
+    "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+constexpr std::uint64_t kLargestSeed = 0xffffffff;
+
+bool IsRunning(DaemonState state) {
+  return state == DaemonState::kLive || state == DaemonState::kStopping ||
+         state == DaemonState::kPaused;
+}
+
+}  // namespace
+
+DaemonFleet::DaemonFleet(const Context& context, const FleetOptions& options)
+    : context_(context),
+      options_(options),
+      members_(context.world->topology().daemons.size()) {}
+
+DaemonFleet::~DaemonFleet() = default;
+
+Status DaemonFleet::Start(DaemonIndex daemon) {
+  Member& member = members_[daemon];
+  DaemonTruth& truth = context_.world->daemon(daemon);
+  if (IsRunning(truth.state)) {
+    return OkStatus();
+  }
+  auto process = DaemonProcess::Make(options_.program, WriteSettings(daemon),
+                                     LogPath(daemon));
+  if (!process.ok()) {
+    return process.error();
+  }
+  member.process = std::move(process).value();
+  member.process_number = ++processes_;
+  member.revision = 0;
+  context_.config->Forget(daemon);
+  truth = DaemonTruth();
+  truth.state = DaemonState::kLive;
+  const ZoneIndex zone = context_.world->topology().daemons[daemon].zone;
+  truth.informed_since = context_.world->IsCut(zone)
+                             ? absl::InfiniteFuture()
+                             : context_.scheduler->now();
+  context_.poller->Poll(daemon, member.process_number);
+  PublishVms();
+  return OkStatus();
+}
+
+std::string DaemonFleet::WriteSettings(DaemonIndex daemon) const {
+  const Topology& topology = context_.world->topology();
+  const DaemonInfo& info = topology.daemons[daemon];
+  nlohmann::json peers = nlohmann::json::array();
+  for (const DaemonInfo& peer : topology.daemons) {
+    if (!peer.spare && peer.name != info.name) {
+      peers.push_back({{"name", peer.name},
+                       {"zone", topology.zones[peer.zone]},
+                       {"address", IpToString(peer.advertise)}});
+    }
+  }
+  const nlohmann::json settings = {
+      {"name", info.name},
+      {"zone", topology.zones[info.zone]},
+      {"region", topology.base},
+      {"bind", IpToString(info.bind)},
+      {"advertise", IpToString(info.advertise)},
+      {"fabric", ToString(topology.fabric)},
+      {"platform", ToString(topology.platform)},
+      {"peers", peers},
+      {"cluster_keys", {kClusterKey}},
+      {"policy", options_.policy},
+      {"dispatch_policy", options_.dispatch_policy},
+      {"log_level", "info"},
+      {"seed", (options_.seed * 1000 + daemon + 1) & kLargestSeed}};
+  const std::string path =
+      fmt::format("{}/{}.json", options_.directory, info.name);
+  std::ofstream(path) << settings.dump(2);
+  return path;
+}
+
+std::string DaemonFleet::LogPath(DaemonIndex daemon) const {
+  return fmt::format("{}/{}.log", options_.directory,
+                     context_.world->topology().daemons[daemon].name);
+}
+
+void DaemonFleet::Kill(DaemonIndex daemon) {
+  if (!IsRunning(context_.world->daemon(daemon).state)) {
+    return;
+  }
+  members_[daemon].process->Signal(SIGKILL);
+  context_.world->daemon(daemon).state = DaemonState::kDead;
+  context_.world->daemon(daemon).ended = context_.scheduler->now();
+  context_.poller->Skip(daemon);
+  SprayAfterLag(daemon);
+  PublishVms();
+}
+
+void DaemonFleet::Stop(DaemonIndex daemon) {
+  DaemonTruth& truth = context_.world->daemon(daemon);
+  if (truth.state != DaemonState::kLive) {
+    return;
+  }
+  truth.state = DaemonState::kStopping;
+  truth.stop_began = context_.scheduler->now();
+  members_[daemon].process->Signal(SIGTERM);
+  SprayAfterLag(daemon);
+  PublishVms();
+}
+
+void DaemonFleet::Pause(DaemonIndex daemon) {
+  DaemonTruth& truth = context_.world->daemon(daemon);
+  if (truth.state != DaemonState::kLive) {
+    return;
+  }
+  truth.state = DaemonState::kPaused;
+  truth.informed_since = absl::InfiniteFuture();
+  members_[daemon].process->Signal(SIGSTOP);
+  context_.poller->Skip(daemon);
+  SprayAfterLag(daemon);
+}
+
+void DaemonFleet::Resume(DaemonIndex daemon) {
+  DaemonTruth& truth = context_.world->daemon(daemon);
+  if (truth.state != DaemonState::kPaused) {
+    return;
+  }
+  members_[daemon].process->Signal(SIGCONT);
+  truth.state = DaemonState::kLive;
+  const ZoneIndex zone = context_.world->topology().daemons[daemon].zone;
+  if (!context_.world->IsCut(zone)) {
+    truth.informed_since = context_.scheduler->now();
+  }
+  context_.poller->Poll(daemon, members_[daemon].process_number);
+  SprayAfterLag(daemon);
+}
+
+void DaemonFleet::SprayAfterLag(DaemonIndex daemon) {
+  context_.scheduler->After(options_.fabric_lag, [this, daemon] {
+    const bool live =
+        context_.world->daemon(daemon).state == DaemonState::kLive;
+    context_.fabric->SetSprayed(daemon, live && members_[daemon].revision > 0);
+  });
+}
+
+void DaemonFleet::PublishVms() {
+  std::vector<platform::Vm> vms;
+  const Topology& topology = context_.world->topology();
+  for (DaemonIndex i = 0; i < members_.size(); ++i) {
+    const DaemonState state = context_.world->daemon(i).state;
+    if (!IsRunning(state)) {
+      continue;
+    }
+    const DaemonInfo& info = topology.daemons[i];
+    vms.push_back({info.name, IpToString(info.advertise),
+                   topology.zones[info.zone],
+                   state == DaemonState::kStopping
+                       ? platform::VmState::kLeaving
+                       : platform::VmState::kLive});
+  }
+  context_.platform->SetVms(std::move(vms));
+}
+
+void DaemonFleet::Tick() {
+  for (const RevisionReport& report : context_.poller->Take()) {
+    OnReport(report);
+  }
+  for (DaemonIndex i = 0; i < members_.size(); ++i) {
+    const auto exit_code =
+        members_[i].process ? members_[i].process->ExitCode() : std::nullopt;
+    if (exit_code) {
+      OnEnded(i, *exit_code);
+    }
+  }
+}
+
+void DaemonFleet::OnReport(const RevisionReport& report) {
+  Member& member = members_[report.daemon];
+  if (report.process != member.process_number || report.revision == 0) {
+    return;  // Of an earlier process, or of one that knows nothing yet.
+  }
+  if (member.revision == 0) {
+    member.revision = report.revision;
+    SprayAfterLag(report.daemon);
+  }
+  member.revision = report.revision;
+  context_.config->Reported(report.daemon, report.revision);
+}
+
+void DaemonFleet::OnEnded(DaemonIndex daemon, int exit_code) {
+  DaemonTruth& truth = context_.world->daemon(daemon);
+  const bool killed = truth.state == DaemonState::kDead;
+  const bool stopped = truth.state == DaemonState::kStopping && exit_code == 0;
+  if (!killed && !stopped) {
+    ++crashes_;
+    context_.ledger->AddNote(
+        "daemons.crashed",
+        fmt::format("{} ended with {}",
+                    context_.world->topology().daemons[daemon].name,
+                    exit_code));
+  }
+  if (!killed) {
+    truth.state = DaemonState::kDead;
+    truth.ended = context_.scheduler->now();
+  }
+  members_[daemon].process.reset();
+  context_.poller->Skip(daemon);
+  SprayAfterLag(daemon);
+  PublishVms();
+}
+
+bool DaemonFleet::AllHave(std::uint64_t version) const {
+  return std::all_of(members_.begin(), members_.end(), [&](const Member& m) {
+    return m.process == nullptr || m.revision >= version;
+  });
+}
+
+}  // namespace gcw::lab
--- /dev/null
+++ b/src/lab/daemon_process.cc
@@ -0,0 +1,72 @@
+#include "src/lab/daemon_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+
+namespace gcw::lab {
+namespace {
+
+constexpr int kSignalExit = 128;
+constexpr int kExecFailed = 127;
+
+int ExitCodeOf(int status) {
+  return WIFSIGNALED(status) ? kSignalExit + WTERMSIG(status)
+                             : WEXITSTATUS(status);
+}
+
+}  // namespace
+
+Result<std::unique_ptr<DaemonProcess>> DaemonProcess::Make(
+    const std::string& program,
+    const std::string& settings_path,
+    const std::string& log_path) {
+  const int log = open(log_path.c_str(),
+                       O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (log < 0 || access(program.c_str(), X_OK) != 0) {
+    close(log);
+    return Error{ResultCode::kInternal, "",
+                 "cannot start " + program + " with log " + log_path};
+  }
+  const char* const arguments[] = {program.c_str(), "--settings",
+                                   settings_path.c_str(), nullptr};
+  // posix_spawn cannot ask for a signal at the parent's death.
+  const pid_t pid = fork();
+  if (pid == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    dup2(log, STDERR_FILENO);
+    execv(program.c_str(), const_cast<char* const*>(arguments));
+    _exit(kExecFailed);
+  }
+  close(log);
+  if (pid < 0) {
+    return Error{ResultCode::kInternal, "", "cannot fork"};
+  }
+  return std::unique_ptr<DaemonProcess>(new DaemonProcess(pid));
+}
+
+DaemonProcess::~DaemonProcess() {
+  if (!ExitCode()) {
+    kill(pid_, SIGKILL);
+    waitpid(pid_, nullptr, 0);
+  }
+}
+
+void DaemonProcess::Signal(int signal) {
+  if (!ExitCode()) {
+    kill(pid_, signal);
+  }
+}
+
+std::optional<int> DaemonProcess::ExitCode() {
+  int status = 0;
+  if (!exit_code_ && waitpid(pid_, &status, WNOHANG) == pid_) {
+    exit_code_ = ExitCodeOf(status);
+  }
+  return exit_code_;
+}
+
+}  // namespace gcw::lab
--- /dev/null
+++ b/src/lab/load_meter.cc
@@ -0,0 +1,162 @@
+#include "src/lab/load_meter.h"
+
+#include <algorithm>
+
+namespace gcw::lab {
+namespace {
+
+// A server that was in service for less than this share of the run says
+// little about the balance.
+constexpr double kLeastEligibleShare = 0.3;
+
+}  // namespace
+
+LoadMeter::LoadMeter(const World& world)
+    : world_(world),
+      use_(world.topology().servers.size()),
+      eligible_(world.topology().servers.size(), true),
+      window_slots_(world.topology().servers.size()),
+      bearable_(world.topology().services.size()),
+      delivered_(world.topology().services.size()) {
+  for (ServerUse& use : use_) {
+    use.flows.resize(world.topology().services.size());
+  }
+}
+
+void LoadMeter::NewFlow(ServiceIndex service, ServerIndex server) {
+  if (eligible_[server]) {
+    ++use_[server].flows[service];
+  }
+}
+
+void LoadMeter::ColdLoad(double load) {
+  cold_overload_ = std::max(cold_overload_, load);
+}
+
+void LoadMeter::Sample(const std::vector<ServerLoad>& loads,
+                       absl::Duration span) {
+  const double seconds = absl::ToDoubleSeconds(span);
+  sampled_s_ += seconds;
+  for (ServerIndex i = 0; i < loads.size(); ++i) {
+    const ZoneIndex zone = world_.topology().servers[i].zone;
+    const bool in_service = world_.InService(i);
+    eligible_[i] = in_service && !loads[i].cold && !world_.IsCut(zone);
+    if (eligible_[i]) {
+      use_[i].eligible_s += seconds;
+      use_[i].slot_seconds += seconds * loads[i].running /
+                              world_.topology().servers[i].slots;
+    }
+    if (in_service && world_.PathExists(zone, i)) {
+      window_slots_[i] += seconds * loads[i].bears;
+    }
+  }
+}
+
+void LoadMeter::Offered(ServiceIndex service,
+                        double worth,
+                        absl::Duration work) {
+  window_.push_back({service, worth, absl::ToDoubleSeconds(work)});
+}
+
+void LoadMeter::Delivered(ServiceIndex service, double worth) {
+  delivered_[service] += worth;
+}
+
+void LoadMeter::EndWindow() {
+  // Services that share servers compete; each server's slots go to its
+  // services in proportion to what was offered to them.
+  const auto& services = world_.topology().services;
+  std::vector<double> offered(services.size());
+  for (const Offer& offer : window_) {
+    offered[offer.service] += offer.slot_seconds;
+  }
+  std::vector<double> slots(services.size());
+  for (ServerIndex i = 0; i < window_slots_.size(); ++i) {
+    double total = 0;
+    for (const ServiceIndex s : world_.server(i).services) {
+      total += offered[s] / static_cast<double>(services[s].servers.size());
+    }
+    for (const ServiceIndex s : world_.server(i).services) {
+      const double part =
+          offered[s] / static_cast<double>(services[s].servers.size());
+      slots[s] += total > 0 ? window_slots_[i] * part / total : 0;
+    }
+    window_slots_[i] = 0;
+  }
+  for (ServiceIndex s = 0; s < services.size(); ++s) {
+    BearBestOffers({s}, slots[s]);
+  }
+  window_.clear();
+}
+
+void LoadMeter::BearBestOffers(const std::vector<ServiceIndex>& services,
+                               double slot_seconds) {
+  std::vector<Offer> offers;
+  for (const Offer& offer : window_) {
+    if (std::find(services.begin(), services.end(), offer.service) !=
+        services.end()) {
+      offers.push_back(offer);
+    }
+  }
+  std::sort(offers.begin(), offers.end(), [](const Offer& a, const Offer& b) {
+    return a.worth * b.slot_seconds > b.worth * a.slot_seconds;
+  });
+  for (const Offer& offer : offers) {
+    if (slot_seconds <= 0) {
+      return;
+    }
+    const double share =
+        offer.slot_seconds <= slot_seconds ? 1 : slot_seconds / offer.slot_seconds;
+    bearable_[offer.service] += offer.worth * share;
+    slot_seconds -= offer.slot_seconds;
+  }
+}
+
+bool LoadMeter::Counts(ServerIndex server) const {
+  return use_[server].eligible_s > kLeastEligibleShare * sampled_s_;
+}
+
+double LoadMeter::Imbalance(ServiceIndex service,
+                            double (*load)(const ServerUse&,
+                                           ServiceIndex)) const {
+  double total = 0;
+  double total_s = 0;
+  double largest = 0;
+  for (const ServerIndex i : world_.topology().services[service].servers) {
+    if (!Counts(i)) {
+      continue;
+    }
+    const double value = load(use_[i], service);
+    total += value;
+    total_s += use_[i].eligible_s;
+    largest = std::max(largest, value / use_[i].eligible_s);
+  }
+  return total > 0 ? largest * total_s / total : 1;
+}
+
+double LoadMeter::FlowImbalance(ServiceIndex service) const {
+  return Imbalance(service, [](const ServerUse& use, ServiceIndex s) {
+    return static_cast<double>(use.flows[s]);
+  });
+}
+
+double LoadMeter::SlotImbalance(ServiceIndex service) const {
+  return Imbalance(service, [](const ServerUse& use, ServiceIndex) {
+    return use.slot_seconds;
+  });
+}
+
+double LoadMeter::ServiceShare(const std::string& firm) const {
+  double bearable = 0;
+  double delivered = 0;
+  const auto& services = world_.topology().services;
+  for (ServiceIndex s = 0; s < services.size(); ++s) {
+    if (services[s].firm == firm) {
+      bearable += bearable_[s];
+      delivered += delivered_[s];
+    }
+  }
+  return bearable > 0 ? std::min(1.0, delivered / bearable) : 1;
+}
+
+}  // namespace gcw::lab
--- /dev/null
+++ b/src/lab/load_meter.h
@@ -0,0 +1,80 @@
+#ifndef SRC_LAB_LOAD_METER_H_
+#define SRC_LAB_LOAD_METER_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "src/lab/world.h"
+
+namespace gcw::lab {
+
+// What one server carried at a sample.
+struct ServerLoad {
+  int running = 0;
+  int bears = 0;  // Requests at a time that it bears now.
+  bool cold = false;
+};
+
+// Measures how evenly load lies, what cold servers got, and what share of the
+// offered worth each firm was served. Not thread-safe.
+class LoadMeter {
+ public:
+  explicit LoadMeter(const World& world);
+
+  // A server took a new flow of `service`.
+  void NewFlow(ServiceIndex service, ServerIndex server);
+  // A cold server holds `load` times what it bears.
+  void ColdLoad(double load);
+  // `loads` held for `span`, in the order of the topology's servers.
+  void Sample(const std::vector<ServerLoad>& loads, absl::Duration span);
+
+  // A caller offered a request that takes `work` of a slot.
+  void Offered(ServiceIndex service, double worth, absl::Duration work);
+  void Delivered(ServiceIndex service, double worth);
+  // Ends one window: what was offered in it competes for the slots of it.
+  void EndWindow();
+
+  // Largest over mean rate of new flows, relative to time in service; 1 if
+  // there were none.
+  double FlowImbalance(ServiceIndex service) const;
+  // Largest over mean use of slots, relative to time in service.
+  double SlotImbalance(ServiceIndex service) const;
+  double cold_overload() const { return cold_overload_; }
+  // Delivered worth over the worth that the servers could have borne; 1 if
+  // the firm offered nothing.
+  double ServiceShare(const std::string& firm) const;
+
+ private:
+  struct Offer {
+    ServiceIndex service;
+    double worth;
+    double slot_seconds;
+  };
+  struct ServerUse {
+    double eligible_s = 0;
+    double slot_seconds = 0;
+    std::vector<std::uint64_t> flows;  // By service.
+  };
+
+  bool Counts(ServerIndex server) const;
+  double Imbalance(ServiceIndex service,
+                   double (*load)(const ServerUse&, ServiceIndex)) const;
+  void BearBestOffers(const std::vector<ServiceIndex>& services,
+                      double slot_seconds);
+
+  const World& world_;
+  double sampled_s_ = 0;
+  std::vector<ServerUse> use_;
+  std::vector<bool> eligible_;
+  double cold_overload_ = 0;
+  std::vector<Offer> window_;
+  std::vector<double> window_slots_;  // Slot-seconds borne, by server.
+  std::vector<double> bearable_;      // Worth, by service.
+  std::vector<double> delivered_;     // Worth, by service.
+};
+
+}  // namespace gcw::lab
+
+#endif  // SRC_LAB_LOAD_METER_H_
--- /dev/null
+++ b/src/lab/status_poller.cc
@@ -0,0 +1,97 @@
+#include "src/lab/status_poller.h"
+
+#include <httplib.h>
+
+#include <atomic>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <thread>
+#include <utility>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+
+namespace gcw::lab {
+namespace {
+
+constexpr int kStatusPort = 7007;
+constexpr absl::Duration kPollInterval = absl::Milliseconds(100);
+constexpr std::chrono::milliseconds kTimeout(250);
+
+// Nothing if the daemon does not answer or names no revision.
+std::optional<std::uint64_t> AskRevision(std::uint32_t ip) {
+  httplib::Client client(IpToString(ip), kStatusPort);
+  client.set_connection_timeout(kTimeout);
+  client.set_read_timeout(kTimeout);
+  const httplib::Result answer = client.Get("/status");
+  if (!answer || answer->status != 200) {
+    return std::nullopt;
+  }
+  const auto json = nlohmann::json::parse(answer->body, nullptr, false);
+  if (!json.is_object() || !json.contains("revision") ||
+      !json["revision"].is_number_unsigned()) {
+    return std::nullopt;
+  }
+  return json["revision"].get<std::uint64_t>();
+}
+
+}  // namespace
+
+class StatusPoller::Impl {
+ public:
+  explicit Impl(const Topology& topology)
+      : topology_(topology), thread_([this] { Run(); }) {}
+
+  ~Impl() {
+    stopped_ = true;
+    thread_.join();
+  }
+
+  void Run() {
+    while (!stopped_) {
+      for (const auto& [daemon, process] : Targets()) {
+        const auto revision = AskRevision(topology_.daemons[daemon].bind);
+        if (revision) {
+          absl::MutexLock lock(&mutex_);
+          reports_.push_back({daemon, process, *revision});
+        }
+      }
+      absl::SleepFor(kPollInterval);
+    }
+  }
+
+  std::map<DaemonIndex, std::uint64_t> Targets() {
+    absl::MutexLock lock(&mutex_);
+    return targets_;
+  }
+
+  const Topology& topology_;
+  absl::Mutex mutex_;
+  std::map<DaemonIndex, std::uint64_t> targets_ ABSL_GUARDED_BY(mutex_);
+  std::vector<RevisionReport> reports_ ABSL_GUARDED_BY(mutex_);
+  std::atomic<bool> stopped_ = false;
+  std::thread thread_;
+};
+
+StatusPoller::StatusPoller(const Topology& topology)
+    : impl_(std::make_unique<Impl>(topology)) {}
+StatusPoller::~StatusPoller() = default;
+
+void StatusPoller::Poll(DaemonIndex daemon, std::uint64_t process) {
+  absl::MutexLock lock(&impl_->mutex_);
+  impl_->targets_[daemon] = process;
+}
+
+void StatusPoller::Skip(DaemonIndex daemon) {
+  absl::MutexLock lock(&impl_->mutex_);
+  impl_->targets_.erase(daemon);
+}
+
+std::vector<RevisionReport> StatusPoller::Take() {
+  absl::MutexLock lock(&impl_->mutex_);
+  return std::exchange(impl_->reports_, {});
+}
+
+}  // namespace gcw::lab
--- /dev/null
+++ b/src/lab/status_poller.h
@@ -0,0 +1,38 @@
+#ifndef SRC_LAB_STATUS_POLLER_H_
+#define SRC_LAB_STATUS_POLLER_H_
+
+#include <cstdint>
+#include <memory>
+#include <vector>
+
+#include "src/lab/topology.h"
+
+namespace gcw::lab {
+
+struct RevisionReport {
+  DaemonIndex daemon = 0;
+  std::uint64_t process = 0;  // As given to Poll().
+  std::uint64_t revision = 0;
+};
+
+// Asks daemons for their status on a thread of its own. Thread-safe.
+class StatusPoller {
+ public:
+  // `topology` must outlive the poller.
+  explicit StatusPoller(const Topology& topology);
+  ~StatusPoller();
+
+  // Asks the daemon from now on; `process` numbers its process.
+  void Poll(DaemonIndex daemon, std::uint64_t process);
+  void Skip(DaemonIndex daemon);
+  // Reports since the last call, oldest first.
+  std::vector<RevisionReport> Take();
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gcw::lab
+
+#endif  // SRC_LAB_STATUS_POLLER_H_
--- /dev/null
+++ b/src/lab/stream_tunnel.cc
@@ -0,0 +1,157 @@
+#include "src/lab/stream_tunnel.h"
+
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace gcw::lab {
+namespace {
+
+constexpr std::size_t kReadBytes = 16384;
+constexpr std::size_t kMostWaiting = std::size_t{512} * 1024;
+constexpr absl::Duration kWriteRetry = absl::Milliseconds(5);
+constexpr absl::Duration kCutRetry = absl::Milliseconds(50);
+
+}  // namespace
+
+std::shared_ptr<StreamTunnel> StreamTunnel::Start(EventLoop& loop,
+                                                  int first,
+                                                  int second,
+                                                  Hooks hooks) {
+  std::shared_ptr<StreamTunnel> tunnel(
+      new StreamTunnel(loop, first, second, std::move(hooks)));
+  tunnel->Watch(0);
+  tunnel->Watch(1);
+  return tunnel;
+}
+
+StreamTunnel::StreamTunnel(EventLoop& loop, int first, int second, Hooks hooks)
+    : loop_(loop), hooks_(std::move(hooks)) {
+  directions_[0].from = directions_[1].to = first;
+  directions_[1].from = directions_[0].to = second;
+}
+
+StreamTunnel::~StreamTunnel() {
+  Close();
+}
+
+void StreamTunnel::Close() {
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  for (const Direction& direction : directions_) {
+    loop_.Unwatch(direction.from);
+    close(direction.from);
+  }
+}
+
+void StreamTunnel::Watch(std::size_t index) {
+  loop_.Watch(directions_[index].from, EPOLLIN,
+              [weak = weak_from_this(), index](std::uint32_t) {
+                if (const auto tunnel = weak.lock()) {
+                  tunnel->Read(index);
+                }
+              });
+}
+
+void StreamTunnel::Read(std::size_t index) {
+  Direction& direction = directions_[index];
+  if (closed_ || direction.read_end) {
+    return;
+  }
+  Bytes bytes(kReadBytes);
+  const ssize_t count = recv(direction.from, bytes.data(), bytes.size(), 0);
+  if (count < 0) {
+    if (errno != EAGAIN && errno != EINTR && errno != ENOTCONN) {
+      Close();
+    }
+    return;
+  }
+  bytes.resize(static_cast<std::size_t>(count));
+  if (bytes.empty()) {
+    direction.read_end = true;
+    loop_.Unwatch(direction.from);
+  } else {
+    hooks_.on_bytes(index == 0, bytes.size());
+  }
+  ScheduleDelivery(index, std::move(bytes));
+}
+
+void StreamTunnel::ScheduleDelivery(std::size_t index, Bytes bytes) {
+  Direction& direction = directions_[index];
+  direction.waiting_bytes += bytes.size();
+  direction.waiting.push_back(std::move(bytes));
+  if (direction.waiting_bytes > kMostWaiting) {
+    loop_.Rewatch(direction.from, 0);
+  }
+  // Bytes of one stream never overtake each other.
+  direction.last_due =
+      std::max(direction.last_due, loop_.now() + hooks_.delay());
+  loop_.At(direction.last_due, [weak = weak_from_this(), index] {
+    if (const auto tunnel = weak.lock()) {
+      tunnel->Deliver(index);
+    }
+  });
+}
+
+void StreamTunnel::Deliver(std::size_t index) {
+  Direction& direction = directions_[index];
+  if (closed_ || direction.waiting.empty()) {
+    return;
+  }
+  const bool cut = hooks_.is_cut();
+  if (cut || !WriteFront(direction)) {
+    if (!closed_) {
+      loop_.After(cut ? kCutRetry : kWriteRetry,
+                  [weak = weak_from_this(), index] {
+                    if (const auto tunnel = weak.lock()) {
+                      tunnel->Deliver(index);
+                    }
+                  });
+    }
+    return;
+  }
+  if (!direction.read_end && direction.waiting_bytes <= kMostWaiting) {
+    loop_.Rewatch(direction.from, EPOLLIN);
+  }
+  CloseIfDone();
+}
+
+// False if the rest has to be written later, or if the tunnel closed.
+bool StreamTunnel::WriteFront(Direction& direction) {
+  Bytes& front = direction.waiting.front();
+  if (front.empty()) {
+    shutdown(direction.to, SHUT_WR);
+    direction.wrote_end = true;
+    direction.waiting.pop_front();
+    return true;
+  }
+  const ssize_t count =
+      send(direction.to, front.data(), front.size(), MSG_NOSIGNAL);
+  if (count < 0) {
+    if (errno != EAGAIN && errno != EINTR && errno != ENOTCONN) {
+      Close();
+    }
+    return false;
+  }
+  direction.waiting_bytes -= static_cast<std::size_t>(count);
+  front.erase(front.begin(), front.begin() + count);
+  if (!front.empty()) {
+    return false;
+  }
+  direction.waiting.pop_front();
+  return true;
+}
+
+void StreamTunnel::CloseIfDone() {
+  if (directions_[0].wrote_end && directions_[1].wrote_end) {
+    Close();
+  }
+}
+
+}  // namespace gcw::lab
--- /dev/null
+++ b/src/lab/topology.cc
@@ -0,0 +1,197 @@
+#include "src/lab/topology.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <array>
+#include <cassert>
+
+namespace gcw::lab {
+namespace {
+
+constexpr std::size_t kSpareDaemons = 4;
+constexpr std::uint16_t kServerPort = 9000;
+constexpr std::uint16_t kServicePort = 7443;
+constexpr std::uint16_t kFabricPort = 7000;
+constexpr std::uint16_t kPlatformPort = 8080;
+constexpr std::uint32_t kServiceNetwork = 0xc6336400;  // 198.51.100.0
+constexpr int kConnections = 2000;
+constexpr int kMainServers = 14;
+constexpr int kSmallServers = 4;
+// Servers of the main service that also serve the other firm.
+constexpr int kSharedServers = 3;
+constexpr double kOtherFirmSlots = 1.5;
+constexpr double kOtherFirmFlows = 0.1;
+constexpr double kSmallServiceFlows = 0.2;
+
+struct Base {
+  std::string_view name;
+  std::string_view firm;
+  std::string_view other_firm;
+  std::array<std::string_view, 3> zones;
+  std::string_view main_service;
+  std::string_view small_service;
+  std::string_view other_service;
+  absl::Duration zone_delay;
+  absl::Duration caller_delay;
+  int slots;
+  absl::Duration main_service_time;
+  absl::Duration small_service_time;
+};
+
+const std::array<Base, 2>& Bases() {
+  static const std::array<Base, 2> bases = {
+      Base{"valtellina",
+           "valtellina",
+           "tayside",
+           {"sondrio", "tirano", "morbegno"},
+           "dispatch",
+           "archive",
+           "shelf",
+           absl::Milliseconds(1),
+           absl::Milliseconds(3),
+           3,
+           absl::Milliseconds(200),
+           absl::Milliseconds(120)},
+      Base{"scot-east",
+           "tayside",
+           "valtellina",
+           {"a", "b", "c"},
+           "orders",
+           "shelf",
+           "photos",
+           absl::Milliseconds(1),
+           absl::Milliseconds(1),
+           2,
+           absl::Milliseconds(150),
+           absl::Milliseconds(100)},
+  };
+  return bases;
+}
+
+const Base* FindBase(std::string_view name) {
+  const auto* it =
+      std::find_if(Bases().begin(), Bases().end(),
+                   [&](const Base& base) { return base.name == name; });
+  return it == Bases().end() ? nullptr : it;
+}
+
+std::uint32_t LoopbackIp(int octet, std::size_t third, std::size_t fourth) {
+  return static_cast<std::uint32_t>(127U << 24 | octet << 16 | third << 8 |
+                                    fourth);
+}
+
+void AddServers(Topology& topology,
+                const Base& base,
+                std::string_view service,
+                int count,
+                int octet) {
+  for (int i = 0; i < count; ++i) {
+    const ZoneIndex zone = topology.servers.size() % topology.zones.size();
+    const std::size_t number = topology.servers.size() + 1;
+    topology.servers.push_back(
+        {fmt::format("{}-{}", service, i + 1), zone,
+         Endpoint{LoopbackIp(octet, 10 + zone, number), kServerPort},
+         base.slots, kConnections});
+  }
+}
+
+void AddService(Topology& topology,
+                std::string_view name,
+                std::string_view firm,
+                ServerIndex first,
+                int count) {
+  ServiceInfo service;
+  service.name = std::string(name);
+  service.firm = std::string(firm);
+  const auto number = static_cast<std::uint32_t>(topology.services.size() + 1);
+  service.address = {kServiceNetwork + number, kServicePort};
+  for (int i = 0; i < count; ++i) {
+    service.servers.push_back(first + static_cast<ServerIndex>(i));
+  }
+  topology.services.push_back(std::move(service));
+}
+
+void SetLoad(const Base& base, Topology& topology) {
+  ServiceInfo& main = topology.services[0];
+  main.slots_at_full_load = kMainServers * base.slots - kOtherFirmSlots;
+  main.flow_share = 1 - kSmallServiceFlows - kOtherFirmFlows;
+  main.mean_service_time = base.main_service_time;
+  main.answer_bytes = 600;
+  ServiceInfo& small = topology.services[1];
+  small.slots_at_full_load = kSmallServers * base.slots;
+  small.flow_share = kSmallServiceFlows;
+  small.mean_service_time = base.small_service_time;
+  small.answer_bytes = 3000;
+  ServiceInfo& other = topology.services[2];
+  other.slots_at_full_load = kOtherFirmSlots;
+  other.flow_share = kOtherFirmFlows;
+  other.mean_service_time = base.small_service_time;
+  other.answer_bytes = 600;
+}
+
+template <typename List, typename Predicate>
+std::size_t IndexOf(const List& list, Predicate predicate) {
+  return static_cast<std::size_t>(
+      std::find_if(list.begin(), list.end(), predicate) - list.begin());
+}
+
+}  // namespace
+
+bool IsBase(std::string_view base) {
+  return FindBase(base) != nullptr;
+}
+
+Topology MakeTopology(std::string_view name, int octet, std::size_t daemons) {
+  const Base* base = FindBase(name);
+  assert(base != nullptr);
+  Topology topology;
+  topology.base = std::string(name);
+  topology.firms = {std::string(base->firm), std::string(base->other_firm)};
+  topology.zones.assign(base->zones.begin(), base->zones.end());
+  topology.zone_delay = base->zone_delay;
+  topology.caller_delay = base->caller_delay;
+  topology.fabric = {LoopbackIp(octet, 0, 1), kFabricPort};
+  topology.platform = {LoopbackIp(octet, 0, 2), kPlatformPort};
+  for (std::size_t i = 0; i < daemons + kSpareDaemons; ++i) {
+    topology.daemons.push_back({fmt::format("entry-{}", i + 1),
+                                i % topology.zones.size(),
+                                LoopbackIp(octet, 1, i + 1),
+                                LoopbackIp(octet, 2, i + 1), i >= daemons});
+  }
+  AddServers(topology, *base, base->main_service, kMainServers, octet);
+  AddServers(topology, *base, base->small_service, kSmallServers, octet);
+  AddService(topology, base->main_service, base->firm, 0, kMainServers);
+  AddService(topology, base->small_service, base->firm, kMainServers,
+             kSmallServers);
+  AddService(topology, base->other_service, base->other_firm, 0,
+             kSharedServers);
+  SetLoad(*base, topology);
+  return topology;
+}
+
+ZoneIndex Topology::FindZone(std::string_view name) const {
+  return IndexOf(zones, [&](const auto& zone) { return zone == name; });
+}
+
+DaemonIndex Topology::FindDaemon(std::string_view name) const {
+  return IndexOf(daemons, [&](const auto& d) { return d.name == name; });
+}
+
+DaemonIndex Topology::FindDaemonByBind(std::uint32_t ip) const {
+  return IndexOf(daemons, [&](const auto& d) { return d.bind == ip; });
+}
+
+ServerIndex Topology::FindServer(std::string_view name) const {
+  return IndexOf(servers, [&](const auto& s) { return s.name == name; });
+}
+
+ServiceIndex Topology::FindService(std::string_view name) const {
+  return IndexOf(services, [&](const auto& s) { return s.name == name; });
+}
+
+ServiceIndex Topology::FindServiceByAddress(const Endpoint& address) const {
+  return IndexOf(services, [&](const auto& s) { return s.address == address; });
+}
+
+}  // namespace gcw::lab
