platform, fake_platform: client interface, HTTP client and a stand-in

The client tells apart calls that were never sent, reads without an answer and writes whose outcome is unknown. The stand-in holds the store of docs/WIRE.md behind an HTTP server, with outages, delays, lost answers, stalled watches, stale reads, partitions by client address and call counters.

--- /dev/null
+++ b/src/fake_platform/faults.cc
@@ -0,0 +1,76 @@
+#include "src/fake_platform/faults.h"
+
+#include <algorithm>
+
+namespace gcw::fake_platform {
+
+Faults::Faults(const RateLimits& limits, std::uint64_t seed) : random_(seed) {
+  reads_.rate = limits.reads_per_second;
+  writes_.rate = limits.writes_per_second;
+}
+
+CallFate Faults::Decide(CallKind kind,
+                        std::uint32_t client_ip,
+                        absl::Time now) {
+  CallFate fate;
+  if (outage_ == Outage::kSilent || IsPartitioned(client_ip)) {
+    fate.kind = CallFate::Kind::kNoAnswer;
+    return fate;
+  }
+  if (outage_ == Outage::kRefusing) {
+    fate.kind = CallFate::Kind::kUnavailable;
+    return fate;
+  }
+  TokenBucket& bucket = IsWrite(kind) ? writes_ : reads_;
+  if (!bucket.Take(now)) {
+    fate.kind = CallFate::Kind::kRateLimited;
+    return fate;
+  }
+  fate.delay = DrawDelay();
+  fate.lose_answer = IsWrite(kind) && Happens(lost_answers_);
+  fate.answer_stale = (kind == CallKind::kList || kind == CallKind::kGet) &&
+                      Happens(stale_reads_);
+  return fate;
+}
+
+void Faults::SetPartitioned(std::uint32_t client_ip, bool partitioned) {
+  if (partitioned) {
+    partitioned_.insert(client_ip);
+  } else {
+    partitioned_.erase(client_ip);
+  }
+}
+
+bool Faults::IsPartitioned(std::uint32_t client_ip) const {
+  return partitioned_.contains(client_ip);
+}
+
+// Holds at most the calls of one second.
+bool Faults::TokenBucket::Take(absl::Time now) {
+  if (filled_at == absl::InfinitePast()) {
+    tokens = rate;
+  } else {
+    tokens += rate * absl::ToDoubleSeconds(now - filled_at);
+  }
+  tokens = std::min(tokens, std::max(rate, 1.0));
+  filled_at = now;
+  if (tokens < 1) {
+    return false;
+  }
+  tokens -= 1;
+  return true;
+}
+
+bool Faults::Happens(double share) {
+  return std::bernoulli_distribution(share)(random_);
+}
+
+absl::Duration Faults::DrawDelay() {
+  if (delay_.mean_extra <= absl::ZeroDuration()) {
+    return delay_.base;
+  }
+  std::exponential_distribution<double> extra(1.0);
+  return delay_.base + delay_.mean_extra * extra(random_);
+}
+
+}  // namespace gcw::fake_platform
--- /dev/null
+++ b/src/fake_platform/store.cc
@@ -0,0 +1,116 @@
+#include "src/fake_platform/store.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace gcw::fake_platform {
+namespace {
+
+Error Conflict(Version current) {
+  return {ResultCode::kPlatformConflict, "",
+          fmt::format("the object is at version {}", current)};
+}
+
+}  // namespace
+
+Store::Store(std::size_t log_size) : log_size_(log_size) {}
+
+Result<Version> Store::Put(std::string_view key,
+                           std::string_view value,
+                           Version if_version) {
+  if (value.size() > kMaxStoredBytes) {
+    return Error{ResultCode::kTooLarge, "", "the value is too large"};
+  }
+  if (!nlohmann::json::accept(value.begin(), value.end())) {
+    return Error{ResultCode::kMalformedJson, "", "the value is not JSON"};
+  }
+  if (VersionOf(key) != if_version) {
+    return Conflict(VersionOf(key));
+  }
+  Object& object = objects_[std::string(key)];
+  object.key = key;
+  object.value = value;
+  object.version = ++revision_;
+  if (if_version == 0) {
+    object.created = revision_;
+  }
+  Append({object, false});
+  return revision_;
+}
+
+Result<Version> Store::Delete(std::string_view key, Version if_version) {
+  const auto it = objects_.find(key);
+  if (it == objects_.end()) {
+    return Error{ResultCode::kNotFound, "", "no such object"};
+  }
+  if (it->second.version != if_version) {
+    return Conflict(it->second.version);
+  }
+  Object object = std::move(it->second);
+  objects_.erase(it);
+  object.value.clear();
+  object.version = ++revision_;
+  Append({std::move(object), true});
+  return revision_;
+}
+
+Result<Object> Store::Get(std::string_view key) const {
+  const auto it = objects_.find(key);
+  if (it == objects_.end()) {
+    return Error{ResultCode::kNotFound, "", "no such object"};
+  }
+  return it->second;
+}
+
+Listing Store::List(std::string_view prefix) const {
+  Listing listing;
+  listing.revision = revision_;
+  for (auto it = objects_.lower_bound(prefix);
+       it != objects_.end() && it->first.starts_with(prefix); ++it) {
+    listing.objects.push_back(it->second);
+  }
+  return listing;
+}
+
+Result<WatchAnswer> Store::EventsAfter(std::string_view prefix,
+                                       Version after) const {
+  if (after < compacted_) {
+    return Error{ResultCode::kPlatformCompacted, "",
+                 fmt::format("events up to {} are gone", compacted_)};
+  }
+  WatchAnswer answer;
+  answer.revision = revision_;
+  const auto is_older = [](const WatchEvent& event, Version version) {
+    return event.object.version <= version;
+  };
+  for (auto it = std::lower_bound(log_.begin(), log_.end(), after, is_older);
+       it != log_.end(); ++it) {
+    if (it->object.key.starts_with(prefix)) {
+      answer.events.push_back(*it);
+    }
+  }
+  return answer;
+}
+
+Version Store::VersionOf(std::string_view key) const {
+  const auto it = objects_.find(key);
+  return it == objects_.end() ? 0 : it->second.version;
+}
+
+void Store::Compact() {
+  log_.clear();
+  compacted_ = revision_;
+}
+
+void Store::Append(WatchEvent event) {
+  log_.push_back(std::move(event));
+  if (log_.size() > log_size_) {
+    compacted_ = log_.front().object.version;
+    log_.pop_front();
+  }
+}
+
+}  // namespace gcw::fake_platform
--- /dev/null
+++ b/src/platform/platform_json.cc
@@ -0,0 +1,92 @@
+#include "src/platform/platform_json.h"
+
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <utility>
+
+namespace gcw::platform {
+namespace {
+
+using nlohmann::json;
+
+// The platform is outside this system: whatever it answers, a wrong type or an
+// absent field ends in one error, never in an exception.
+template <typename T>
+Result<T> Decode(std::string_view body,
+                 const std::function<T(const json&)>& read) {
+  try {
+    return read(json::parse(body.begin(), body.end()));
+  } catch (const json::exception& e) {
+    return Error{ResultCode::kPlatformBadAnswer, "", e.what()};
+  }
+}
+
+Object ReadObject(const json& value) {
+  Object object;
+  value.at("key").get_to(object.key);
+  value.at("version").get_to(object.version);
+  object.created = value.value("created", Version{0});
+  if (value.contains("value")) {
+    object.value = value.at("value").dump();
+  }
+  return object;
+}
+
+Listing ReadListing(const json& value) {
+  Listing listing;
+  value.at("revision").get_to(listing.revision);
+  for (const json& object : value.at("objects")) {
+    listing.objects.push_back(ReadObject(object));
+  }
+  return listing;
+}
+
+WatchAnswer ReadWatch(const json& value) {
+  WatchAnswer answer;
+  value.at("revision").get_to(answer.revision);
+  for (const json& event : value.at("events")) {
+    answer.events.push_back({ReadObject(event), event.value("deleted", false)});
+  }
+  return answer;
+}
+
+std::vector<Vm> ReadVms(const json& value) {
+  std::vector<Vm> vms;
+  for (const json& entry : value.at("vms")) {
+    Vm vm;
+    entry.at("name").get_to(vm.name);
+    entry.at("address").get_to(vm.address);
+    entry.at("zone").get_to(vm.zone);
+    vm.state =
+        entry.at("state") == "leaving" ? VmState::kLeaving : VmState::kLive;
+    vms.push_back(std::move(vm));
+  }
+  return vms;
+}
+
+}  // namespace
+
+Result<Listing> DecodeListing(std::string_view body) {
+  return Decode<Listing>(body, ReadListing);
+}
+
+Result<Object> DecodeObject(std::string_view body) {
+  return Decode<Object>(body, ReadObject);
+}
+
+Result<Version> DecodeVersion(std::string_view body) {
+  return Decode<Version>(body, [](const json& value) {
+    return value.at("version").get<Version>();
+  });
+}
+
+Result<WatchAnswer> DecodeWatch(std::string_view body) {
+  return Decode<WatchAnswer>(body, ReadWatch);
+}
+
+Result<std::vector<Vm>> DecodeVms(std::string_view body) {
+  return Decode<std::vector<Vm>>(body, ReadVms);
+}
+
+}  // namespace gcw::platform
--- /dev/null
+++ b/tests/platform/http_platform_client_test.cc
@@ -0,0 +1,181 @@
+#include "gcw/platform/http_platform_client.h"
+
+#include <catch2/catch.hpp>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "absl/time/clock.h"
+#include "src/fake_platform/fake_platform.h"
+#include "src/platform/platform_json.h"
+
+namespace gcw::platform {
+namespace {
+
+using fake_platform::CallKind;
+using fake_platform::FakePlatform;
+using fake_platform::Outage;
+
+constexpr std::uint32_t kLoopback = 0x7f000001;
+constexpr std::uint32_t kOtherLoopback = 0x7f000909;
+
+std::unique_ptr<FakePlatform> MakePlatform() {
+  Result<std::unique_ptr<FakePlatform>> made =
+      FakePlatform::Make({.listen = {kLoopback, 0}});
+  REQUIRE(made.ok());
+  return std::move(made).value();
+}
+
+std::unique_ptr<HttpPlatformClient> MakeClient(
+    const FakePlatform& platform,
+    std::uint32_t bind_ip = kLoopback) {
+  return HttpPlatformClient::Make({.platform = platform.endpoint(),
+                                   .bind_ip = bind_ip,
+                                   .call_timeout = absl::Milliseconds(300)});
+}
+
+TEST_CASE("objects are written, read, listed and deleted by version") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  const std::string key = "config/zone/a b&c=%+";
+  CHECK(client->Put(key, R"({"x":1})", 0).value() == 1);
+  CHECK(client->Put(key, "2", 0).error().code == ResultCode::kPlatformConflict);
+  CHECK(client->Get(key).value().value == R"({"x":1})");
+  CHECK(client->Get("none").error().code == ResultCode::kNotFound);
+  CHECK(client->Put(key, "2", 1).value() == 2);
+  const Listing listing = client->List("config/").value();
+  CHECK(listing.revision == 2);
+  REQUIRE(listing.objects.size() == 1);
+  CHECK(listing.objects[0].key == key);
+  CHECK(listing.objects[0].created == 1);
+  CHECK(client->Delete(key, 1).error().code == ResultCode::kPlatformConflict);
+  CHECK(client->Delete(key, 2).value() == 3);
+  CHECK(client->Delete(key, 2).error().code == ResultCode::kNotFound);
+}
+
+TEST_CASE("a waiting watch ends with the event and counts as one call") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  std::thread writer([&] {
+    absl::SleepFor(absl::Milliseconds(100));
+    platform->Put("other", "1", 0).ok();
+    platform->Put("a/b", "1", 0).ok();
+  });
+  const Result<WatchAnswer> answer = client->Watch("a/", 0, absl::Seconds(10));
+  writer.join();
+  REQUIRE(answer.ok());
+  REQUIRE(answer.value().events.size() == 1);
+  CHECK(answer.value().events[0].object.key == "a/b");
+  CHECK(answer.value().revision == 2);
+  CHECK(platform->TotalCalls(CallKind::kWatch) == 1);
+  const Result<WatchAnswer> empty =
+      client->Watch("a/", 2, absl::Milliseconds(30));
+  REQUIRE(empty.ok());
+  CHECK(empty.value().events.empty());
+  platform->Compact();
+  CHECK(client->Watch("a/", 1, absl::ZeroDuration()).error().code ==
+        ResultCode::kPlatformCompacted);
+}
+
+TEST_CASE("a lost answer is an unknown outcome though the write was made") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  platform->SetLostAnswers(1);
+  CHECK(client->Put("a", "1", 0).error().code ==
+        ResultCode::kPlatformOutcomeUnknown);
+  CHECK(platform->Get("a").value().version == 1);
+  CHECK(client->Delete("a", 1).error().code ==
+        ResultCode::kPlatformOutcomeUnknown);
+  CHECK_FALSE(platform->Get("a").ok());
+  // Reads are not touched.
+  CHECK(client->List("").ok());
+}
+
+TEST_CASE("outages have no effect and differ for reads and writes") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  platform->SetOutage(Outage::kRefusing);
+  CHECK(client->Put("a", "1", 0).error().code ==
+        ResultCode::kPlatformUnavailable);
+  platform->SetOutage(Outage::kSilent);
+  CHECK(client->Put("a", "1", 0).error().code ==
+        ResultCode::kPlatformOutcomeUnknown);
+  CHECK(client->Get("a").error().code == ResultCode::kPlatformUnavailable);
+  platform->SetOutage(Outage::kNone);
+  CHECK(client->Get("a").error().code == ResultCode::kNotFound);
+  CHECK(client->Put("a", "1", 0).ok());
+}
+
+TEST_CASE("a partition stops the client with that address only") {
+  const auto platform = MakePlatform();
+  const auto near = MakeClient(*platform);
+  const auto far = MakeClient(*platform, kOtherLoopback);
+  CHECK(far->Put("a", "1", 0).ok());
+  platform->SetPartitioned(kOtherLoopback, true);
+  CHECK(far->Get("a").error().code == ResultCode::kPlatformUnavailable);
+  CHECK(near->Get("a").ok());
+  platform->SetPartitioned(kOtherLoopback, false);
+  CHECK(far->Get("a").ok());
+}
+
+TEST_CASE("a stalled watch is given up by its caller") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  platform->SetWatchStall(true);
+  platform->Put("a", "1", 0).ok();
+  CHECK(client->Watch("", 0, absl::Milliseconds(50)).error().code ==
+        ResultCode::kPlatformUnavailable);
+  platform->SetWatchStall(false);
+  CHECK(client->Watch("", 0, absl::Milliseconds(50)).ok());
+}
+
+TEST_CASE("stale reads answer the remembered state") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  platform->Put("a", "1", 0).ok();
+  platform->RememberState();
+  platform->Put("a", "2", 1).ok();
+  platform->SetStaleReads(1);
+  CHECK(client->List("").value().revision == 1);
+  CHECK(client->Get("a").value().value == "1");
+  platform->SetStaleReads(0);
+  CHECK(client->Get("a").value().value == "2");
+}
+
+TEST_CASE("the VM list is answered") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  const Vm vm{"entry1", "127.0.1.1", "tirano", VmState::kLeaving};
+  platform->SetVms({vm});
+  CHECK(client->Vms().value() == std::vector<Vm>{vm});
+}
+
+TEST_CASE("no platform at all is unavailable, also for writes") {
+  Endpoint endpoint;
+  {
+    const auto platform = MakePlatform();
+    endpoint = platform->endpoint();
+  }
+  const auto client = HttpPlatformClient::Make({.platform = endpoint});
+  CHECK(client->Put("a", "1", 0).error().code ==
+        ResultCode::kPlatformUnavailable);
+}
+
+TEST_CASE("answers outside the protocol are errors") {
+  for (const char* body :
+       {"", "{", "[]", "{}", R"({"revision":"x","objects":[]})",
+        R"({"revision":1,"objects":[{}]})", R"({"revision":1,"objects":7})",
+        R"({"revision":1,"events":[{"key":1}]})", R"({"vms":[{"name":""}]})",
+        R"({"version":-"1"})"}) {
+    INFO(body);
+    CHECK(DecodeListing(body).ok() == false);
+    CHECK(DecodeWatch(body).ok() == false);
+    CHECK(DecodeVms(body).ok() == false);
+    CHECK(DecodeVersion(body).ok() == false);
+    CHECK(DecodeObject(body).ok() == false);
+  }
+}
+
+}  // namespace
+}  // namespace gcw::platform
