--- /dev/null
+++ b/src/routing/holders.h
@@ -0,0 +1,71 @@
+#ifndef GCW_SRC_ROUTING_HOLDERS_H_
+#define GCW_SRC_ROUTING_HOLDERS_H_
+
+#include <array>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "gcw/routing/routing_policy.h"
+#include "src/routing/flow_key.h"
+
+namespace gcw::routing {
+
+// Which daemons hold the records of a flow, best first. The first two are its
+// holders, in two availability zones if there are two.
+class Holders {
+ public:
+  // Flows are spread over the daemons in 2^kPartBits parts.
+  static constexpr unsigned kPartBits = 10;
+  static constexpr std::uint32_t kParts = 1U << kPartBits;
+  static constexpr std::size_t kMaxRanks = 6;
+  static constexpr std::size_t kHolders = 2;
+
+  using Ranks = std::array<std::uint16_t, kMaxRanks>;
+
+  // `self` is always taken to be a member, alive unless `members` says other.
+  Holders(std::string self, std::string zone);
+
+  // Replaces the members. Returns whether duties changed for anybody.
+  bool Apply(std::span<const Member> members);
+
+  static std::uint32_t PartOf(FlowKey key) { return TopBits(key, kPartBits); }
+
+  // Indices of members by rank for `part`; kNoMember ends the list. Leaving
+  // members rank nowhere unless all leave.
+  const Ranks& RanksOf(std::uint32_t part) const { return ranks_[part]; }
+  static constexpr std::uint16_t kNoMember = 0xffff;
+
+  // Whether member `index` is one of the two holders of `part`.
+  bool Holds(std::uint16_t index, std::uint32_t part) const;
+
+  std::span<const Member> members() const { return members_; }
+  std::uint16_t self() const { return self_; }
+  // The index of the member called `name`, or kNoMember.
+  std::uint16_t Find(std::string_view name) const;
+  // The bit of member `index` in RelayHeader::visited.
+  std::uint16_t bit(std::uint16_t index) const { return bits_[index]; }
+  // A hash of the members that hold duties: equal views have equal hashes.
+  std::uint64_t view() const { return view_; }
+  bool leaving() const {
+    return members_[self_].state == MemberState::kLeaving;
+  }
+
+ private:
+  void AssignBits();
+  void Rank(std::uint32_t part);
+
+  std::string name_;
+  std::string zone_;
+  std::vector<Member> members_;  // In order of name.
+  std::vector<std::uint64_t> hashes_;
+  std::vector<std::uint16_t> bits_;
+  std::vector<Ranks> ranks_;
+  std::uint16_t self_ = 0;
+  std::uint64_t view_ = 0;
+};
+
+}  // namespace gcw::routing
+
+#endif  // GCW_SRC_ROUTING_HOLDERS_H_
--- /dev/null
+++ b/tests/routing/fixtures.h
@@ -0,0 +1,84 @@
+#ifndef GCW_TESTS_ROUTING_FIXTURES_H_
+#define GCW_TESTS_ROUTING_FIXTURES_H_
+
+#include <fmt/format.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "absl/time/time.h"
+#include "gcw/config/snapshot.h"
+#include "gcw/routing/routing_policy.h"
+
+namespace gcw::routing::testing {
+
+inline constexpr std::uint32_t kServiceIp = 0x0a640001;
+
+inline absl::Time At(double seconds) {
+  return absl::FromUnixSeconds(1'700'000'000) + absl::Seconds(seconds);
+}
+
+// A configuration that tests edit; each Take is a new revision.
+class Config {
+ public:
+  config::Snapshot next;
+
+  config::BackendServer& AddServer(const std::string& name,
+                                   const std::string& zone,
+                                   std::uint32_t ip) {
+    config::BackendServer server;
+    server.name = name;
+    server.zone = zone;
+    server.address = Endpoint{ip, 9000};
+    server.created = ++next.revision;
+    server.version = server.created;
+    next.zones.try_emplace(zone, config::AvailabilityZone{zone});
+    return next.servers[name] = server;
+  }
+
+  config::Service& AddService(const std::string& name,
+                              const Endpoint& address) {
+    config::Service service;
+    service.name = name;
+    service.kind = config::ServiceKind::kFlow;
+    service.addresses = {address};
+    return next.services[name] = service;
+  }
+
+  config::SnapshotPtr Take() {
+    ++next.revision;
+    return std::make_shared<config::Snapshot>(next);
+  }
+};
+
+// A service "desk" with `servers` servers "s0", "s1", ... spread over zones a,
+// b and c.
+inline Config MakeDesk(int servers) {
+  Config config;
+  config::Service& desk = config.AddService("desk", Endpoint{kServiceIp, 80});
+  for (int i = 0; i < servers; ++i) {
+    const std::string name = fmt::format("s{}", i);
+    const std::string zone(1, static_cast<char>('a' + i % 3));
+    config.AddServer(name, zone, 0x0a000100U + static_cast<std::uint32_t>(i));
+    desk.servers.push_back({name, 100});
+  }
+  return config;
+}
+
+inline FlowPacket MakePacket(std::uint32_t flow, bool syn, bool fin = false) {
+  FlowPacket packet;
+  packet.source = Endpoint{0xc0a80000U + flow / 60000,
+                           static_cast<std::uint16_t>(1024 + flow % 60000)};
+  packet.service_address = Endpoint{kServiceIp, 80};
+  packet.flags.syn = syn;
+  packet.flags.ack = !syn;
+  packet.flags.fin = fin;
+  packet.payload = syn ? 0 : 100;
+  packet.length = packet.payload + 40;
+  return packet;
+}
+
+}  // namespace gcw::routing::testing
+
+#endif  // GCW_TESTS_ROUTING_FIXTURES_H_
