membership: probes, suspicion, gossip and their codec

Daemons must know who is there at a cost that does not grow with the fleet, and must not throw out a slow or paused one. SWIM with indirect probes, suspicion, incarnations that also number process starts, and gossip on the back of probes. Larger deployments probe their own zone in shuffled rounds.

A tick that comes late means that this process was paused: its timeouts of that time count for nothing and it raises its incarnation.

Decoding is strict through base/cbor_reader.h, which bounds nesting.

--- a/include/gcw/membership/membership.h
+++ b/include/gcw/membership/membership.h
@@ -27,7 +27,7 @@
   // Without an answer after this time, others are asked to probe.
   absl::Duration ack_timeout = absl::Milliseconds(250);
   // Without any answer after this time, the member is suspected.
-  absl::Duration probe_timeout = absl::Milliseconds(750);
+  absl::Duration probe_timeout = absl::Milliseconds(650);
   // A suspect that does not refute is dead after this time, longer with the
   // logarithm of the number of members.
   absl::Duration suspicion = absl::Milliseconds(1000);
--- /dev/null
+++ b/src/membership/gossip_queue.h
@@ -0,0 +1,43 @@
+#ifndef GCW_SRC_MEMBERSHIP_GOSSIP_QUEUE_H_
+#define GCW_SRC_MEMBERSHIP_GOSSIP_QUEUE_H_
+
+#include <cstddef>
+#include <vector>
+
+#include "gcw/membership/message.h"
+
+namespace gcw::membership {
+
+// The size of `gossip` in a message, at most.
+std::size_t EncodedBytes(const Gossip& gossip);
+
+// News that still has to be passed on, each a bounded number of times, the
+// least passed on first. One item for each member. Not thread-safe.
+class GossipQueue {
+ public:
+  // Replaces older news of the same member.
+  void Add(const Gossip& gossip);
+
+  // Appends news to `out` within the bounds and counts it as passed on once.
+  // News that was passed on `limit` times is dropped. Skips the member `skip`,
+  // which knows its own news.
+  void Take(std::size_t max_items,
+            std::size_t max_bytes,
+            int limit,
+            std::string_view skip,
+            std::vector<Gossip>& out);
+
+  std::size_t size() const { return items_.size(); }
+
+ private:
+  struct Item {
+    Gossip gossip;
+    int sent = 0;
+  };
+
+  std::vector<Item> items_;
+};
+
+}  // namespace gcw::membership
+
+#endif  // GCW_SRC_MEMBERSHIP_GOSSIP_QUEUE_H_
