--- a/src/routing/holders.cc
+++ b/src/routing/holders.cc
@@ -87,9 +87,10 @@
   };
   std::vector<Candidate> candidates;
   candidates.reserve(members_.size());
-  for (std::uint16_t i = 0; i < members_.size(); ++i) {
+  for (std::size_t i = 0; i < members_.size(); ++i) {
     if (members_[i].state != MemberState::kLeaving) {
-      candidates.push_back({MixHash(hashes_[i], part), i});
+      candidates.push_back(
+          {MixHash(hashes_[i], part), static_cast<std::uint16_t>(i)});
     }
   }
   if (candidates.empty()) {
--- a/src/routing/table.h
+++ b/src/routing/table.h
@@ -28,6 +28,8 @@
   std::vector<Share> shares;  // In order of server identity.
   std::vector<ServerId> out;  // Servers of the service that take no packet.
 
+  bool operator==(const TableSpec&) const = default;
+
   // Whether both give the same table.
   bool SameTable(const TableSpec& other) const {
     return shares == other.shares;
