--- a/src/lab/daemon_fleet.cc
+++ b/src/lab/daemon_fleet.cc
@@ -79,8 +79,7 @@
       {"dispatch_policy", options_.dispatch_policy},
       {"log_level", "info"},
       {"seed", (options_.seed * 1000 + daemon + 1) & kLargestSeed}};
-  std::string path =
-      fmt::format("{}/{}.json", options_.directory, info.name);
+  std::string path = fmt::format("{}/{}.json", options_.directory, info.name);
   std::ofstream(path) << settings.dump(2);
   return path;
 }
--- a/src/lab/peer_proxy.cc
+++ b/src/lab/peer_proxy.cc
@@ -134,7 +134,10 @@
       close(fd);
       return;
     }
-    (void)std::erase_if(tunnels_, [](const auto& t) { return t->closed(); });
+    tunnels_.erase(
+        std::remove_if(tunnels_.begin(), tunnels_.end(),
+                       [](const auto& tunnel) { return tunnel->closed(); }),
+        tunnels_.end());
     tunnels_.push_back(
         StreamTunnel::Start(loop_, fd, onward, MakeHooks(sender, receiver)));
   }
