--- a/src/lab/peer_proxy.cc
+++ b/src/lab/peer_proxy.cc
@@ -134,10 +134,7 @@
       close(fd);
       return;
     }
-    tunnels_.erase(
-        std::remove_if(tunnels_.begin(), tunnels_.end(),
-                       [](const auto& tunnel) { return tunnel->closed(); }),
-        tunnels_.end());
+    std::erase_if(tunnels_, [](const auto& t) { return t->closed(); });
     tunnels_.push_back(
         StreamTunnel::Start(loop_, fd, onward, MakeHooks(sender, receiver)));
   }
@@ -147,7 +144,9 @@
     const sockaddr_in address =
         Endpoint{Info(receiver).bind, kControlPort}.ToSockaddr();
     if (fd >= 0) {
-      connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+      // It goes on in the background; a failure shows at the first read.
+      (void)connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                    sizeof(address));
     }
     return fd;
   }
