--- a/src/lab/event_reader.cc
+++ b/src/lab/event_reader.cc
@@ -95,16 +95,6 @@
   return name;
 }
 
-std::string ResolveService(const Topology& topology, const std::string& name) {
-  constexpr std::array<std::string_view, 3> kRoles{"main", "small", "other"};
-  for (std::size_t i = 0; i < kRoles.size(); ++i) {
-    if (name == kRoles[i]) {
-      return topology.services[i].name;
-    }
-  }
-  return name;
-}
-
 // Reads names in `key`; `find` gives their index or `count` if unknown.
 template <typename Find>
 void ReadNames(ObjectReader& reader,
@@ -256,6 +246,16 @@
 
 }  // namespace
 
+std::string ResolveService(const Topology& topology, const std::string& name) {
+  constexpr std::array<std::string_view, 3> kRoles{"main", "small", "other"};
+  for (std::size_t i = 0; i < kRoles.size(); ++i) {
+    if (name == kRoles[i]) {
+      return topology.services[i].name;
+    }
+  }
+  return name;
+}
+
 void ReadDuration(ObjectReader& reader,
                   std::string_view key,
                   absl::Duration least,
--- a/src/lab/event_reader.h
+++ b/src/lab/event_reader.h
@@ -21,6 +21,10 @@
                std::string_view key,
                double* target);
 
+// The service that a role ("main", "small", "other") or a name means.
+// Thread-safe.
+std::string ResolveService(const Topology& topology, const std::string& name);
+
 // Reads one event; names are looked up in `topology`. Wrong fields are added
 // to `errors`. Thread-safe.
 Event ReadEvent(const nlohmann::json& value,
--- a/src/lab/scenario.cc
+++ b/src/lab/scenario.cc
@@ -84,8 +84,19 @@
   }
 }
 
+// Totals of a service may name it by its role.
+std::string ResolveTotal(const Topology& topology, const std::string& total) {
+  const std::size_t dot = total.rfind('.');
+  if (dot == std::string::npos || !total.starts_with("imbalance")) {
+    return total;
+  }
+  return total.substr(0, dot + 1) +
+         ResolveService(topology, total.substr(dot + 1));
+}
+
 void ReadBoundList(const json& value,
                    const std::string& path,
+                   const Topology& topology,
                    bool at_least,
                    ScenarioErrors* errors,
                    std::vector<Bound>* bounds) {
@@ -99,19 +110,22 @@
                          config::FieldPath(path, total), "must be a number"});
       continue;
     }
-    SetBound({total, number.get<double>(), at_least}, bounds);
+    SetBound({ResolveTotal(topology, total), number.get<double>(), at_least},
+             bounds);
   }
 }
 
 void ReadBounds(const json& value,
                 const std::string& path,
+                const Topology& topology,
                 ScenarioErrors* errors,
                 std::vector<Bound>* bounds) {
   ObjectReader reader(value, path, errors);
   for (const bool at_least : {false, true}) {
     reader.ReadValue(at_least ? "at_least" : "at_most", Presence::kOptional,
                      [&](const json& list, const std::string& list_path) {
-                       ReadBoundList(list, list_path, at_least, errors, bounds);
+                       ReadBoundList(list, list_path, topology, at_least,
+                                     errors, bounds);
                      });
   }
   reader.Finish();
@@ -146,9 +160,9 @@
 }
 
 void ReadEvents(ObjectReader& reader,
+                const Topology& topology,
                 ScenarioErrors* errors,
                 Scenario* scenario) {
-  const Topology topology = MakeTopology(scenario->base, 0, scenario->daemons);
   reader.ReadArray("events", Presence::kOptional, kMaxEvents,
                    [&](const json& value, std::string path) {
                      scenario->events.push_back(
@@ -194,10 +208,12 @@
                    [&](const json& value, std::string path) {
                      ReadCold(value, std::move(path), &errors, &scenario.cold);
                    });
-  ReadEvents(reader, &errors, &scenario);
+  const Topology topology = MakeTopology(scenario.base, 0, scenario.daemons);
+  ReadEvents(reader, topology, &errors, &scenario);
   reader.ReadValue("bounds", Presence::kOptional,
                    [&](const json& value, const std::string& path) {
-                     ReadBounds(value, path, &errors, &scenario.bounds);
+                     ReadBounds(value, path, topology, &errors,
+                                &scenario.bounds);
                    });
   reader.Finish();
   if (!errors.empty()) {
--- a/tests/lab/scenario_test.cc
+++ b/tests/lab/scenario_test.cc
@@ -79,7 +79,7 @@
 
 TEST_CASE("a scenario's bounds add to what must always hold") {
   const auto parsed = ParseScenario(R"({"bases":["valtellina"],"duration_s":5,
-    "bounds":{"at_most":{"flows.refused":3},
+    "bounds":{"at_most":{"flows.refused":3,"imbalance.small":2},
               "at_least":{"service.tayside":0.9}}})",
                                     "");
   const Scenario& scenario = std::get<Scenario>(parsed);
@@ -90,12 +90,16 @@
   CHECK(find("flows.broken")->value == 0);
   CHECK(find("flows.refused")->value == 3);
   CHECK(find("service.tayside")->at_least);
+  CHECK(find("imbalance.archive")->value == 2);
 }
 
 TEST_CASE("every scenario of the repository can be read for its bases") {
   int count = 0;
-  for (const auto& entry : std::filesystem::directory_iterator(
+  for (const auto& entry : std::filesystem::recursive_directory_iterator(
            std::string(GCW_SOURCE_DIR) + "/scenarios")) {
+    if (!entry.is_regular_file()) {
+      continue;
+    }
     std::ifstream file(entry.path());
     std::stringstream text;
     text << file.rdbuf();
