relay: versioned configuration that is complete and never reverts

A state at revision R must miss no object of version R or less, and no old answer, lost update or platform outage may take anything back. Updates name the interval of versions that they cover; one that does not join on is asked for again. Nothing at or below the version up to which everything is known can change, whoever says so. Deletions are remembered up to a bound; below it only a full update is exact.

Ruled out: repairing from a peer where two hold other objects at one revision; neither is known to be right, so the platform's list decides.

A list that changes nothing may still hide an object that came and went, so it raises the floor too; reasoned, not seen.

--- a/include/gcw/relay/message.h
+++ b/include/gcw/relay/message.h
@@ -1,7 +1,6 @@
 #ifndef GCW_RELAY_MESSAGE_H_
 #define GCW_RELAY_MESSAGE_H_
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <span>
@@ -14,9 +13,9 @@
 
 namespace gcw::relay {
 
-inline constexpr std::size_t kDigestBuckets = 16;
-
-// What a daemon holds: its revision and a hash of its objects.
+// What a daemon holds: its revision and a hash of its live objects. Two daemons
+// at one revision hold the same objects; if their hashes differ, the platform
+// decides.
 struct Digest {
   Version revision = 0;
   std::uint64_t hash = 0;
@@ -44,28 +43,12 @@
   bool operator==(const Update&) const = default;
 };
 
-// Two daemons at one revision whose hashes differ compare by bucket.
-struct BucketDigest {
-  Version revision = 0;
-  std::array<std::uint64_t, kDigestBuckets> buckets{};
-
-  bool operator==(const BucketDigest&) const = default;
-};
-
-// The objects of the buckets in which two daemons differ. It adds and replaces
-// by version and proves no absence.
-struct Repair {
-  std::vector<Object> objects;
-
-  bool operator==(const Repair&) const = default;
-};
-
-using Message = std::variant<Digest, Request, Update, BucketDigest, Repair>;
+using Message = std::variant<Digest, Request, Update>;
 
 // Upper bound of the objects' bytes in one Update part, unless one object alone
 // is larger.
 inline constexpr std::size_t kMaxPartBytes = 48 * 1024;
-inline constexpr std::uint32_t kMaxParts = 4096;
+inline constexpr std::uint32_t kMaxParts = 512;
 
 // CBOR arrays. Thread-safe.
 std::vector<std::uint8_t> Encode(const Message& message);
--- a/include/gcw/relay/versioned_relay.h
+++ b/include/gcw/relay/versioned_relay.h
@@ -81,8 +81,8 @@
   std::uint64_t platform_errors = 0;
   std::uint64_t stale_answers = 0;  // Ignored: older than what is held.
   std::uint64_t stalled_watches = 0;
-  std::uint64_t gaps = 0;  // Updates that did not join on.
-  std::uint64_t repairs = 0;
+  std::uint64_t gaps = 0;        // Updates that did not join on.
+  std::uint64_t mismatches = 0;  // Equal revision, other hash.
   bool watcher = false;
   bool platform_behind = false;  // Its last answer was older than ours.
 };
@@ -131,11 +131,12 @@
   Actions OnCallFailed(std::uint64_t id, ResultCode code, absl::Time now);
 
   // Someone knows that the platform holds `revision`, for example the resource
-  // API after a write: peers and, by watchers, the platform are asked at once.
+  // API after a write: this daemon asks the platform at once, watcher or not.
   Actions OnHint(Version revision, absl::Time now);
 
-  // The largest R for which no object of version R or less is missed; 0 before
-  // anything was learned.
+  // The version of the latest change that is included. No change of that
+  // version or less is missed; 0 before anything was learned. Versions that the
+  // platform gave to objects outside the configuration do not raise it.
   Version revision() const;
   // All live objects as of revision(), in order of key.
   std::vector<Object> objects() const;
--- /dev/null
+++ b/src/relay/neighbours.cc
@@ -0,0 +1,76 @@
+#include "src/relay/neighbours.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+
+#include "gcw/base/hash.h"
+
+namespace gcw::relay {
+namespace {
+
+constexpr std::uint64_t kWatcherSeed = 0x77617463;
+constexpr std::uint64_t kNeighbourSeed = 0x6e656967;
+
+bool IsWatcher(const Options& options, std::span<const Peer> peers) {
+  const std::uint64_t own = StableHash(options.name, kWatcherSeed);
+  std::size_t ahead = 0;
+  for (const Peer& peer : peers) {
+    if (peer.zone == options.zone &&
+        StableHash(peer.name, kWatcherSeed) > own) {
+      ++ahead;
+    }
+  }
+  return ahead < options.watchers_per_zone;
+}
+
+struct Candidate {
+  const Peer* peer = nullptr;
+  std::uint64_t rank = 0;
+};
+
+std::vector<Candidate> Ranked(const Options& options,
+                              std::span<const Peer> peers) {
+  const std::uint64_t own = StableHash(options.name, kNeighbourSeed);
+  std::vector<Candidate> ranked;
+  ranked.reserve(peers.size());
+  for (const Peer& peer : peers) {
+    ranked.push_back({&peer, MixHash(own, StableHash(peer.name))});
+  }
+  std::sort(
+      ranked.begin(), ranked.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+  return ranked;
+}
+
+}  // namespace
+
+Roles AssignRoles(const Options& options, std::span<const Peer> peers) {
+  Roles roles;
+  roles.watcher = IsWatcher(options, peers);
+  std::map<std::string_view, std::size_t> taken;
+  std::vector<std::string> spare;
+  for (const Candidate& candidate : Ranked(options, peers)) {
+    const Peer& peer = *candidate.peer;
+    const std::size_t limit = peer.zone == options.zone
+                                  ? options.zone_fanout
+                                  : options.cross_zone_fanout;
+    if (taken[peer.zone] < limit) {
+      ++taken[peer.zone];
+      roles.neighbours.push_back(peer.name);
+    } else {
+      spare.push_back(peer.name);
+    }
+  }
+  // Where the own zone is small, others take the free places.
+  for (const std::string& name : spare) {
+    if (roles.neighbours.size() >= options.zone_fanout) {
+      break;
+    }
+    roles.neighbours.push_back(name);
+  }
+  std::sort(roles.neighbours.begin(), roles.neighbours.end());
+  return roles;
+}
+
+}  // namespace gcw::relay
--- /dev/null
+++ b/tests/relay/fake_platform.h
@@ -0,0 +1,88 @@
+#ifndef GCW_TESTS_RELAY_FAKE_PLATFORM_H_
+#define GCW_TESTS_RELAY_FAKE_PLATFORM_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "gcw/relay/object.h"
+
+namespace gcw::relay {
+
+// The platform's objects with their whole history, so that a test can compare
+// any daemon's state with what was true at its revision.
+class FakePlatform {
+ public:
+  using State = std::map<std::string, Object>;
+
+  Version Put(const std::string& key, const std::string& json) {
+    Object object{key, ++revision_, revision_, json, false};
+    const auto it = live_.find(key);
+    if (it != live_.end()) {
+      object.created = it->second.created;
+    }
+    live_[key] = object;
+    Record(object);
+    return revision_;
+  }
+
+  Version Delete(const std::string& key) {
+    live_.erase(key);
+    Record(Object{key, ++revision_, 0, "", true});
+    return revision_;
+  }
+
+  // A write of an object outside the configuration.
+  void WriteElsewhere() {
+    ++revision_;
+    history_[revision_] = live_;
+  }
+
+  Version revision() const { return revision_; }
+  // The version of the last change of the configuration.
+  Version last_change() const {
+    return changes_.empty() ? 0 : changes_.rbegin()->first;
+  }
+
+  std::vector<Object> List() const { return ListAt(revision_); }
+
+  std::vector<Object> ListAt(Version revision) const {
+    std::vector<Object> objects;
+    for (const auto& [key, object] : At(revision)) {
+      objects.push_back(object);
+    }
+    return objects;
+  }
+
+  // The changes in (after, to].
+  std::vector<Object> Changes(Version after, Version to) const {
+    std::vector<Object> events;
+    for (auto it = changes_.upper_bound(after);
+         it != changes_.end() && it->first <= to; ++it) {
+      events.push_back(it->second);
+    }
+    return events;
+  }
+
+  // The live objects as of `revision`.
+  const State& At(Version revision) const {
+    static const State empty;
+    auto it = history_.upper_bound(revision);
+    return it == history_.begin() ? empty : std::prev(it)->second;
+  }
+
+ private:
+  void Record(const Object& object) {
+    changes_[object.version] = object;
+    history_[object.version] = live_;
+  }
+
+  Version revision_ = 0;
+  State live_;
+  std::map<Version, Object> changes_;
+  std::map<Version, State> history_;
+};
+
+}  // namespace gcw::relay
+
+#endif  // GCW_TESTS_RELAY_FAKE_PLATFORM_H_
