--- a/include/gcw/dispatch/peer_messages.h
+++ b/include/gcw/dispatch/peer_messages.h
@@ -60,6 +60,7 @@
 struct ClaimReply {
   std::string id;
   ClaimVerdict verdict = ClaimVerdict::kUncertain;
+  std::string owner;  // Who has claimed it, with kTaken.
 
   bool operator==(const ClaimReply&) const = default;
 };
@@ -96,6 +97,7 @@
 struct HandAnswer {
   std::uint32_t hand_over = 0;
   AnswerPart part;
+  SlotHint hint;
 
   bool operator==(const HandAnswer&) const = default;
 };
@@ -120,9 +122,19 @@
   bool operator==(const HandOutcome&) const = default;
 };
 
+// A server that its home takes for cold or failing.
+struct ColdServer {
+  std::string server;
+  bool ejected = false;
+  absl::Duration left;  // Until it bears its full load again.
+
+  bool operator==(const ColdServer&) const = default;
+};
+
 // Home daemon to all: free slots of its servers (control).
 struct SlotHints {
   std::vector<SlotHint> hints;
+  std::vector<ColdServer> cold;
 
   bool operator==(const SlotHints&) const = default;
 };
@@ -164,9 +176,12 @@
                               PeerAck>;
 
 // One datagram between two dispatchers. A message with a sequence number other
-// than 0 is repeated until it is acknowledged.
+// than 0 is repeated until it is acknowledged. One that is meant for another
+// start of the receiver is dropped: that start may have acted on it already.
 struct PeerMessage {
   std::uint64_t sequence = 0;
+  std::uint64_t from_boot = 0;  // Start of the sender that sent it.
+  std::uint64_t to_boot = 0;    // Start of the receiver it is for; 0: any.
   PeerBody body;
 
   bool operator==(const PeerMessage&) const = default;
--- a/src/dispatch/cbor_fields.cc
+++ b/src/dispatch/cbor_fields.cc
@@ -67,7 +67,7 @@
 
 const nlohmann::json* FieldReader::Find(const char* name, bool required) {
   const auto it = map_.find(name);
-  if (it != map_.end()) {
+  if (map_.is_object() && it != map_.end()) {
     return &*it;
   }
   if (required) {
--- /dev/null
+++ b/src/dispatch/home_directory.cc
@@ -0,0 +1,144 @@
+#include "src/dispatch/home_directory.h"
+
+#include <algorithm>
+
+namespace gcw::dispatch {
+namespace {
+
+bool IsWanted(const config::Snapshot& snapshot,
+              const config::BackendServer& server) {
+  const auto zone = snapshot.zones.find(server.zone);
+  const bool zone_in = zone == snapshot.zones.end() ||
+                       zone->second.state == config::ZoneState::kIn;
+  return zone_in && server.state == config::ServerState::kIn;
+}
+
+}  // namespace
+
+double HomeDirectory::Home::free() const {
+  const double hinted_free = hinted ? hint.free : configured;
+  return std::max(0.0, hinted_free - handed);
+}
+
+double HomeDirectory::Home::queued() const {
+  const double hinted_free = hinted ? hint.free : configured;
+  return (hinted ? hint.queued : 0) + std::max(0.0, handed - hinted_free);
+}
+
+double HomeDirectory::Home::slots() const {
+  return std::max<std::uint32_t>(hinted ? hint.slots : configured, 1);
+}
+
+void HomeDirectory::Rebuild(const config::Snapshot& snapshot,
+                            const MemberView& members) {
+  std::map<std::string, Homes, std::less<>> services;
+  for (const auto& [name, service] : snapshot.services) {
+    Homes& homes = services[name];
+    for (const config::ServiceMember& member : service.servers) {
+      const auto it = snapshot.servers.find(member.server);
+      const bool takes_work = it != snapshot.servers.end() &&
+                              member.weight > 0 &&
+                              IsWanted(snapshot, it->second);
+      if (!takes_work) {
+        continue;
+      }
+      const std::string home = members.Home(member.server, it->second.zone);
+      homes[home].configured += it->second.slots;
+    }
+    for (auto& [home, state] : homes) {
+      const Home& old = services_[name][home];
+      state.hint = old.hint;
+      state.hinted = old.hinted;
+      state.handed = old.handed;
+    }
+  }
+  services_ = std::move(services);
+}
+
+void HomeDirectory::OnHint(const std::string& member, const SlotHint& hint) {
+  const auto service = services_.find(hint.service);
+  if (service == services_.end()) {
+    return;
+  }
+  const auto home = service->second.find(member);
+  if (home == service->second.end()) {
+    return;
+  }
+  home->second.hint = hint;
+  home->second.hinted = true;
+  home->second.handed = 0;
+}
+
+void HomeDirectory::OnHanded(const std::string& member,
+                             const std::string& service) {
+  const auto homes = services_.find(service);
+  if (homes == services_.end()) {
+    return;
+  }
+  const auto home = homes->second.find(member);
+  if (home != homes->second.end()) {
+    ++home->second.handed;
+  }
+}
+
+std::string HomeDirectory::Choose(
+    const std::string& service,
+    const std::function<bool(const std::string&)>& usable,
+    std::mt19937_64& random) const {
+  const auto homes = services_.find(service);
+  if (homes == services_.end()) {
+    return "";
+  }
+  // Free slots are drawn by their number, so that daemons with equal hints do
+  // not all choose the same home; without any the shortest queue is chosen.
+  double total = 0;
+  std::string shortest;
+  double shortest_queue = 0;
+  for (const auto& [name, home] : homes->second) {
+    if (!usable(name)) {
+      continue;
+    }
+    total += home.free();
+    const double queue = (home.queued() + 1) / home.slots();
+    if (shortest.empty() || queue < shortest_queue) {
+      shortest = name;
+      shortest_queue = queue;
+    }
+  }
+  double drawn = std::uniform_real_distribution<double>(0, 1)(random) * total;
+  for (const auto& [name, home] : homes->second) {
+    if (total <= 0 || !usable(name)) {
+      continue;
+    }
+    drawn -= home.free();
+    if (drawn < 0) {
+      return name;
+    }
+  }
+  return shortest;
+}
+
+void HomeDirectory::OnCold(const std::string& server, absl::Time until) {
+  cold_until_[server] = until;
+}
+
+bool HomeDirectory::IsCold(std::string_view server, absl::Time now) const {
+  const auto it = cold_until_.find(server);
+  return it != cold_until_.end() && now < it->second;
+}
+
+bool HomeDirectory::IsFreeElsewhere(const std::string& service,
+                                    const std::string& self,
+                                    const MemberView& members) const {
+  const auto homes = services_.find(service);
+  if (homes == services_.end()) {
+    return false;
+  }
+  return std::any_of(
+      homes->second.begin(), homes->second.end(), [&](const auto& entry) {
+        return entry.first != self && entry.second.hinted &&
+               entry.second.free() >= 1 && members.Usable(entry.first);
+      });
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/owner.cc
@@ -0,0 +1,529 @@
+#include "src/dispatch/owner.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "fmt/format.h"
+#include "gcw/base/hash.h"
+
+namespace gcw::dispatch {
+namespace {
+
+// A request that no home can take now is tried again after this.
+constexpr absl::Duration kWaitForHome = absl::Milliseconds(20);
+// Less than this before the deadline a request is not handed out any more.
+constexpr absl::Duration kLeastTime = absl::Milliseconds(2);
+// An answer that comes this much late is still sent to the caller.
+constexpr absl::Duration kLateGrace = absl::Milliseconds(20);
+constexpr std::size_t kMaxCopies = 16;
+constexpr std::uint32_t kMaxHandOvers = 12;
+
+// Repeats of one request have equal contents.
+std::uint64_t Fingerprint(const Request& request) {
+  std::uint64_t hash = StableHash(request.firm);
+  hash = MixHash(hash, StableHash(request.service));
+  hash = MixHash(hash, request.idempotent ? 1 : 0);
+  return MixHash(hash, StableHash(request.body));
+}
+
+std::uint64_t BodyBytes(const std::vector<AnswerPart>& parts) {
+  std::uint64_t bytes = 0;
+  for (const AnswerPart& part : parts) {
+    bytes += part.body.size();
+  }
+  return bytes;
+}
+
+}  // namespace
+
+Owner::Owner(Context& context, bool claims)
+    : context_(context), claims_(claims) {}
+
+Owner::Entry* Owner::Find(std::string_view id) {
+  const auto it = entries_.find(std::string(id));
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+void Owner::AddCopy(Entry& entry,
+                    const std::string& ingress,
+                    const RoutedRequest& routed) {
+  if (entry.copies.size() < kMaxCopies) {
+    entry.copies.push_back({ingress, routed.caller, routed.service_address});
+  }
+}
+
+Owner::Entry& Owner::Add(const std::string& ingress,
+                         RoutedRequest routed,
+                         absl::Time now) {
+  const std::string id = routed.request.id;
+  Entry& entry = entries_[id];
+  entry.arrived = now;
+  entry.deadline = now + routed.request.deadline;
+  entry.retry_at = absl::InfinitePast();
+  entry.fingerprint = Fingerprint(routed.request);
+  AddCopy(entry, ingress, routed);
+  entry.routed = std::move(routed);
+  open_.insert(id);
+  return entry;
+}
+
+void Owner::OnForward(const std::string& ingress,
+                      RoutedRequest routed,
+                      absl::Time now) {
+  Entry* known = Find(routed.request.id);
+  if (known != nullptr && claims_) {
+    OnRepeat(*known, ingress, std::move(routed), now);
+    return;
+  }
+  Entry& entry = Add(ingress, std::move(routed), now);
+  if (!claims_) {
+    Hand(entry, now);
+    return;
+  }
+  StartClaims(entry, now);
+}
+
+void Owner::OnRepeat(Entry& entry,
+                     const std::string& ingress,
+                     RoutedRequest routed,
+                     absl::Time now) {
+  ++context_.outbox.counters().repeats;
+  const std::string id = routed.request.id;
+  if (Fingerprint(routed.request) != entry.fingerprint) {
+    // Another request under an id that is in use: nothing is known of it.
+    context_.outbox.ToCaller(routed,
+                             Refusal{id, ResultCode::kOutcomeUnknown, false});
+    return;
+  }
+  // Never back to whom it came from: that one sees this daemon as the owner.
+  if (entry.transferred_to == ingress ||
+      !context_.members.Has(entry.transferred_to)) {
+    entry.transferred_to.clear();
+  }
+  if (!entry.transferred_to.empty()) {
+    context_.link.Send(entry.transferred_to, ForwardRequest{std::move(routed)},
+                       now, now + context_.options.claim_timeout);
+    return;
+  }
+  const Copy copy{ingress, routed.caller, routed.service_address};
+  if (entry.phase != Phase::kSettled) {
+    AddCopy(entry, ingress, routed);
+    return;
+  }
+  if (entry.answer.empty()) {
+    SendRefusal(entry, copy);
+  } else {
+    SendAnswer(entry, copy);
+  }
+  context_.link.Send(ingress, Settled{id}, now,
+                     now + context_.options.claim_timeout);
+}
+
+void Owner::StartClaims(Entry& entry, absl::Time now) {
+  const std::string& id = entry.routed.request.id;
+  for (const MemberView::Witness& witness : context_.members.Witnesses(id)) {
+    if (!witness.member.empty()) {
+      ++entry.asked;
+      context_.link.Send(witness.member, Claim{id}, now,
+                         now + context_.options.claim_timeout);
+    }
+  }
+}
+
+// Two owners must never both run a non-idempotent request, so it takes a
+// majority of zones, and any two majorities share a witness. An idempotent one
+// only has to leave a trace that keeps others from promising "not run".
+bool Owner::MayRun(const Entry& entry, absl::Time now) const {
+  if (!claims_) {
+    return true;
+  }
+  if (entry.routed.request.idempotent) {
+    return !entry.recorded.empty();
+  }
+  return context_.members.IsMajority(entry.granted, now);
+}
+
+bool Owner::MayPromiseNotRun(const Entry& entry, absl::Time now) const {
+  if (entry.may_have_run) {
+    return false;
+  }
+  if (!claims_) {
+    return true;
+  }
+  if (entry.routed.request.idempotent) {
+    return context_.members.IsEveryZone(entry.granted, now);
+  }
+  return context_.members.IsMajority(entry.granted, now);
+}
+
+void Owner::OnClaimReply(const std::string& member,
+                         const ClaimReply& reply,
+                         absl::Time now) {
+  Entry* entry = Find(reply.id);
+  if (entry == nullptr || entry->phase == Phase::kSettled) {
+    return;
+  }
+  const std::string zone = context_.members.ZoneOf(member);
+  if (reply.verdict == ClaimVerdict::kTaken) {
+    entry->taken[zone] = reply.owner;
+  } else {
+    entry->recorded.insert(zone);
+  }
+  if (reply.verdict == ClaimVerdict::kGranted) {
+    entry->granted.insert(zone);
+  }
+  CountVotes(*entry, now);
+}
+
+void Owner::CountVotes(Entry& entry, absl::Time now) {
+  if (entry.phase == Phase::kRefusing && MayPromiseNotRun(entry, now)) {
+    SettleRefusal(entry, now);
+    return;
+  }
+  if (entry.phase != Phase::kClaiming) {
+    return;
+  }
+  if (MayRun(entry, now)) {
+    Hand(entry, now);
+    return;
+  }
+  const std::string other = OtherOwner(entry, now);
+  if (!other.empty()) {
+    Transfer(entry, other, now);
+  } else if (entry.recorded.size() + entry.taken.size() >= entry.asked) {
+    Refuse(entry, ResultCode::kOutcomeUnknown, now);
+  }
+}
+
+std::string Owner::OtherOwner(const Entry& entry, absl::Time now) const {
+  std::map<std::string, std::set<std::string>> zones;
+  for (const auto& [zone, owner] : entry.taken) {
+    zones[owner].insert(zone);
+  }
+  for (const auto& [owner, recorded] : zones) {
+    const bool reachable =
+        owner != context_.options.self && context_.members.Has(owner);
+    if (reachable && context_.members.IsMajority(recorded, now)) {
+      return owner;
+    }
+  }
+  return "";
+}
+
+// Another owner was first, and a majority recorded it: it answers.
+void Owner::Transfer(Entry& entry, const std::string& to, absl::Time now) {
+  for (const Copy& copy : entry.copies) {
+    RoutedRequest routed = entry.routed;
+    routed.caller = copy.caller;
+    routed.service_address = copy.service_address;
+    routed.request.deadline = entry.deadline - now;
+    context_.link.Send(to, ForwardRequest{std::move(routed)}, now,
+                       entry.deadline);
+  }
+  entry.transferred_to = to;
+  Settle(entry, now);
+}
+
+void Owner::Hand(Entry& entry, absl::Time now) {
+  const Request& request = entry.routed.request;
+  const auto known = [&](const std::string& home) {
+    return context_.members.Usable(home) && context_.link.BootOf(home) != 0;
+  };
+  std::string home = context_.directory.Choose(
+      request.service,
+      [&](const std::string& name) {
+        return known(name) && name != entry.avoid_home;
+      },
+      context_.random);
+  if (!claims_) {
+    home = context_.options.self;
+  } else if (home.empty() && known(entry.avoid_home)) {
+    // The only home: give it a moment.
+    entry.avoid_home.clear();
+  }
+  if (home.empty()) {
+    entry.phase = Phase::kWaiting;
+    entry.retry_at = now + kWaitForHome;
+    return;
+  }
+  HandRequest hand;
+  hand.routed = entry.routed;
+  hand.routed.request.deadline = entry.deadline - now;
+  hand.hand_over = ++entry.hand_over;
+  hand.attempts = entry.attempts;
+  hand.avoid = entry.avoid_server;
+  entry.phase = Phase::kHanded;
+  entry.home = home;
+  entry.collector.Reset();
+  context_.directory.OnHanded(home, request.service);
+  if (home != context_.options.self) {
+    ++context_.outbox.counters().handed;
+    context_.outbox.Decide({DecisionKind::kHomeChosen, request.id,
+                            request.service, home, ResultCode::kOk,
+                            "home has the most free slots"});
+  }
+  context_.link.Send(home, std::move(hand), now, entry.deadline, true);
+}
+
+Owner::Entry* Owner::FindHanded(std::string_view id,
+                                const std::string& home,
+                                std::uint32_t hand_over) {
+  Entry* entry = Find(id);
+  const bool matches = entry != nullptr && entry->phase == Phase::kHanded &&
+                       entry->home == home && entry->hand_over == hand_over;
+  return matches ? entry : nullptr;
+}
+
+void Owner::OnHandAnswer(const std::string& home,
+                         HandAnswer answer,
+                         absl::Time now) {
+  context_.directory.OnHint(home, answer.hint);
+  Entry* entry = FindHanded(answer.part.id, home, answer.hand_over);
+  if (entry == nullptr) {
+    ++context_.outbox.counters().dropped_answers;
+    return;
+  }
+  const AnswerCollector::Outcome outcome =
+      entry->collector.Add(std::move(answer.part));
+  if (outcome == AnswerCollector::Outcome::kWhole) {
+    SettleAnswer(*entry, now);
+  }
+}
+
+void Owner::OnHandOutcome(const std::string& home,
+                          const HandOutcome& outcome,
+                          absl::Time now) {
+  context_.directory.OnHint(home, outcome.hint);
+  Entry* entry = FindHanded(outcome.id, home, outcome.hand_over);
+  if (entry == nullptr) {
+    return;
+  }
+  entry->attempts = outcome.attempts;
+  entry->avoid_server = outcome.server;
+  entry->avoid_home = home;
+  const bool ran = outcome.kind == HandOutcomeKind::kUnknown ||
+                   outcome.kind == HandOutcomeKind::kCut;
+  entry->may_have_run = entry->may_have_run || ran;
+  if (ran) {
+    Refuse(*entry, outcome.code, now);
+    return;
+  }
+  const bool elsewhere = outcome.code == ResultCode::kRefusedNoServer ||
+                         outcome.code == ResultCode::kRefusedShuttingDown ||
+                         outcome.code == ResultCode::kRefusedQueueFull ||
+                         outcome.code == ResultCode::kRefusedShed;
+  const bool may = entry->attempts < context_.options.max_attempts &&
+                   entry->hand_over < kMaxHandOvers &&
+                   entry->deadline - now > kLeastTime && claims_;
+  if (elsewhere && may) {
+    Hand(*entry, now);
+    return;
+  }
+  Refuse(*entry, outcome.code, now);
+}
+
+void Owner::OnHandOverdue(const std::string& home,
+                          const HandRequest& hand,
+                          absl::Time now) {
+  Entry* entry = FindHanded(hand.routed.request.id, home, hand.hand_over);
+  if (entry == nullptr || !entry->routed.request.idempotent) {
+    return;  // A non-idempotent one may run there: only waiting is safe.
+  }
+  entry->may_have_run = true;
+  entry->avoid_home = home;
+  Hand(*entry, now);
+}
+
+void Owner::OnHomeLost(const std::string& home, absl::Time now) {
+  std::vector<std::string> lost;
+  for (const std::string& id : open_) {
+    const Entry& entry = entries_.at(id);
+    if (entry.phase == Phase::kHanded && entry.home == home) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::string& id : lost) {
+    Entry& entry = entries_.at(id);
+    entry.may_have_run = true;
+    entry.avoid_home = home;
+    if (entry.routed.request.idempotent) {
+      Hand(entry, now);
+    } else {
+      Refuse(entry, ResultCode::kOutcomeUnknown, now);
+    }
+  }
+}
+
+void Owner::OnForwardCancel(const std::string& id, absl::Time now) {
+  Entry* entry = Find(id);
+  if (entry == nullptr || entry->phase == Phase::kSettled) {
+    return;
+  }
+  ++context_.outbox.counters().cancelled;
+  if (entry->phase == Phase::kHanded) {
+    context_.link.Send(entry->home, HandCancel{id, entry->hand_over}, now,
+                       entry->deadline);
+    entry->may_have_run = true;
+  }
+  entry->refusal = ResultCode::kCancelled;
+  SettleRefusal(*entry, now);
+}
+
+void Owner::Refuse(Entry& entry, ResultCode code, absl::Time now) {
+  entry.refusal = code;
+  const bool promise = IsNotRun(code);
+  if (promise && !entry.may_have_run && !MayPromiseNotRun(entry, now) &&
+      now < entry.arrived + context_.options.claim_timeout) {
+    entry.phase = Phase::kRefusing;  // Votes are still on their way.
+    return;
+  }
+  SettleRefusal(entry, now);
+}
+
+void Owner::SettleRefusal(Entry& entry, absl::Time now) {
+  if (IsNotRun(entry.refusal) && !MayPromiseNotRun(entry, now)) {
+    entry.refusal = ResultCode::kOutcomeUnknown;
+  }
+  for (const Copy& copy : entry.copies) {
+    SendRefusal(entry, copy);
+  }
+  Settle(entry, now);
+}
+
+void Owner::SendRefusal(const Entry& entry, const Copy& copy) {
+  const ResultCode code =
+      entry.answer_dropped ? ResultCode::kAnswerCut : entry.refusal;
+  const bool not_run = IsNotRun(code);
+  DispatchCounters& counters = context_.outbox.counters();
+  counters.refused_not_run += not_run ? 1 : 0;
+  counters.unknown += code == ResultCode::kOutcomeUnknown ? 1 : 0;
+  counters.cut += code == ResultCode::kAnswerCut ? 1 : 0;
+  const std::string& id = entry.routed.request.id;
+  RoutedRequest to;
+  to.caller = copy.caller;
+  to.service_address = copy.service_address;
+  context_.outbox.ToCaller(to, Refusal{id, code, not_run});
+  context_.outbox.Decide({DecisionKind::kRefused, id,
+                          entry.routed.request.service, "", code,
+                          not_run ? "not run" : "may have run"});
+}
+
+void Owner::SettleAnswer(Entry& entry, absl::Time now) {
+  entry.answer = entry.collector.Take();
+  std::set<Endpoint> callers;
+  for (const Copy& copy : entry.copies) {
+    if (callers.insert(copy.caller).second) {
+      SendAnswer(entry, copy);
+    }
+  }
+  answer_bytes_ += BodyBytes(entry.answer);
+  if (claims_) {
+    answer_order_.push_back(entry.routed.request.id);
+  }
+  context_.outbox.Decide({DecisionKind::kAnswered, entry.routed.request.id,
+                          entry.routed.request.service,
+                          entry.answer.front().server, ResultCode::kOk,
+                          fmt::format("{} parts", entry.answer.size())});
+  Settle(entry, now);
+  DropOldAnswers();
+}
+
+void Owner::SendAnswer(const Entry& entry, const Copy& copy) {
+  ++context_.outbox.counters().answered;
+  RoutedRequest to;
+  to.caller = copy.caller;
+  to.service_address = copy.service_address;
+  for (const AnswerPart& part : entry.answer) {
+    context_.outbox.ToCaller(to, part);
+  }
+}
+
+void Owner::Settle(Entry& entry, absl::Time now) {
+  const std::string& id = entry.routed.request.id;
+  std::set<std::string> ingresses;
+  for (const Copy& copy : entry.copies) {
+    const bool first = ingresses.insert(copy.ingress).second;
+    if (first && entry.transferred_to.empty()) {
+      context_.link.Send(copy.ingress, Settled{id}, now,
+                         now + context_.options.claim_timeout);
+    }
+  }
+  entry.phase = Phase::kSettled;
+  entry.settled = now;
+  entry.copies.clear();
+  entry.routed.request.body.clear();
+  open_.erase(id);
+  if (!claims_) {
+    answer_bytes_ -= BodyBytes(entry.answer);
+    entries_.erase(std::string(id));
+    return;
+  }
+  order_.push_back(id);
+}
+
+void Owner::OnTick(absl::Time now) {
+  const std::vector<std::string> open(open_.begin(), open_.end());
+  for (const std::string& id : open) {
+    TickOne(entries_.at(id), now);
+  }
+  DropOldRecords(now);
+}
+
+void Owner::TickOne(Entry& entry, absl::Time now) {
+  const bool votes_late = now >= entry.arrived + context_.options.claim_timeout;
+  if (entry.phase == Phase::kClaiming && votes_late) {
+    Refuse(entry, ResultCode::kOutcomeUnknown, now);
+    return;
+  }
+  if (entry.phase == Phase::kRefusing && votes_late) {
+    SettleRefusal(entry, now);
+    return;
+  }
+  if (entry.phase == Phase::kWaiting) {
+    if (entry.deadline - now <= kLeastTime) {
+      Refuse(entry, ResultCode::kRefusedNoServer, now);
+    } else if (now >= entry.retry_at) {
+      Hand(entry, now);
+    }
+    return;
+  }
+  if (entry.phase == Phase::kHanded && now >= entry.deadline + kLateGrace) {
+    context_.link.Send(entry.home,
+                       HandCancel{entry.routed.request.id, entry.hand_over},
+                       now, now + context_.options.claim_timeout);
+    entry.may_have_run = true;
+    Refuse(entry, ResultCode::kOutcomeUnknown, now);
+  }
+}
+
+void Owner::DropOldRecords(absl::Time now) {
+  while (!order_.empty()) {
+    const auto it = entries_.find(order_.front());
+    const bool expired =
+        it == entries_.end() ||
+        it->second.settled + context_.options.record_lifetime < now;
+    if (!expired && order_.size() <= context_.options.max_records) {
+      return;
+    }
+    if (it != entries_.end()) {
+      answer_bytes_ -= BodyBytes(it->second.answer);
+      entries_.erase(it);
+    }
+    order_.pop_front();
+  }
+}
+
+void Owner::DropOldAnswers() {
+  while (answer_bytes_ > context_.options.max_cached_answer_bytes &&
+         !answer_order_.empty()) {
+    Entry* entry = Find(answer_order_.front());
+    answer_order_.pop_front();
+    if (entry != nullptr && !entry->answer.empty()) {
+      answer_bytes_ -= BodyBytes(entry->answer);
+      entry->answer.clear();
+      entry->answer_dropped = true;
+    }
+  }
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/owner.h
@@ -0,0 +1,134 @@
+#ifndef GCW_DISPATCH_OWNER_H_
+#define GCW_DISPATCH_OWNER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+#include "absl/time/time.h"
+#include "src/dispatch/answer_collector.h"
+#include "src/dispatch/context.h"
+
+namespace gcw::dispatch {
+
+// The role of the daemon that decides about a request: it claims the request
+// at the witnesses, hands it to homes, keeps what became of it for repeats,
+// and is the only one that says "not run". docs/design/dispatch.md has the
+// proof. Not thread-safe.
+class Owner {
+ public:
+  // `context` must outlive the owner. `claims`: whether requests are claimed;
+  // without, this daemon takes each request for a first arrival.
+  Owner(Context& context, bool claims);
+
+  // A request, or a repeat, that arrived at `ingress`.
+  void OnForward(const std::string& ingress,
+                 RoutedRequest routed,
+                 absl::Time now);
+  void OnForwardCancel(const std::string& id, absl::Time now);
+  void OnClaimReply(const std::string& member,
+                    const ClaimReply& reply,
+                    absl::Time now);
+  void OnHandAnswer(const std::string& home, HandAnswer answer, absl::Time now);
+  void OnHandOutcome(const std::string& home,
+                     const HandOutcome& outcome,
+                     absl::Time now);
+  // `home` has not acknowledged a hand-over for long.
+  void OnHandOverdue(const std::string& home,
+                     const HandRequest& hand,
+                     absl::Time now);
+  // `home` is gone or was started anew, and forgot what it was handed.
+  void OnHomeLost(const std::string& home, absl::Time now);
+
+  void OnTick(absl::Time now);
+  bool idle() const { return open_.empty(); }
+
+ private:
+  enum class Phase { kClaiming, kWaiting, kHanded, kRefusing, kSettled };
+
+  // Where an answer is to go, once for each copy of the request.
+  struct Copy {
+    std::string ingress;
+    Endpoint caller;
+    Endpoint service_address;
+  };
+
+  struct Entry {
+    Phase phase = Phase::kClaiming;
+    RoutedRequest routed;
+    std::vector<Copy> copies;
+    std::uint64_t fingerprint = 0;
+    absl::Time arrived;
+    absl::Time deadline;
+    absl::Time retry_at;
+    // Zones whose witness recorded the claim, and of them those that are
+    // certain that no other owner had a grant.
+    std::set<std::string> recorded;
+    std::set<std::string> granted;
+    // Zones whose witness recorded another owner, and which.
+    std::map<std::string, std::string> taken;
+    std::size_t asked = 0;  // Witnesses.
+    std::uint32_t hand_over = 0;
+    std::uint32_t attempts = 0;
+    std::string home;
+    std::string avoid_home;
+    std::string avoid_server;
+    // Some hand-over may have reached a server without proof of "not run".
+    bool may_have_run = false;
+    ResultCode refusal = ResultCode::kOutcomeUnknown;
+    AnswerCollector collector;
+    std::vector<AnswerPart> answer;
+    bool answer_dropped = false;  // To save memory.
+    std::string transferred_to;   // Another owner was first.
+    absl::Time settled;
+  };
+  using Entries = absl::flat_hash_map<std::string, Entry>;
+
+  Entry& Add(const std::string& ingress, RoutedRequest routed, absl::Time now);
+  void AddCopy(Entry& entry,
+               const std::string& ingress,
+               const RoutedRequest& routed);
+  void OnRepeat(Entry& entry,
+                const std::string& ingress,
+                RoutedRequest routed,
+                absl::Time now);
+  void StartClaims(Entry& entry, absl::Time now);
+  void CountVotes(Entry& entry, absl::Time now);
+  // The other owner that a majority of zones recorded; empty if none.
+  std::string OtherOwner(const Entry& entry, absl::Time now) const;
+  bool MayRun(const Entry& entry, absl::Time now) const;
+  bool MayPromiseNotRun(const Entry& entry, absl::Time now) const;
+  void Transfer(Entry& entry, const std::string& to, absl::Time now);
+  void Hand(Entry& entry, absl::Time now);
+  void Refuse(Entry& entry, ResultCode code, absl::Time now);
+  void SettleRefusal(Entry& entry, absl::Time now);
+  void SettleAnswer(Entry& entry, absl::Time now);
+  void Settle(Entry& entry, absl::Time now);
+  void SendRefusal(const Entry& entry, const Copy& copy);
+  void SendAnswer(const Entry& entry, const Copy& copy);
+  void TickOne(Entry& entry, absl::Time now);
+  void DropOldRecords(absl::Time now);
+  void DropOldAnswers();
+  Entry* Find(std::string_view id);
+  Entry* FindHanded(std::string_view id,
+                    const std::string& home,
+                    std::uint32_t hand_over);
+
+  Context& context_;
+  bool claims_;
+  Entries entries_;
+  absl::flat_hash_set<std::string> open_;
+  std::deque<std::string> order_;         // Settled, oldest first.
+  std::deque<std::string> answer_order_;  // Of them, those with an answer.
+  std::uint64_t answer_bytes_ = 0;
+};
+
+}  // namespace gcw::dispatch
+
+#endif  // GCW_DISPATCH_OWNER_H_
--- a/src/dispatch/peer_codec.cc
+++ b/src/dispatch/peer_codec.cc
@@ -61,6 +61,13 @@
   return hint;
 }
 
+SlotHint ReadHintMap(FieldReader& reader) {
+  FieldReader inner(reader.Map("hint"), reader.Path("hint"));
+  SlotHint hint = ReadHint(inner);
+  reader.Join(inner);
+  return hint;
+}
+
 json ToFields(const ForwardRequest& message) {
   json map = RoutedFields(message.routed);
   map["t"] = "fwd";
@@ -80,9 +87,13 @@
 }
 
 json ToFields(const ClaimReply& message) {
-  return {{"t", "vote"},
-          {"id", message.id},
-          {"v", static_cast<std::uint8_t>(message.verdict)}};
+  json map = {{"t", "vote"},
+              {"id", message.id},
+              {"v", static_cast<std::uint8_t>(message.verdict)}};
+  if (!message.owner.empty()) {
+    map["o"] = message.owner;
+  }
+  return map;
 }
 
 json ToFields(const HandRequest& message) {
@@ -124,7 +135,13 @@
   for (const SlotHint& hint : message.hints) {
     list.push_back(HintFields(hint));
   }
-  return {{"t", "hints"}, {"l", std::move(list)}};
+  json map = {{"t", "hints"}, {"l", std::move(list)}};
+  for (const ColdServer& cold : message.cold) {
+    map["c"].push_back({{"s", cold.server},
+                        {"e", cold.ejected},
+                        {"dl", absl::ToInt64Milliseconds(cold.left)}});
+  }
+  return map;
 }
 
 json ToFields(const ClaimRecords& message) {
@@ -158,6 +175,7 @@
   FieldReader inner(reader.Map("ans"), reader.Path("ans"));
   message.part = ReadAnswerPart(inner);
   reader.Join(inner);
+  message.hint = ReadHintMap(reader);
   return message;
 }
 
@@ -170,9 +188,7 @@
   message.code = ReadCode(reader, "code");
   message.attempts = static_cast<std::uint32_t>(reader.Number("a", kMax32));
   message.server = reader.Text("srv", false);
-  FieldReader inner(reader.Map("hint"), reader.Path("hint"));
-  message.hint = ReadHint(inner);
-  reader.Join(inner);
+  message.hint = ReadHintMap(reader);
   return message;
 }
 
@@ -183,6 +199,18 @@
     message.hints.push_back(ReadHint(inner));
     reader.Join(inner);
   }
+  if (!reader.Has("c")) {
+    return message;
+  }
+  for (const json& item : reader.List("c")) {
+    FieldReader inner(item, reader.Path("c"));
+    ColdServer cold;
+    cold.server = inner.Text("s");
+    cold.ejected = inner.Flag("e");
+    cold.left = inner.Milliseconds("dl");
+    message.cold.push_back(std::move(cold));
+    reader.Join(inner);
+  }
   return message;
 }
 
@@ -205,6 +233,7 @@
   message.id = reader.Text("id");
   message.verdict = static_cast<ClaimVerdict>(
       reader.Number("v", static_cast<std::uint64_t>(ClaimVerdict::kTaken)));
+  message.owner = reader.Text("o", false);
   return message;
 }
 
@@ -261,6 +290,10 @@
   json map = std::visit([](const auto& m) -> json { return ToFields(m); },
                         message.body);
   map["q"] = message.sequence;
+  map["b"] = message.from_boot;
+  if (message.to_boot != 0) {
+    map["tb"] = message.to_boot;
+  }
   return json::to_cbor(map);
 }
 
@@ -273,6 +306,8 @@
   PeerMessage message;
   message.body = ReadBody(reader);
   message.sequence = reader.Number("q", kMax64);
+  message.from_boot = reader.Number("b", kMax64);
+  message.to_boot = reader.Number("tb", kMax64, false);
   if (!reader.ok()) {
     return reader.error();
   }
--- /dev/null
+++ b/src/dispatch/peer_link.cc
@@ -0,0 +1,151 @@
+#include "src/dispatch/peer_link.h"
+
+#include <algorithm>
+
+namespace gcw::dispatch {
+namespace {
+
+constexpr absl::Duration kFirstInterval = absl::Milliseconds(20);
+constexpr absl::Duration kMaxInterval = absl::Milliseconds(320);
+constexpr absl::Duration kOverdueAfter = absl::Milliseconds(70);
+// Sequence numbers are remembered this long, so that a copy is known as one.
+constexpr absl::Duration kRememberFor = absl::Seconds(60);
+
+}  // namespace
+
+PeerLink::PeerLink(std::string self,
+                   std::uint64_t boot_id,
+                   std::uint64_t first_sequence,
+                   Outbox& outbox)
+    : self_(std::move(self)),
+      boot_id_(boot_id),
+      next_sequence_(first_sequence),
+      outbox_(outbox) {}
+
+void PeerLink::Send(const std::string& member,
+                    PeerBody body,
+                    absl::Time now,
+                    absl::Time expires,
+                    bool bound) {
+  if (member == self_) {
+    local_.push_back(std::move(body));
+    return;
+  }
+  const std::uint64_t sequence = next_sequence_++;
+  const std::uint64_t to_boot = bound ? BootOf(member) : 0;
+  Pending pending{
+      member,  PeerMessage{sequence, boot_id_, to_boot, std::move(body)},
+      now,     now + kFirstInterval,
+      expires, kFirstInterval,
+      false};
+  outbox_.ToPeer(member, Channel::kData, pending.message);
+  pending_.emplace(sequence, std::move(pending));
+}
+
+void PeerLink::SendControl(const std::string& member, PeerBody body) {
+  if (member != self_) {
+    outbox_.ToPeer(member, Channel::kControl,
+                   PeerMessage{0, boot_id_, 0, std::move(body)});
+  }
+}
+
+bool PeerLink::Accept(const std::string& member,
+                      const PeerMessage& message,
+                      absl::Time now) {
+  NoteBoot(member, message.from_boot);
+  if (message.to_boot != 0 && message.to_boot != boot_id_) {
+    return false;
+  }
+  if (const auto* ack = std::get_if<PeerAck>(&message.body)) {
+    pending_.erase(ack->sequence);
+    return false;
+  }
+  if (message.sequence == 0) {
+    return true;
+  }
+  Acknowledge(member, message);
+  return Remember(heard_[member], message.sequence, now);
+}
+
+void PeerLink::Acknowledge(const std::string& member,
+                           const PeerMessage& message) {
+  outbox_.ToPeer(
+      member, Channel::kData,
+      PeerMessage{0, boot_id_, message.from_boot, PeerAck{message.sequence}});
+}
+
+bool PeerLink::Remember(Heard& heard, std::uint64_t sequence, absl::Time now) {
+  while (!heard.order.empty() &&
+         heard.sequences[heard.order.front()] < now - kRememberFor) {
+    heard.sequences.erase(heard.order.front());
+    heard.order.pop_front();
+  }
+  if (!heard.sequences.emplace(sequence, now).second) {
+    return false;
+  }
+  heard.order.push_back(sequence);
+  return true;
+}
+
+void PeerLink::NoteBoot(const std::string& member, std::uint64_t boot) {
+  Heard& heard = heard_[member];
+  if (heard.boot == boot) {
+    return;
+  }
+  const bool restarted = heard.boot != 0;
+  heard.boot = boot;
+  if (!restarted) {
+    return;
+  }
+  absl::erase_if(pending_, [&](const auto& entry) {
+    return entry.second.member == member && entry.second.message.to_boot != 0;
+  });
+  restarted_.push_back(member);
+}
+
+std::uint64_t PeerLink::BootOf(std::string_view member) const {
+  if (member == self_) {
+    return boot_id_;
+  }
+  const auto it = heard_.find(std::string(member));
+  return it == heard_.end() ? 0 : it->second.boot;
+}
+
+std::vector<std::string> PeerLink::TakeRestarted() {
+  return std::exchange(restarted_, {});
+}
+
+std::vector<PeerLink::Overdue> PeerLink::OnTick(absl::Time now) {
+  std::vector<Overdue> overdue;
+  absl::erase_if(
+      pending_, [&](const auto& entry) { return entry.second.expires <= now; });
+  for (auto& [sequence, pending] : pending_) {
+    if (pending.due > now) {
+      continue;
+    }
+    outbox_.ToPeer(pending.member, Channel::kData, pending.message);
+    pending.interval = std::min(2 * pending.interval, kMaxInterval);
+    pending.due = now + pending.interval;
+    if (!pending.overdue && now - pending.sent >= kOverdueAfter) {
+      pending.overdue = true;
+      overdue.push_back({pending.member, pending.message.body});
+    }
+  }
+  return overdue;
+}
+
+absl::Time PeerLink::NextTick() const {
+  absl::Time next = absl::InfiniteFuture();
+  for (const auto& [sequence, pending] : pending_) {
+    next = std::min({next, pending.due, pending.expires});
+  }
+  return next;
+}
+
+void PeerLink::Forget(const std::string& member) {
+  absl::erase_if(pending_, [&](const auto& entry) {
+    return entry.second.member == member;
+  });
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/role_dispatcher.cc
@@ -0,0 +1,287 @@
+#include "src/dispatch/role_dispatcher.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gcw/dispatch/codec.h"
+
+namespace gcw::dispatch {
+namespace {
+
+constexpr absl::Duration kBusyTick = absl::Milliseconds(5);
+// Bytes that hints may use a second: a part of the control budget.
+constexpr double kHintBytesPerSecond = 1200;
+// After BeginShutdown others may still send work until they know.
+constexpr absl::Duration kLinger = absl::Seconds(1);
+
+}  // namespace
+
+RoleDispatcher::RoleDispatcher(const DispatchOptions& options,
+                               std::unique_ptr<SlotPolicy> policy)
+    : context_(options),
+      policy_(std::move(policy)),
+      home_(context_, *policy_),
+      owner_(context_, policy_->shares()),
+      witness_(context_.options, context_.members),
+      ingress_(context_, owner_, policy_->shares()) {}
+
+// A daemon that was stopped for long may have been replaced meanwhile: what it
+// knows is then as good as nothing.
+void RoleDispatcher::Begin(absl::Time now) {
+  const bool first = now_ == absl::InfinitePast();
+  if (first || now - now_ > context_.options.repeat_lifetime / 2) {
+    context_.members.NoteStart(now);
+  }
+  now_ = std::max(now, now_);
+}
+
+void RoleDispatcher::Finish(absl::Time now) {
+  while (true) {
+    for (const std::string& member : context_.link.TakeRestarted()) {
+      OnMemberLost(member, now);
+    }
+    std::vector<PeerBody> local = context_.link.TakeLocal();
+    if (local.empty()) {
+      return;
+    }
+    for (PeerBody& body : local) {
+      Handle(context_.options.self, std::move(body), now);
+    }
+  }
+}
+
+void RoleDispatcher::ApplySnapshot(config::SnapshotPtr snapshot,
+                                   absl::Time now) {
+  Begin(now);
+  if (snapshot == nullptr || snapshot->revision < context_.snapshot->revision) {
+    return;
+  }
+  context_.snapshot = std::move(snapshot);
+  context_.members.ApplyZones(*context_.snapshot, now);
+  context_.directory.Rebuild(*context_.snapshot, context_.members);
+  home_.Refresh(now);
+  Finish(now);
+}
+
+void RoleDispatcher::ApplyMembers(std::span<const Member> members,
+                                  absl::Time now) {
+  Begin(now);
+  const std::vector<std::string> gone = context_.members.Apply(members, now);
+  context_.directory.Rebuild(*context_.snapshot, context_.members);
+  for (const std::string& member : gone) {
+    context_.link.Forget(member);
+    cold_elsewhere_.erase(member);
+    OnMemberLost(member, now);
+  }
+  home_.Refresh(now);
+  Finish(now);
+}
+
+void RoleDispatcher::OnMemberLost(const std::string& member, absl::Time now) {
+  owner_.OnHomeLost(member, now);
+  ingress_.OnOwnerLost(member, now);
+}
+
+void RoleDispatcher::OnRequest(Endpoint caller,
+                               Endpoint service_address,
+                               Request request,
+                               absl::Time now) {
+  Begin(now);
+  ingress_.OnRequest({std::move(request), caller, service_address}, now);
+  Finish(now);
+}
+
+void RoleDispatcher::OnCancel(Endpoint,
+                              Endpoint,
+                              const Cancel& cancel,
+                              absl::Time now) {
+  Begin(now);
+  ingress_.OnCancel(cancel.id, now);
+  Finish(now);
+}
+
+void RoleDispatcher::OnServerMessage(Endpoint,
+                                     const Message& message,
+                                     absl::Time now) {
+  Begin(now);
+  if (const auto* part = std::get_if<AnswerPart>(&message)) {
+    home_.OnAnswer(*part, now);
+  } else if (const auto* shed = std::get_if<Shed>(&message)) {
+    home_.OnShed(*shed, now);
+  } else if (const auto* report = std::get_if<LoadReport>(&message)) {
+    home_.OnLoadReport(*report, now);
+  } else {
+    ++context_.outbox.counters().dropped_answers;
+  }
+  Finish(now);
+}
+
+void RoleDispatcher::OnFlowsLost(Endpoint server, absl::Time now) {
+  Begin(now);
+  home_.OnFlowsLost(server, now);
+  Finish(now);
+}
+
+void RoleDispatcher::OnPeerMessage(std::string_view member,
+                                   const PeerMessage& message,
+                                   absl::Time now) {
+  Begin(now);
+  const std::string name(member);
+  context_.members.SetResponsive(name, true);
+  if (context_.link.Accept(name, message, now)) {
+    Handle(name, message.body, now);
+  }
+  Finish(now);
+}
+
+void RoleDispatcher::Handle(const std::string& member,
+                            PeerBody body,
+                            absl::Time now) {
+  if (auto* forward = std::get_if<ForwardRequest>(&body)) {
+    owner_.OnForward(member, std::move(forward->routed), now);
+  } else if (const auto* cancel = std::get_if<ForwardCancel>(&body)) {
+    owner_.OnForwardCancel(cancel->id, now);
+  } else if (const auto* settled = std::get_if<Settled>(&body)) {
+    ingress_.OnSettled(settled->id);
+  } else if (const auto* claim = std::get_if<Claim>(&body)) {
+    context_.link.Send(member, witness_.OnClaim(claim->id, member, now), now,
+                       now + context_.options.claim_timeout);
+  } else if (const auto* reply = std::get_if<ClaimReply>(&body)) {
+    owner_.OnClaimReply(member, *reply, now);
+  } else if (auto* hand = std::get_if<HandRequest>(&body)) {
+    home_.OnHand(member, std::move(*hand), now);
+  } else if (const auto* hand_cancel = std::get_if<HandCancel>(&body)) {
+    home_.OnHandCancel(member, *hand_cancel, now);
+  } else if (auto* answer = std::get_if<HandAnswer>(&body)) {
+    owner_.OnHandAnswer(member, std::move(*answer), now);
+  } else if (const auto* outcome = std::get_if<HandOutcome>(&body)) {
+    owner_.OnHandOutcome(member, *outcome, now);
+  } else if (const auto* hints = std::get_if<SlotHints>(&body)) {
+    OnHints(member, *hints, now);
+  }
+}
+
+void RoleDispatcher::OnHints(const std::string& member,
+                             const SlotHints& hints,
+                             absl::Time now) {
+  for (const SlotHint& hint : hints.hints) {
+    context_.directory.OnHint(member, hint);
+  }
+  for (const ColdServer& cold : hints.cold) {
+    context_.directory.OnCold(cold.server, now + cold.left);
+  }
+  cold_elsewhere_[member] = hints.cold;
+}
+
+void RoleDispatcher::OnOverdue(const PeerLink::Overdue& overdue,
+                               absl::Time now) {
+  context_.members.SetResponsive(overdue.member, false);
+  if (std::holds_alternative<ForwardRequest>(overdue.body)) {
+    ingress_.OnOwnerLost(overdue.member, now);
+  } else if (const auto* hand = std::get_if<HandRequest>(&overdue.body)) {
+    owner_.OnHandOverdue(overdue.member, *hand, now);
+  }
+}
+
+void RoleDispatcher::OnTick(absl::Time now) {
+  Begin(now);
+  for (const PeerLink::Overdue& overdue : context_.link.OnTick(now)) {
+    OnOverdue(overdue, now);
+  }
+  ingress_.OnTick(now);
+  witness_.OnTick(now);
+  home_.OnTick(now);
+  Finish(now);
+  // The home goes first: what it ended is known before the owner gives up.
+  owner_.OnTick(now);
+  Finish(now);
+  if (now - last_hints_ >= HintInterval()) {
+    SendHints(now);
+  }
+}
+
+absl::Duration RoleDispatcher::HintInterval() const {
+  const double peers = static_cast<double>(context_.members.size()) - 1;
+  const double seconds =
+      peers * static_cast<double>(hint_bytes_) / kHintBytesPerSecond;
+  return std::max(context_.options.hint_interval, absl::Seconds(seconds));
+}
+
+void RoleDispatcher::SendHints(absl::Time now) {
+  last_hints_ = now;
+  const std::vector<std::string> others = context_.members.Others();
+  if (!policy_->shares() || others.empty()) {
+    return;
+  }
+  const SlotHints hints = home_.AllHints(now);
+  hint_bytes_ = EncodePeer({0, context_.options.boot_id, 0, hints}).size();
+  for (const std::string& member : others) {
+    context_.outbox.counters().control_bytes += hint_bytes_;
+    context_.link.SendControl(member, hints);
+  }
+}
+
+absl::Time RoleDispatcher::NextTick() const {
+  const bool busy = !ingress_.idle() || !owner_.idle() || !home_.idle();
+  const absl::Time hints = last_hints_ + HintInterval();
+  const absl::Time soon = busy ? now_ + kBusyTick : absl::InfiniteFuture();
+  return std::min({context_.link.NextTick(), hints, soon});
+}
+
+void RoleDispatcher::BeginShutdown(absl::Time now) {
+  Begin(now);
+  if (context_.shutting_down) {
+    return;
+  }
+  context_.shutting_down = true;
+  shutdown_began_ = now;
+  context_.members.NoteLeaving(now);
+  context_.directory.Rebuild(*context_.snapshot, context_.members);
+  home_.BeginShutdown(now);
+  home_.Refresh(now);
+  Finish(now);
+}
+
+bool RoleDispatcher::drained() const {
+  return context_.shutting_down && now_ - shutdown_began_ >= kLinger &&
+         ingress_.idle() && owner_.idle() && home_.idle() &&
+         context_.link.idle();
+}
+
+std::vector<Action> RoleDispatcher::TakeActions() {
+  return context_.outbox.Take();
+}
+
+DispatchStatus RoleDispatcher::status() const {
+  DispatchStatus status;
+  status.counters = context_.outbox.counters();
+  status.servers = home_.servers(now_);
+  status.certain = policy_->shares() && now_ - context_.members.since() >=
+                                            context_.options.repeat_lifetime;
+  for (const auto& [service, stats] : home_.stats()) {
+    status.services.push_back(
+        {service, home_.queued(service), stats.queue(), stats.answer()});
+  }
+  return status;
+}
+
+std::vector<ServerAdvice> RoleDispatcher::advice() const {
+  std::vector<ServerAdvice> advice;
+  const auto add = [&](const ColdServer& cold) {
+    const double left = absl::FDivDuration(cold.left, context_.options.warm_up);
+    const double share = cold.ejected ? 0 : std::clamp(1 - left, 0.0, 1.0);
+    advice.push_back(
+        {cold.server, cold.left > absl::ZeroDuration(), cold.ejected, share});
+  };
+  for (const ColdServer& cold : home_.AllHints(now_).cold) {
+    add(cold);
+  }
+  for (const auto& [member, list] : cold_elsewhere_) {
+    for (const ColdServer& cold : list) {
+      add(cold);
+    }
+  }
+  return advice;
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/role_dispatcher.h
@@ -0,0 +1,80 @@
+#ifndef GCW_DISPATCH_ROLE_DISPATCHER_H_
+#define GCW_DISPATCH_ROLE_DISPATCHER_H_
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "gcw/dispatch/dispatcher.h"
+#include "src/dispatch/context.h"
+#include "src/dispatch/home.h"
+#include "src/dispatch/ingress.h"
+#include "src/dispatch/owner.h"
+#include "src/dispatch/slot_policy.h"
+#include "src/dispatch/witness.h"
+
+namespace gcw::dispatch {
+
+// A dispatcher made of its roles: ingress, owner, witness and home. It passes
+// events to them, also those that one role sends to another on this daemon.
+class RoleDispatcher : public Dispatcher {
+ public:
+  RoleDispatcher(const DispatchOptions& options,
+                 std::unique_ptr<SlotPolicy> policy);
+
+  void ApplySnapshot(config::SnapshotPtr snapshot, absl::Time now) override;
+  void ApplyMembers(std::span<const Member> members, absl::Time now) override;
+  void OnRequest(Endpoint caller,
+                 Endpoint service_address,
+                 Request request,
+                 absl::Time now) override;
+  void OnCancel(Endpoint caller,
+                Endpoint service_address,
+                const Cancel& cancel,
+                absl::Time now) override;
+  void OnServerMessage(Endpoint server,
+                       const Message& message,
+                       absl::Time now) override;
+  void OnFlowsLost(Endpoint server, absl::Time now) override;
+  void OnPeerMessage(std::string_view member,
+                     const PeerMessage& message,
+                     absl::Time now) override;
+  void OnTick(absl::Time now) override;
+  absl::Time NextTick() const override;
+  void BeginShutdown(absl::Time now) override;
+  bool drained() const override;
+  std::vector<Action> TakeActions() override;
+  DispatchStatus status() const override;
+  std::vector<ServerAdvice> advice() const override;
+
+ private:
+  void Begin(absl::Time now);
+  // Handles what roles of this daemon sent to each other, until none is left.
+  void Finish(absl::Time now);
+  void Handle(const std::string& member, PeerBody body, absl::Time now);
+  void OnHints(const std::string& member,
+               const SlotHints& hints,
+               absl::Time now);
+  void OnMemberLost(const std::string& member, absl::Time now);
+  void OnOverdue(const PeerLink::Overdue& overdue, absl::Time now);
+  void SendHints(absl::Time now);
+  absl::Duration HintInterval() const;
+
+  Context context_;
+  std::unique_ptr<SlotPolicy> policy_;
+  Home home_;
+  Owner owner_;
+  Witness witness_;
+  Ingress ingress_;
+  // What other homes say of their servers.
+  std::map<std::string, std::vector<ColdServer>> cold_elsewhere_;
+  std::size_t hint_bytes_ = 0;
+  absl::Time now_ = absl::InfinitePast();
+  absl::Time last_hints_ = absl::InfinitePast();
+  absl::Time shutdown_began_ = absl::InfiniteFuture();
+};
+
+}  // namespace gcw::dispatch
+
+#endif  // GCW_DISPATCH_ROLE_DISPATCHER_H_
--- /dev/null
+++ b/src/dispatch/server_pool.cc
@@ -0,0 +1,148 @@
+#include "src/dispatch/server_pool.h"
+
+#include <algorithm>
+
+namespace gcw::dispatch {
+
+ServerPool::ServerPool(Context& context, const SlotPolicy& policy)
+    : context_(context), policy_(policy) {}
+
+std::vector<std::string> ServerPool::Refresh(absl::Time now) {
+  const config::Snapshot& snapshot = *context_.snapshot;
+  std::vector<std::string> given_up;
+  for (auto& [name, server] : servers_) {
+    const config::BackendServer* found = context_.FindServer(name);
+    server.SetWanted(false);
+    const bool zone_out =
+        found != nullptr && snapshot.zones.contains(found->zone) &&
+        snapshot.zones.at(found->zone).state == config::ZoneState::kOut;
+    if (found == nullptr || zone_out ||
+        found->state == config::ServerState::kOut) {
+      given_up.push_back(name);
+    }
+  }
+  for (const auto& [name, config] : snapshot.servers) {
+    ServerState& server =
+        servers_.try_emplace(name, config, context_.options.warm_up)
+            .first->second;
+    server.Configure(config, now);
+    const bool mine = policy_.IsMine(config, context_.members);
+    bool& was_mine = mine_[name];
+    if (mine && !was_mine) {
+      server.StartCautiously(context_.directory.IsCold(name, now), now);
+    }
+    was_mine = mine;
+    server.SetWanted(mine && context_.IsWanted(config));
+  }
+  services_.clear();
+  for (const auto& [name, service] : snapshot.services) {
+    for (const config::ServiceMember& member : service.servers) {
+      ServerState* server = Find(member.server);
+      if (server != nullptr && member.weight > 0) {
+        services_[name].push_back(server);
+      }
+    }
+  }
+  return given_up;
+}
+
+ServerState* ServerPool::Pick(std::string_view service,
+                              std::string_view avoid,
+                              absl::Time now) {
+  const auto it = services_.find(service);
+  if (it == services_.end()) {
+    return nullptr;
+  }
+  std::vector<ServerState*> fitting;
+  for (ServerState* server : it->second) {
+    if (server->name() != avoid &&
+        policy_.Fits(*server, context_.members, now)) {
+      fitting.push_back(server);
+    }
+  }
+  return fitting.empty() ? nullptr : policy_.Choose(fitting, context_.random);
+}
+
+bool ServerPool::Serves(std::string_view service,
+                        std::string_view avoid) const {
+  const auto it = services_.find(service);
+  return it != services_.end() &&
+         std::any_of(it->second.begin(), it->second.end(),
+                     [&](const ServerState* server) {
+                       return server->wanted() && server->name() != avoid;
+                     });
+}
+
+ServerState* ServerPool::Find(std::string_view name) {
+  const auto it = servers_.find(name);
+  return it == servers_.end() ? nullptr : &it->second;
+}
+
+ServerState* ServerPool::FindByAddress(Endpoint address) {
+  for (auto& [name, server] : servers_) {
+    if (server.config().address == address) {
+      return &server;
+    }
+  }
+  return nullptr;
+}
+
+std::size_t ServerPool::EjectionLimit() const {
+  const auto wanted =
+      std::count_if(servers_.begin(), servers_.end(),
+                    [](const auto& entry) { return entry.second.wanted(); });
+  const auto share = static_cast<std::size_t>(
+      context_.options.max_ejected_share * static_cast<double>(wanted));
+  // One of two or more may always go, but never the last.
+  return wanted < 2 ? 0 : std::max<std::size_t>(share, 1);
+}
+
+bool ServerPool::TryEject(ServerState& server, absl::Time now) {
+  const auto ejected = static_cast<std::size_t>(std::count_if(
+      servers_.begin(), servers_.end(),
+      [&](const auto& entry) { return entry.second.ejected(now); }));
+  if (ejected >= EjectionLimit()) {
+    return false;
+  }
+  server.Eject(now);
+  return true;
+}
+
+SlotHint ServerPool::Hint(const std::string& service, absl::Time now) const {
+  SlotHint hint{service, 0, 0, 0};
+  const auto it = services_.find(service);
+  if (it == services_.end()) {
+    return hint;
+  }
+  for (const ServerState* server : it->second) {
+    if (!server->wanted() || server->ejected(now)) {
+      continue;
+    }
+    hint.slots += server->allowed();
+    if (policy_.Fits(*server, context_.members, now)) {
+      hint.free +=
+          server->allowed() - std::min(server->in_flight(), server->allowed());
+    }
+  }
+  return hint;
+}
+
+bool ServerPool::IsMine(const ServerState& server) const {
+  const auto it = mine_.find(server.name());
+  return it != mine_.end() && it->second;
+}
+
+void ServerPool::OnTick(absl::Time now) {
+  const bool query = now - last_query_ >= context_.options.load_query_interval;
+  for (auto& [name, server] : servers_) {
+    server.OnTick(now);
+    // A server that answers needs no query: its report could only be older.
+    if (query && IsMine(server) && server.failing()) {
+      context_.outbox.ToServer(server.config().address,
+                               LoadQuery{context_.random()});
+    }
+  }
+  last_query_ = query ? now : last_query_;
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/server_state.cc
@@ -0,0 +1,194 @@
+#include "src/dispatch/server_state.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace gcw::dispatch {
+namespace {
+
+// A server that shed is left alone this long, doubled with each shed in a row.
+constexpr absl::Duration kFirstPause = absl::Milliseconds(40);
+constexpr std::uint32_t kMaxPauseDoublings = 4;
+constexpr std::uint32_t kSilencesToEject = 3;
+constexpr absl::Duration kEjection = absl::Seconds(2);
+// A server without an answer for this long may have restarted unnoticed.
+constexpr absl::Duration kIdle = absl::Seconds(1);
+constexpr double kUsageHalfLifeSeconds = 10;
+
+}  // namespace
+
+ServerState::ServerState(config::BackendServer server, absl::Duration warm_up)
+    : server_(std::move(server)), warm_up_(warm_up) {}
+
+void ServerState::Configure(const config::BackendServer& server,
+                            absl::Time now) {
+  const bool anew =
+      server.created != server_.created || server.address != server_.address;
+  server_ = server;
+  if (anew) {
+    incarnation_ = 0;
+    TurnCold(now);
+  }
+}
+
+void ServerState::StartCautiously(bool cold, absl::Time now) {
+  allowed_ = 1;
+  if (cold) {
+    TurnCold(now);
+  }
+}
+
+void ServerState::TurnCold(absl::Time now) {
+  allowed_ = 1;
+  cold_ = true;
+  cold_since_ = now;
+}
+
+double ServerState::share(absl::Time now) const {
+  if (ejected(now)) {
+    return 0;
+  }
+  if (!cold_) {
+    return 1;
+  }
+  const double slots = std::max<std::uint32_t>(server_.slots, 1);
+  const double progress = absl::FDivDuration(now - cold_since_, warm_up_);
+  return std::clamp(progress, 1 / (slots + 1), 1.0);
+}
+
+absl::Duration ServerState::cold_left(absl::Time now) const {
+  return cold_ ? std::max(cold_since_ + warm_up_ - now, absl::ZeroDuration())
+               : absl::ZeroDuration();
+}
+
+void ServerState::Grow(absl::Time now) {
+  const double slots = std::max<std::uint32_t>(server_.slots, 1);
+  if (cold_) {
+    const double progress = absl::FDivDuration(now - cold_since_, warm_up_);
+    const double borne = 1 + std::floor((slots - 1) * std::min(progress, 1.0));
+    allowed_ = std::min(borne, std::floor(allowed_) + 1);
+    cold_ = progress < 1;
+    return;
+  }
+  // Grow only while what is allowed is used: idle successes prove nothing.
+  if (in_flight_ >= allowed()) {
+    allowed_ = std::min(slots, allowed_ + 1);
+  }
+}
+
+std::uint32_t ServerState::allowed() const {
+  const double most = std::max<std::uint32_t>(server_.slots, 1);
+  return static_cast<std::uint32_t>(std::clamp(allowed_, 1.0, most));
+}
+
+bool ServerState::Available(absl::Time now) const {
+  if (!wanted_ || now < paused_until_ || ejected(now)) {
+    return false;
+  }
+  const bool idle = now - last_answer_ > kIdle;
+  return in_flight_ < (idle ? 1 : allowed());
+}
+
+void ServerState::AddUsage(absl::Time now) {
+  if (usage_at_ != absl::InfinitePast()) {
+    const double seconds = absl::ToDoubleSeconds(now - usage_at_);
+    const double keep = std::exp2(-seconds / kUsageHalfLifeSeconds);
+    const double busy = static_cast<double>(in_flight_) /
+                        std::max<std::uint32_t>(server_.slots, 1);
+    usage_ = usage_ * keep + busy * (1 - keep);
+  }
+  usage_at_ = now;
+}
+
+void ServerState::OnSent(absl::Time now) {
+  AddUsage(now);
+  ++in_flight_;
+}
+
+void ServerState::OnSlotFree() {
+  in_flight_ -= in_flight_ > 0 ? 1 : 0;
+}
+
+void ServerState::OnSlotFreeAt(absl::Time at) {
+  releases_.push_back(at);
+}
+
+void ServerState::OnTick(absl::Time now) {
+  AddUsage(now);
+  const auto due = std::remove_if(releases_.begin(), releases_.end(),
+                                  [&](absl::Time at) { return at <= now; });
+  for (auto it = due; it != releases_.end(); ++it) {
+    OnSlotFree();
+  }
+  releases_.erase(due, releases_.end());
+}
+
+ServerState::Change ServerState::NoteIncarnation(std::uint64_t incarnation,
+                                                 absl::Time now) {
+  const bool first = incarnation_ == 0;
+  if (incarnation == incarnation_) {
+    return Change::kNone;
+  }
+  incarnation_ = incarnation;
+  if (first) {
+    return Change::kNone;
+  }
+  TurnCold(now);
+  return Change::kRestarted;
+}
+
+ServerState::Change ServerState::OnAnswer(const AnswerPart& part,
+                                          absl::Duration,
+                                          absl::Time now) {
+  if (NoteIncarnation(part.incarnation, now) == Change::kRestarted) {
+    return Change::kRestarted;
+  }
+  last_answer_ = now;
+  shed_run_ = 0;
+  silence_run_ = 0;
+  const bool was_cold = cold_;
+  Grow(now);
+  return was_cold && !cold_ ? Change::kTurnedWarm : Change::kNone;
+}
+
+ServerState::Change ServerState::OnShed(std::uint64_t incarnation,
+                                        absl::Time now) {
+  const Change change = NoteIncarnation(incarnation, now);
+  last_answer_ = now;
+  silence_run_ = 0;
+  const std::uint32_t doublings = std::min(shed_run_, kMaxPauseDoublings);
+  paused_until_ = now + kFirstPause * (1 << doublings);
+  ++shed_run_;
+  allowed_ = std::max(1.0, allowed_ - 1);
+  return change;
+}
+
+ServerState::Change ServerState::OnSilence(absl::Time sent) {
+  // A server that spoke since is slow but not silent.
+  silence_run_ += last_answer_ < sent ? 1 : 0;
+  return failing() ? Change::kEjected : Change::kNone;
+}
+
+bool ServerState::failing() const {
+  return silence_run_ >= kSilencesToEject;
+}
+
+void ServerState::Eject(absl::Time now) {
+  ejected_until_ = now + kEjection;
+  TurnCold(now + kEjection);
+  // One more silence ejects it again.
+  silence_run_ = kSilencesToEject - 1;
+}
+
+ServerState::Change ServerState::OnLoadReport(const LoadReport& report,
+                                              absl::Time now) {
+  // A lagging report names an incarnation that was left behind; one that is
+  // larger than any known is news.
+  if (incarnation_ == 0 || report.incarnation <= incarnation_) {
+    return Change::kNone;
+  }
+  return NoteIncarnation(report.incarnation, now);
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/service_stats.h
@@ -0,0 +1,54 @@
+#ifndef GCW_DISPATCH_SERVICE_STATS_H_
+#define GCW_DISPATCH_SERVICE_STATS_H_
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "absl/time/time.h"
+#include "src/dispatch/latency.h"
+
+namespace gcw::dispatch {
+
+// Latencies of one service on this daemon. Not thread-safe.
+class ServiceStats {
+ public:
+  void AddQueueTime(absl::Duration time) { queue_.Add(time); }
+  void AddAnswerTime(absl::Duration time) { answer_.Add(time); }
+
+  // A server took `time` from request to whole answer.
+  void AddServiceTime(absl::Duration time);
+  // Mean service time; zero before the first answer.
+  absl::Duration service_time() const { return service_time_; }
+
+  LatencySummary queue() const { return queue_.summary(); }
+  LatencySummary answer() const { return answer_.summary(); }
+
+ private:
+  LatencyHistogram queue_;
+  LatencyHistogram answer_;
+  absl::Duration service_time_;
+};
+
+using ServiceStatsMap = std::map<std::string, ServiceStats, std::less<>>;
+
+// Slot time that each firm had lately, so that none starves. Not thread-safe.
+class FirmShares {
+ public:
+  void AddSlotTime(std::string_view firm, absl::Duration time, absl::Time now);
+  // Share of all slot time of late; 0 to 1.
+  double share(std::string_view firm, absl::Time now) const;
+
+ private:
+  struct Used {
+    double seconds = 0;
+    absl::Time at;
+  };
+  static double Decayed(const Used& used, absl::Time now);
+
+  std::map<std::string, Used, std::less<>> firms_;
+};
+
+}  // namespace gcw::dispatch
+
+#endif  // GCW_DISPATCH_SERVICE_STATS_H_
--- /dev/null
+++ b/src/dispatch/slot_policy.cc
@@ -0,0 +1,115 @@
+#include "src/dispatch/slot_policy.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "gcw/base/hash.h"
+
+namespace gcw::dispatch {
+namespace {
+
+ServerState* LeastUsed(std::span<ServerState* const> servers) {
+  return *std::min_element(
+      servers.begin(), servers.end(),
+      [](const ServerState* a, const ServerState* b) {
+        const double slots_a = std::max<std::uint32_t>(a->config().slots, 1);
+        const double slots_b = std::max<std::uint32_t>(b->config().slots, 1);
+        return std::tuple(a->in_flight() / slots_a, a->usage()) <
+               std::tuple(b->in_flight() / slots_b, b->usage());
+      });
+}
+
+// One home daemon counts the slots of each server.
+class HomePolicy : public SlotPolicy {
+ public:
+  bool shares() const override { return true; }
+
+  bool IsMine(const config::BackendServer& server,
+              const MemberView& members) const override {
+    return members.Home(server.name, server.zone) == members.self();
+  }
+
+  bool Fits(const ServerState& server,
+            const MemberView&,
+            absl::Time now) const override {
+    return server.Available(now);
+  }
+
+  ServerState* Choose(std::span<ServerState* const> servers,
+                      std::mt19937_64&) const override {
+    return LeastUsed(servers);
+  }
+};
+
+// A daemon alone, without limits: any server at random.
+class RandomPolicy : public SlotPolicy {
+ public:
+  bool shares() const override { return false; }
+
+  bool IsMine(const config::BackendServer&, const MemberView&) const override {
+    return true;
+  }
+
+  bool Fits(const ServerState& server,
+            const MemberView&,
+            absl::Time) const override {
+    return server.wanted();
+  }
+
+  ServerState* Choose(std::span<ServerState* const> servers,
+                      std::mt19937_64& random) const override {
+    return servers[random() % servers.size()];
+  }
+};
+
+// As RandomPolicy, but the server with the fewest of this daemon's requests.
+class LeastLoadedPolicy : public RandomPolicy {
+ public:
+  ServerState* Choose(std::span<ServerState* const> servers,
+                      std::mt19937_64& random) const override {
+    const ServerState* least = LeastUsed(servers);
+    std::vector<ServerState*> equals;
+    for (ServerState* server : servers) {
+      if (server->in_flight() == least->in_flight()) {
+        equals.push_back(server);
+      }
+    }
+    return equals[random() % equals.size()];
+  }
+};
+
+// Each daemon has a fixed part of the slots of each server.
+class DividedPolicy : public LeastLoadedPolicy {
+ public:
+  bool Fits(const ServerState& server,
+            const MemberView& members,
+            absl::Time) const override {
+    const auto daemons = static_cast<std::uint32_t>(members.size());
+    const std::uint32_t slots = server.config().slots;
+    const auto turn = static_cast<std::uint32_t>(
+        (members.Rank() + StableHash(server.name())) % daemons);
+    const std::uint32_t share =
+        slots / daemons + (turn < slots % daemons ? 1 : 0);
+    return server.wanted() && server.in_flight() < share;
+  }
+};
+
+}  // namespace
+
+std::unique_ptr<SlotPolicy> SlotPolicy::Make(std::string_view name) {
+  if (name == "home") {
+    return std::make_unique<HomePolicy>();
+  }
+  if (name == "random") {
+    return std::make_unique<RandomPolicy>();
+  }
+  if (name == "least_loaded") {
+    return std::make_unique<LeastLoadedPolicy>();
+  }
+  if (name == "divided") {
+    return std::make_unique<DividedPolicy>();
+  }
+  return nullptr;
+}
+
+}  // namespace gcw::dispatch
--- /dev/null
+++ b/src/dispatch/witness.cc
@@ -0,0 +1,44 @@
+#include "src/dispatch/witness.h"
+
+namespace gcw::dispatch {
+
+Witness::Witness(const DispatchOptions& options, MemberView& members)
+    : options_(options), members_(members) {}
+
+ClaimReply Witness::OnClaim(std::string_view id,
+                            const std::string& owner,
+                            absl::Time now) {
+  const std::string key(id);
+  const auto [it, added] = records_.try_emplace(key);
+  if (!added) {
+    // Also if the same owner asks again: it has forgotten what it did.
+    return {key, ClaimVerdict::kTaken, it->second.owner};
+  }
+  const bool certain = members_.IsCertainWitness(id, now);
+  it->second = {owner, now};
+  order_.push_back(key);
+  return {key, certain ? ClaimVerdict::kGranted : ClaimVerdict::kUncertain, ""};
+}
+
+void Witness::OnTick(absl::Time now) {
+  while (!order_.empty()) {
+    const Record& oldest = records_[order_.front()];
+    const bool expired = oldest.claimed + options_.record_lifetime < now;
+    if (!expired && order_.size() <= options_.max_records) {
+      return;
+    }
+    DropOldest(now);
+  }
+}
+
+void Witness::DropOldest(absl::Time now) {
+  const absl::Time claimed = records_[order_.front()].claimed;
+  if (claimed + options_.repeat_lifetime > now) {
+    // Too many records: what is forgotten could still be repeated.
+    members_.NoteStart(now);
+  }
+  records_.erase(order_.front());
+  order_.pop_front();
+}
+
+}  // namespace gcw::dispatch
--- a/tests/dispatch/codec_test.cc
+++ b/tests/dispatch/codec_test.cc
@@ -58,13 +58,13 @@
           ForwardCancel{"a"},
           Settled{"a"},
           Claim{"a"},
-          ClaimReply{"a", ClaimVerdict::kTaken},
+          ClaimReply{"a", ClaimVerdict::kTaken, "d2"},
           HandRequest{routed, 2, 1, "s3"},
           HandCancel{"a", 2},
-          HandAnswer{2, ExamplePart()},
+          HandAnswer{2, ExamplePart(), hint},
           HandOutcome{"a", 2, HandOutcomeKind::kShed, ResultCode::kRefusedShed,
                       3, "s1", hint},
-          SlotHints{{hint, hint}},
+          SlotHints{{hint, hint}, {{"s1", true, absl::Milliseconds(900)}}},
           ClaimRecords{{{"a", "d1"}, {"b", "d2"}}, true},
           PeerAck{12}};
 }
@@ -76,7 +76,7 @@
     CHECK(decoded.value() == message);
   }
   for (const PeerBody& body : ExampleBodies()) {
-    const PeerMessage message{77, body};
+    const PeerMessage message{77, 5, 6, body};
     const Result<PeerMessage> decoded = DecodePeer(EncodePeer(message));
     REQUIRE(decoded.ok());
     CHECK(decoded.value() == message);
@@ -107,7 +107,7 @@
     }
   }
   for (const PeerBody& body : ExampleBodies()) {
-    const Bytes whole = EncodePeer(PeerMessage{1, body});
+    const Bytes whole = EncodePeer(PeerMessage{1, 5, 0, body});
     for (int round = 0; round < 500; ++round) {
       Bytes changed = whole;
       changed[random() % changed.size()] = static_cast<std::uint8_t>(random());
