--- a/tests/dispatch/codec_test.cc
+++ b/tests/dispatch/codec_test.cc
@@ -78,6 +78,7 @@
   for (const PeerBody& body : ExampleBodies()) {
     const PeerMessage message{77, 5, 6, body};
     const Result<PeerMessage> decoded = DecodePeer(EncodePeer(message));
+    INFO((decoded.ok() ? "" : ToString(decoded.error())));
     REQUIRE(decoded.ok());
     CHECK(decoded.value() == message);
   }
