--- a/src/dispatch/peer_codec.cc
+++ b/src/dispatch/peer_codec.cc
@@ -112,8 +112,10 @@
 }
 
 json ToFields(const HandAnswer& message) {
-  return {
-      {"t", "hans"}, {"h", message.hand_over}, {"ans", ToFields(message.part)}};
+  return {{"t", "hans"},
+          {"h", message.hand_over},
+          {"ans", ToFields(message.part)},
+          {"hint", HintFields(message.hint)}};
 }
 
 json ToFields(const HandOutcome& message) {
