control: signed messages between daemons over HTTP/2 streams

Daemons need ordered, bounded, verified messages to each other. A small message costs at most 54 bytes besides its payload: frame 9, length 4, type 1, header and tag 39, 1 left.

--- /dev/null
+++ b/tests/control/control_transport_test.cc
@@ -0,0 +1,320 @@
+#include "gcw/control/control_transport.h"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/clock.h"
+
+namespace gcw::control {
+namespace {
+
+constexpr std::uint32_t kLoopback = 0x7f000001;
+constexpr absl::Duration kPatience = absl::Seconds(10);
+
+std::shared_ptr<auth::Signer> MakeSigner(std::string_view name, char key) {
+  return auth::Signer::Make(name, {1, std::string(32, key)}, {}, absl::Now())
+      .value();
+}
+
+// A transport that keeps what it receives.
+class Daemon {
+ public:
+  explicit Daemon(std::string_view name, Options options = {}, char key = 'k') {
+    if (options.listen.ip == 0) {
+      options.listen.ip = kLoopback;
+    }
+    options.reconnect_min = absl::Milliseconds(20);
+    options.reconnect_max = absl::Milliseconds(100);
+    auto made = ControlTransport::Make(
+        options, MakeSigner(name, key), [this](ReceivedMessage message) {
+          absl::MutexLock lock(&mutex_);
+          received_.push_back(std::move(message));
+        });
+    REQUIRE(made.ok());
+    transport_ = std::move(made).value();
+  }
+
+  // The handler uses the members above, so the thread must end first.
+  ~Daemon() { transport_.reset(); }
+
+  ControlTransport& transport() { return *transport_; }
+  Endpoint address() const { return transport_->listen_address(); }
+
+  Status Send(const Endpoint& to,
+              std::string_view text,
+              Delivery delivery = Delivery::kQueued) {
+    return transport_->Send(
+        to, MessageType::kHints,
+        std::span(reinterpret_cast<const std::uint8_t*>(text.data()),
+                  text.size()),
+        delivery);
+  }
+
+  // Whether `count` messages arrive in time.
+  bool Await(std::size_t count) {
+    absl::MutexLock lock(&mutex_);
+    const auto arrived = [&]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
+      return received_.size() >= count;
+    };
+    return mutex_.AwaitWithTimeout(absl::Condition(&arrived), kPatience);
+  }
+
+  std::vector<ReceivedMessage> received() {
+    absl::MutexLock lock(&mutex_);
+    return received_;
+  }
+
+  std::string text(std::size_t i) {
+    const auto message = received().at(i);
+    return {message.payload.begin(), message.payload.end()};
+  }
+
+ private:
+  absl::Mutex mutex_;
+  std::vector<ReceivedMessage> received_ ABSL_GUARDED_BY(mutex_);
+  std::unique_ptr<ControlTransport> transport_;
+};
+
+// Whether `condition` comes true in time.
+template <typename Condition>
+bool Eventually(Condition condition) {
+  const absl::Time limit = absl::Now() + kPatience;
+  while (absl::Now() < limit) {
+    if (condition()) {
+      return true;
+    }
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  return false;
+}
+
+int ConnectRaw(const Endpoint& to) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in raw = to.ToSockaddr();
+  REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&raw), sizeof(raw)) ==
+          0);
+  const timeval timeout = {10, 0};
+  setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &timeout, sizeof(timeout));
+  return fd;
+}
+
+TEST_CASE("messages arrive whole, in order, with sender and type") {
+  Daemon a("a");
+  Daemon b("b");
+  for (int i = 0; i < 1000; ++i) {
+    REQUIRE(a.Send(b.address(), "message " + std::to_string(i)).ok());
+  }
+  REQUIRE(b.Await(1000));
+  for (int i = 0; i < 1000; ++i) {
+    REQUIRE(b.text(i) == "message " + std::to_string(i));
+  }
+  const auto first = b.received()[0];
+  CHECK(first.sender == auth::SenderIdOf("a"));
+  CHECK(first.type == MessageType::kHints);
+  CHECK(a.transport().stats().connects == 1);
+}
+
+TEST_CASE("both directions work") {
+  Daemon a("a");
+  Daemon b("b");
+  REQUIRE(a.Send(b.address(), "ping").ok());
+  REQUIRE(b.Await(1));
+  REQUIRE(b.Send(a.address(), "pong").ok());
+  REQUIRE(a.Await(1));
+  CHECK(a.text(0) == "pong");
+}
+
+TEST_CASE("messages larger than a frame and the window arrive") {
+  Daemon a("a");
+  Daemon b("b");
+  const std::string large(900'000, 'x');
+  for (int i = 0; i < 4; ++i) {
+    REQUIRE(Eventually([&] { return a.Send(b.address(), large).ok(); }));
+  }
+  REQUIRE(b.Await(4));
+  for (int i = 0; i < 4; ++i) {
+    CHECK(b.text(i) == large);
+  }
+}
+
+TEST_CASE("a message above the bound is refused") {
+  Options options;
+  options.max_message_bytes = 100;
+  Daemon a("a", options);
+  auto status = a.Send(Endpoint{kLoopback, 1}, std::string(101, 'x'));
+  REQUIRE_FALSE(status.ok());
+  CHECK(status.error().code == ResultCode::kTooLarge);
+}
+
+TEST_CASE("one who does not know the key is cut off") {
+  Daemon stranger("a", {}, 'z');
+  Daemon b("b");
+  REQUIRE(stranger.Send(b.address(), "let me in").ok());
+  CHECK(Eventually([&] { return b.transport().stats().cut_off == 1; }));
+  CHECK(b.received().empty());
+}
+
+TEST_CASE("bytes that are no HTTP/2 are cut off") {
+  Daemon b("b");
+  const int fd = ConnectRaw(b.address());
+  const std::string junk = "GET / HTTP/1.1\r\n\r\n";
+  REQUIRE(send(fd, junk.data(), junk.size(), 0) ==
+          static_cast<ssize_t>(junk.size()));
+  char buffer[512];
+  // Settings may come before the connection is closed.
+  ssize_t got = 1;
+  while (got > 0) {
+    got = recv(fd, buffer, sizeof(buffer), 0);
+  }
+  const bool closed = got == 0 || errno == ECONNRESET;
+  CHECK(closed);
+  close(fd);
+  // Others are served.
+  Daemon a("a");
+  REQUIRE(a.Send(b.address(), "still there").ok());
+  CHECK(b.Await(1));
+}
+
+TEST_CASE("a peer that restarts is connected to again") {
+  Daemon a("a");
+  auto b = std::make_unique<Daemon>("b");
+  Options options;
+  options.listen = b->address();
+  REQUIRE(a.Send(options.listen, "one").ok());
+  REQUIRE(b->Await(1));
+  b.reset();
+  b = std::make_unique<Daemon>("b", options);
+  // A message may be lost with its connection, so keep sending.
+  CHECK(Eventually([&] {
+    (void)a.Send(options.listen, "two", Delivery::kDroppable);
+    return !b->received().empty();
+  }));
+  CHECK(a.transport().stats().connects >= 2);
+}
+
+TEST_CASE("messages wait for a peer that starts later") {
+  Options options;
+  {
+    Daemon probe("probe");
+    options.listen = probe.address();
+  }
+  Daemon a("a");
+  REQUIRE(a.Send(options.listen, "early").ok());
+  CHECK(
+      Eventually([&] { return a.transport().stats().connect_failures >= 2; }));
+  Daemon b("b", options);
+  REQUIRE(b.Await(1));
+  CHECK(b.text(0) == "early");
+}
+
+TEST_CASE("the queue to a peer that takes nothing is bounded") {
+  // A listener that never reads.
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in raw = Endpoint{kLoopback, 0}.ToSockaddr();
+  REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&raw), sizeof(raw)) == 0);
+  REQUIRE(listen(fd, 1) == 0);
+  socklen_t length = sizeof(raw);
+  getsockname(fd, reinterpret_cast<sockaddr*>(&raw), &length);
+  const Endpoint silent = Endpoint::FromSockaddr(raw);
+
+  Options options;
+  options.max_queue_bytes = 100'000;
+  options.stall_timeout = absl::Milliseconds(500);
+  Daemon a("a", options);
+  const std::string message(10'000, 'x');
+  for (int i = 0; i < 3000; ++i) {
+    REQUIRE(a.Send(silent, message, Delivery::kDroppable).ok());
+  }
+  CHECK(a.transport().stats().dropped > 0);
+  // Messages that must not be dropped are refused instead.
+  CHECK(Eventually([&] { return !a.Send(silent, message).ok(); }));
+  CHECK_FALSE(a.transport().Flush(absl::Milliseconds(50)));
+  // The connection is given up.
+  CHECK(Eventually([&] { return a.transport().stats().connects >= 2; }));
+  close(fd);
+}
+
+TEST_CASE("the oldest droppable messages go first") {
+  Options options;
+  options.max_queue_bytes = 30;
+  Daemon a("a", options);
+  Options later;
+  {
+    Daemon probe("probe");
+    later.listen = probe.address();
+  }
+  const std::string ten(9, 'x');
+  REQUIRE(a.Send(later.listen, ten + "0").ok());
+  REQUIRE(a.Send(later.listen, ten + "1", Delivery::kDroppable).ok());
+  REQUIRE(a.Send(later.listen, ten + "2", Delivery::kDroppable).ok());
+  REQUIRE(a.Send(later.listen, ten + "3", Delivery::kDroppable).ok());
+  REQUIRE(a.Send(later.listen, ten + "4").ok());
+  CHECK(a.transport().stats().dropped == 2);
+  Daemon b("b", later);
+  REQUIRE(b.Await(3));
+  CHECK(b.text(0).back() == '0');
+  CHECK(b.text(1).back() == '3');
+  CHECK(b.text(2).back() == '4');
+}
+
+TEST_CASE("flush waits until messages are written") {
+  Daemon a("a");
+  Daemon b("b");
+  for (int i = 0; i < 200; ++i) {
+    REQUIRE(a.Send(b.address(), "last words").ok());
+  }
+  CHECK(a.transport().Flush(kPatience));
+  CHECK(a.transport().stats().messages_sent == 200);
+  CHECK(b.Await(200));
+}
+
+TEST_CASE("a peer that is forgotten gets nothing more") {
+  Options later;
+  {
+    Daemon probe("probe");
+    later.listen = probe.address();
+  }
+  Daemon a("a");
+  REQUIRE(a.Send(later.listen, "old").ok());
+  a.transport().Forget(later.listen);
+  REQUIRE(a.Send(later.listen, "new").ok());
+  Daemon b("b", later);
+  REQUIRE(b.Await(1));
+  CHECK(b.text(0) == "new");
+}
+
+TEST_CASE("a port in use is an error") {
+  Daemon a("a");
+  Options options;
+  options.listen = a.address();
+  auto made = ControlTransport::Make(options, MakeSigner("b", 'k'),
+                                     [](ReceivedMessage) {});
+  REQUIRE_FALSE(made.ok());
+  CHECK(made.error().code == ResultCode::kBindFailed);
+}
+
+TEST_CASE("the cost of a small message on the wire is bounded") {
+  Daemon a("a");
+  Daemon b("b");
+  REQUIRE(a.Send(b.address(), "x").ok());
+  REQUIRE(b.Await(1));
+  const std::uint64_t before = a.transport().stats().bytes_sent;
+  constexpr int kMessages = 20;
+  for (int i = 0; i < kMessages; ++i) {
+    REQUIRE(a.Send(b.address(), "x").ok());
+    REQUIRE(b.Await(2 + static_cast<std::size_t>(i)));
+  }
+  const std::uint64_t each =
+      (a.transport().stats().bytes_sent - before) / kMessages;
+  // Frame header, length, type, signature and one byte.
+  CHECK(each <= 9 + 4 + 1 + auth::kSignedOverheadBytes + 1);
+}
+
+}  // namespace
+}  // namespace gcw::control
