platform: conditional writes that take effect at most once

A write whose answer was lost is recognized by its operation id, in the object or in the events since; a conflict asks the intent again on the fresh state; what cannot be told ends as platform_outcome_unknown.

--- /dev/null
+++ b/tests/platform/conditional_write_test.cc
@@ -0,0 +1,365 @@
+#include "gcw/platform/conditional_write.h"
+
+#include <fmt/format.h>
+#include <catch2/catch.hpp>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/fake_platform/store.h"
+
+namespace gcw::platform {
+namespace {
+
+using fake_platform::Store;
+using nlohmann::json;
+
+constexpr char kKey[] = "config/zone/a";
+
+Error MakeError(ResultCode code) {
+  return {code, "", "injected"};
+}
+
+// The store in this process, with faults drawn from a seed: lost answers, lost
+// calls, writes that arrive after their caller gave up, and a second writer
+// that changes the object between any two calls. A late update may arrive at
+// any time; a late creation, which has no version to be conditional on, arrives
+// before the caller's next call, as ConditionalWrite assumes.
+class FaultyClient : public PlatformClient {
+ public:
+  FaultyClient(Store* store, std::uint64_t seed)
+      : store_(store), random_(seed) {}
+
+  Result<Listing> List(std::string_view prefix) override {
+    return store_->List(prefix);
+  }
+  Result<Object> Get(std::string_view key) override {
+    Disturb();
+    if (Happens(0.1)) {
+      return MakeError(ResultCode::kPlatformUnavailable);
+    }
+    return store_->Get(key);
+  }
+  Result<Version> Put(std::string_view key,
+                      std::string_view value,
+                      Version if_version) override {
+    Disturb();
+    const auto run = [=, this, key = std::string(key),
+                      value = std::string(value)] {
+      return store_->Put(key, value, if_version);
+    };
+    return Write(run, if_version == 0);
+  }
+  Result<Version> Delete(std::string_view key, Version if_version) override {
+    Disturb();
+    const auto run = [=, this, key = std::string(key)] {
+      return store_->Delete(key, if_version);
+    };
+    return Write(run, false);
+  }
+  Result<WatchAnswer> Watch(std::string_view prefix,
+                            Version after,
+                            absl::Duration) override {
+    if (Happens(0.1)) {
+      return MakeError(ResultCode::kPlatformUnavailable);
+    }
+    return store_->EventsAfter(prefix, after);
+  }
+  Result<std::vector<Vm>> Vms() override { return std::vector<Vm>{}; }
+
+  // Writes that are still under way arrive.
+  void Settle() {
+    for (const auto& run : late_) {
+      run().ok();
+    }
+    late_.clear();
+    late_creation_ = false;
+  }
+
+  double other_writer = 0;
+
+ private:
+  using Run = std::function<Result<Version>()>;
+
+  Result<Version> Write(const Run& run, bool is_creation) {
+    if (Happens(0.1)) {
+      return MakeError(ResultCode::kPlatformUnavailable);
+    }
+    if (Happens(0.1)) {
+      return MakeError(ResultCode::kPlatformRateLimited);
+    }
+    if (Happens(0.1)) {
+      late_.push_back(run);
+      late_creation_ = late_creation_ || is_creation;
+      return MakeError(ResultCode::kPlatformOutcomeUnknown);
+    }
+    Result<Version> version = run();
+    if (Happens(0.2)) {
+      return MakeError(ResultCode::kPlatformOutcomeUnknown);
+    }
+    return version;
+  }
+
+  void Disturb() {
+    if (late_creation_ || Happens(0.3)) {
+      Settle();
+    }
+    if (!Happens(other_writer)) {
+      return;
+    }
+    const Version version = store_->VersionOf(kKey);
+    if (version != 0 && Happens(0.3)) {
+      CHECK(store_->Delete(kKey, version).ok());
+    } else {
+      const json value = {{"op", fmt::format("other-{}", ++other_ops_)}};
+      CHECK(store_->Put(kKey, value.dump(), version).ok());
+    }
+  }
+
+  bool Happens(double share) {
+    return std::bernoulli_distribution(share)(random_);
+  }
+
+  Store* store_;
+  std::mt19937_64 random_;
+  std::vector<Run> late_;
+  bool late_creation_ = false;
+  int other_ops_ = 0;
+};
+
+// How often each operation stands in the log.
+std::map<std::string, int> CountOperations(const Store& store) {
+  std::map<std::string, int> counts;
+  const Result<WatchAnswer> events = store.EventsAfter("", 0);
+  REQUIRE(events.ok());
+  for (const WatchEvent& event : events.value().events) {
+    if (!event.deleted) {
+      ++counts[OperationOf(event.object.value)];
+    }
+  }
+  return counts;
+}
+
+WriteRequest OverwriteRequest(const std::string& op) {
+  return {.key = kKey, .op = op, .intent = [op](const Object*) {
+            return DesiredState{json({{"op", op}}).dump()};
+          }};
+}
+
+WriteOptions FastOptions() {
+  return {.backoff = {absl::Microseconds(1), absl::Microseconds(2)},
+          .budget = absl::Seconds(20)};
+}
+
+TEST_CASE("an accepted write is in the log once, a refused one never") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Store store(1'000'000);
+    FaultyClient client(&store, seed);
+    client.other_writer = 0.3;
+    ConditionalWriter writer(&client, FastOptions(), seed);
+    std::map<std::string, Result<WriteOutcome>> outcomes;
+    for (int i = 0; i < 1000; ++i) {
+      const std::string op = fmt::format("op-{}", i);
+      WriteRequest request = OverwriteRequest(op);
+      request.base_revision = store.revision();
+      outcomes.emplace(op, writer.Write(std::move(request)));
+    }
+    client.Settle();
+    std::map<std::string, int> counts = CountOperations(store);
+    int accepted = 0;
+    for (const auto& [op, outcome] : outcomes) {
+      INFO("seed " << seed << " " << op);
+      CHECK(counts[op] <= 1);
+      CHECK((outcome.ok() ? counts[op] == 1 : true));
+      accepted += outcome.ok() ? 1 : 0;
+    }
+    CHECK(accepted == 1000);
+  }
+}
+
+TEST_CASE("the version of an outcome is that of the write in the log") {
+  Store store(1'000'000);
+  FaultyClient client(&store, 9);
+  client.other_writer = 0.3;
+  ConditionalWriter writer(&client, FastOptions(), 9);
+  std::map<std::string, Version> versions;
+  int recognized = 0;
+  int superseded = 0;
+  for (int i = 0; i < 1000; ++i) {
+    const std::string op = fmt::format("op-{}", i);
+    const Result<WriteOutcome> outcome = writer.Write(OverwriteRequest(op));
+    REQUIRE(outcome.ok());
+    versions[op] = outcome.value().version;
+    recognized += outcome.value().recognized ? 1 : 0;
+    superseded += outcome.value().superseded ? 1 : 0;
+  }
+  // The faults did occur.
+  CHECK(recognized > 50);
+  CHECK(superseded > 5);
+  const WatchAnswer log = store.EventsAfter("", 0).value();
+  for (const WatchEvent& event : log.events) {
+    const std::string op = OperationOf(event.object.value);
+    if (versions.contains(op)) {
+      CHECK(versions[op] == event.object.version);
+    }
+  }
+}
+
+TEST_CASE("a deletion ends with the object of that creation gone") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Store store(1'000'000);
+    FaultyClient client(&store, seed);
+    const Version created = store.Put(kKey, R"({"op":"x"})", 0).value();
+    client.other_writer = 0.2;
+    ConditionalWriter writer(&client, FastOptions(), seed);
+    const Result<WriteOutcome> outcome = writer.Write(
+        {.key = kKey,
+         .op = "delete",
+         .intent = [&](const Object* current) -> Result<DesiredState> {
+           if (current == nullptr || current->created != created) {
+             return MakeError(ResultCode::kNotFound);
+           }
+           return DesiredState{};
+         }});
+    INFO("seed " << seed);
+    const Result<Object> object = store.Get(kKey);
+    const bool is_gone = !object.ok() || object.value().created != created;
+    CHECK(is_gone);
+    CHECK((outcome.ok() || outcome.error().code == ResultCode::kNotFound));
+  }
+}
+
+TEST_CASE("an intent that no longer holds is refused and nothing is written") {
+  Store store(100);
+  const Version first = store.Put(kKey, R"({"op":"a"})", 0).value();
+  REQUIRE(store.Put(kKey, R"({"op":"b"})", first).ok());
+  FaultyClient client(&store, 1);
+  ConditionalWriter writer(&client, FastOptions(), 1);
+  const Result<WriteOutcome> outcome = writer.Write(
+      {.key = kKey,
+       .op = "c",
+       .intent = [&](const Object* current) -> Result<DesiredState> {
+         if (current->version != first) {
+           return MakeError(ResultCode::kVersionConflict);
+         }
+         return DesiredState{R"({"op":"c"})"};
+       }});
+  REQUIRE_FALSE(outcome.ok());
+  CHECK(outcome.error().code == ResultCode::kVersionConflict);
+  CHECK(store.revision() == 2);
+}
+
+// A write whose answer never reached its caller, which tries again with the
+// same operation id after another writer has changed the object.
+TEST_CASE("a repeated operation is found behind a later write") {
+  Store store(100);
+  const Version first = store.Put(kKey, R"({"op":"a"})", 0).value();
+  const Version second = store.Put(kKey, R"({"op":"b"})", first).value();
+  REQUIRE(store.Put(kKey, R"({"op":"c"})", second).ok());
+  FaultyClient client(&store, 1);
+  ConditionalWriter writer(&client, FastOptions(), 1);
+  const auto intent = [&](const Object* current) -> Result<DesiredState> {
+    if (current->version != first) {
+      return MakeError(ResultCode::kVersionConflict);
+    }
+    return DesiredState{R"({"op":"b"})"};
+  };
+  const Result<WriteOutcome> outcome = writer.Write({.key = kKey,
+                                                     .op = "b",
+                                                     .intent = intent,
+                                                     .may_be_repeat = true,
+                                                     .repeat_after = first});
+  REQUIRE(outcome.ok());
+  CHECK(outcome.value() == WriteOutcome{second, true, true});
+  const Result<WriteOutcome> other = writer.Write({.key = kKey,
+                                                   .op = "d",
+                                                   .intent = intent,
+                                                   .may_be_repeat = true,
+                                                   .repeat_after = first});
+  CHECK(other.error().code == ResultCode::kVersionConflict);
+}
+
+WriteRequest CreateRequest() {
+  return {.key = kKey,
+          .op = "mine",
+          .intent = [](const Object* current) -> Result<DesiredState> {
+            if (current != nullptr) {
+              return MakeError(ResultCode::kVersionConflict);
+            }
+            return DesiredState{R"({"op":"mine"})"};
+          }};
+}
+
+// Drives the steps by hand: the answer is lost, then another writer deletes.
+TEST_CASE("a creation that was made and deleted is not made again") {
+  const absl::Time now = absl::UnixEpoch();
+  ConditionalWrite write(CreateRequest(), FastOptions(), 1, now);
+  CHECK(std::holds_alternative<ReadObject>(write.Start()));
+  WriteStep step = write.OnObject(MakeError(ResultCode::kNotFound), now);
+  CHECK(std::get<PutObject>(step).if_version == 0);
+  step = write.OnWritten(MakeError(ResultCode::kPlatformOutcomeUnknown), now);
+  CHECK(std::holds_alternative<Pause>(step));
+  CHECK(std::holds_alternative<ReadObject>(write.OnPaused(now)));
+  step = write.OnObject(MakeError(ResultCode::kNotFound), now);
+  CHECK(std::holds_alternative<ReadEvents>(step));
+  WatchAnswer answer{2, {{{kKey, 1, 1, R"({"op":"mine"})"}, false}}};
+  step = write.OnEvents(answer, now);
+  CHECK(std::get<Finish>(step).result.value() == WriteOutcome{1, true, true});
+}
+
+TEST_CASE("what cannot be told ends as unknown, not as a guess") {
+  const absl::Time now = absl::UnixEpoch();
+  ConditionalWrite write(CreateRequest(), FastOptions(), 1, now);
+  write.Start();
+  write.OnObject(MakeError(ResultCode::kNotFound), now);
+  write.OnWritten(MakeError(ResultCode::kPlatformOutcomeUnknown), now);
+  write.OnPaused(now);
+  write.OnObject(MakeError(ResultCode::kNotFound), now);
+  SECTION("the events are gone") {
+    const WriteStep step =
+        write.OnEvents(MakeError(ResultCode::kPlatformCompacted), now);
+    CHECK(std::get<Finish>(step).result.error().code ==
+          ResultCode::kPlatformOutcomeUnknown);
+  }
+  SECTION("the platform stays away") {
+    const WriteStep step =
+        write.OnEvents(MakeError(ResultCode::kPlatformUnavailable),
+                       now + FastOptions().budget);
+    CHECK(std::get<Finish>(step).result.error().code ==
+          ResultCode::kPlatformOutcomeUnknown);
+  }
+}
+
+TEST_CASE("an outage longer than the budget is unavailable, not unknown") {
+  const absl::Time now = absl::UnixEpoch();
+  ConditionalWrite write(CreateRequest(), FastOptions(), 1, now);
+  write.Start();
+  const WriteStep step = write.OnObject(
+      MakeError(ResultCode::kPlatformUnavailable), now + FastOptions().budget);
+  CHECK(std::get<Finish>(step).result.error().code ==
+        ResultCode::kPlatformUnavailable);
+}
+
+TEST_CASE("pauses grow, stay in bounds and differ between callers") {
+  const BackoffOptions options{absl::Milliseconds(10), absl::Milliseconds(80)};
+  Backoff one(options, 1);
+  Backoff two(options, 2);
+  int different = 0;
+  absl::Duration bound = options.first;
+  for (int i = 0; i < 6; ++i) {
+    const absl::Duration pause = one.Next();
+    CHECK(pause >= bound / 2);
+    CHECK(pause <= bound);
+    different += pause != two.Next() ? 1 : 0;
+    bound = std::min(bound * 2, options.longest);
+  }
+  CHECK(different > 0);
+  one.Reset();
+  CHECK(one.Next() <= options.first);
+}
+
+}  // namespace
+}  // namespace gcw::platform
