api: gcw-api, the operators' resource API

Create, read, list, replace, patch, delete with versions and If-Match, dry run, watch streams, status; tokens per firm; errors with number, path and advice. One address cannot be taken by two resources: it is claimed in an object of its own first, and the version of the claim is written into the resource, so that daemons give an address to the later claim even if a write arrives late.

--- a/include/gcw/config/codec.h
+++ b/include/gcw/config/codec.h
@@ -1,6 +1,7 @@
 #ifndef GCW_CONFIG_CODEC_H_
 #define GCW_CONFIG_CODEC_H_
 
+#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
@@ -23,7 +24,9 @@
   ResourceKind kind = ResourceKind::kFirm;
   std::string name;
 
-  auto operator<=>(const ResourceId&) const = default;
+  // The linter takes the zero of a rewritten comparison for a null pointer.
+  auto operator<=>(const ResourceId&) const =
+      default;  // NOLINT(modernize-use-nullptr)
 };
 
 // Platform keys of all configuration objects start so.
@@ -71,14 +74,22 @@
 // The spec of `resource` with all fields, defaults included. Thread-safe.
 nlohmann::json EncodeSpec(const Resource& resource);
 
-// The value of a platform object: the operation id of its writer and a spec.
+// The version of the claim under which a resource holds each address. Of two
+// resources with one address the one with the larger version holds it.
+using AddressClaims = std::map<Endpoint, Version>;
+
+// The value of a platform object: the operation id of its writer, a spec and
+// the claims of its addresses.
 struct StoredObject {
   std::string op;
   Resource resource;
+  AddressClaims claims;
 };
 
 // Encodes a value as JSON text. Thread-safe.
-std::string EncodeStored(std::string_view op, const Resource& resource);
+std::string EncodeStored(std::string_view op,
+                         const Resource& resource,
+                         const AddressClaims& claims = {});
 
 // Decodes the value of the object with identity `id`; sets `version` and
 // `created`. Fails with the first fault: kMalformedJson, kInvalidField (also
--- a/include/gcw/config/snapshot_builder.h
+++ b/include/gcw/config/snapshot_builder.h
@@ -36,10 +36,11 @@
 // records alone, so any two daemons with equal records hold equal snapshots:
 //
 // - an object that cannot be decoded is left out;
-// - of two objects with one address the one with the larger version keeps it:
-//   addresses are claimed before they are written, so the other one is a view
-//   from before its release. A service loses that address only, a backend
-//   server is left out;
+// - of two objects with one address the one with the later claim of it (or,
+//   with equal claims, the larger version) keeps it: an address is claimed
+//   before it is written, so the other one is a view from before its release
+//   or a write that came too late. A service loses that address only, a
+//   backend server is left out;
 // - a service loses members that belong to another firm.
 //
 // Keeps decoded objects for the next call, so that only changed ones are
--- a/include/gcw/config/validate.h
+++ b/include/gcw/config/validate.h
@@ -14,6 +14,8 @@
 struct Change {
   ResourceId id;
   std::optional<Resource> after;  // Nothing: the resource is deleted.
+  // The resource as it is. Nothing: as the snapshot has it, if at all.
+  std::optional<Resource> before = std::nullopt;
 };
 
 // Checks `change` against the rest of the configuration and names every fault:
--- /dev/null
+++ b/src/api/access.cc
@@ -0,0 +1,106 @@
+#include "src/api/access.h"
+
+#include <fmt/format.h>
+
+#include "gcw/auth/token_hash.h"
+
+namespace gcw::api {
+namespace {
+
+using config::Resource;
+using config::ResourceKind;
+
+constexpr std::string_view kScheme = "Bearer ";
+// Checked in place of a hash that does not exist, so that an unknown firm
+// takes as long as a wrong token.
+constexpr std::string_view kNoHash =
+    "pbkdf2-sha256:1000:00000000000000000000000000000000:"
+    "0000000000000000000000000000000000000000000000000000000000000000";
+
+Error Forbidden(std::string message) {
+  return {ResultCode::kForbidden, "", std::move(message)};
+}
+
+std::string_view HashOf(std::string_view name,
+                        const config::Snapshot& snapshot,
+                        std::string_view pool_token_hash) {
+  if (name == kPoolName) {
+    return pool_token_hash;
+  }
+  const auto it = snapshot.firms.find(name);
+  return it == snapshot.firms.end() ? std::string_view()
+                                    : it->second.token_sha256;
+}
+
+Status CheckState(const Identity& identity, const Resource& resource) {
+  switch (config::KindOf(resource)) {
+    case ResourceKind::kZone:
+      return Forbidden("availability zones are changed by the pool only");
+    case ResourceKind::kServer:
+      if (config::OwnerOf(resource).empty()) {
+        return Forbidden("shared backend servers are changed by the pool only");
+      }
+      break;
+    case ResourceKind::kFirm:
+    case ResourceKind::kService:
+      break;
+  }
+  if (config::OwnerOf(resource) != identity.firm) {
+    return Forbidden("the resource belongs to another firm");
+  }
+  return OkStatus();
+}
+
+}  // namespace
+
+Result<Identity> Authenticate(std::string_view authorization,
+                              const config::Snapshot& snapshot,
+                              std::string_view pool_token_hash) {
+  const Error refused{ResultCode::kUnauthenticated, "Authorization",
+                      "the token is missing or wrong"};
+  if (!authorization.starts_with(kScheme)) {
+    return refused;
+  }
+  const std::string_view token = authorization.substr(kScheme.size());
+  const std::string_view name = token.substr(0, token.find('.'));
+  const std::string_view stored = HashOf(name, snapshot, pool_token_hash);
+  const bool is_known = !stored.empty();
+  if (!auth::VerifyToken(token, is_known ? stored : kNoHash) || !is_known) {
+    return refused;
+  }
+  return Identity{name == kPoolName ? "" : std::string(name)};
+}
+
+bool MayRead(const Identity& identity, const Resource& resource) {
+  if (identity.is_pool() || config::KindOf(resource) == ResourceKind::kZone) {
+    return true;
+  }
+  const std::string_view owner = config::OwnerOf(resource);
+  return owner.empty() || owner == identity.firm;
+}
+
+Status CheckAccess(const Identity& identity,
+                   const Resource* before,
+                   const Resource* after) {
+  if (identity.is_pool()) {
+    return OkStatus();
+  }
+  const Resource* any = before != nullptr ? before : after;
+  const bool is_firm =
+      any != nullptr && config::KindOf(*any) == ResourceKind::kFirm;
+  if (is_firm && (before == nullptr || after == nullptr)) {
+    return Forbidden("firms are created and deleted by the pool only");
+  }
+  for (const Resource* state : {before, after}) {
+    if (state == nullptr) {
+      continue;
+    }
+    Status status = CheckState(identity, *state);
+    if (!status.ok()) {
+      return status;
+    }
+  }
+  return OkStatus();
+}
+
+}  // namespace gcw::api
--- /dev/null
+++ b/src/api/access.h
@@ -0,0 +1,51 @@
+#ifndef GCW_SRC_API_ACCESS_H_
+#define GCW_SRC_API_ACCESS_H_
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "gcw/base/result.h"
+#include "gcw/config/codec.h"
+#include "gcw/config/snapshot.h"
+
+namespace gcw::api {
+
+// Tokens of the pool's operators start with this name; no firm may bear it.
+inline constexpr std::string_view kPoolName = "pool";
+
+// Who makes a call: operators of one firm, or the operators of the pool that
+// the firms share.
+struct Identity {
+  std::string firm;  // Empty for the pool.
+
+  bool is_pool() const { return firm.empty(); }
+  std::string_view name() const {
+    return is_pool() ? kPoolName : std::string_view(firm);
+  }
+  bool operator==(const Identity&) const = default;
+};
+
+// Tells who holds the token in an Authorization header "Bearer FIRM.SECRET":
+// the hash of the whole token is kept in the firm, that of the pool in
+// `pool_token_hash`. Fails with kUnauthenticated, without saying why, so that
+// a guesser learns nothing. Thread-safe.
+Result<Identity> Authenticate(std::string_view authorization,
+                              const config::Snapshot& snapshot,
+                              std::string_view pool_token_hash);
+
+// Whether `identity` may see the resource: its own, shared backend servers and
+// availability zones. Thread-safe.
+bool MayRead(const Identity& identity, const config::Resource& resource);
+
+// Whether `identity` may bring about the change: a firm its own services and
+// backend servers and the token of its own firm, the pool everything.
+// `before` and `after` are null where there is no such state. Fails with
+// kForbidden. Thread-safe.
+Status CheckAccess(const Identity& identity,
+                   const config::Resource* before,
+                   const config::Resource* after);
+
+}  // namespace gcw::api
+
+#endif  // GCW_SRC_API_ACCESS_H_
--- /dev/null
+++ b/src/api/api_server.cc
@@ -0,0 +1,312 @@
+#include "gcw/api/api_server.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <charconv>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "gcw/platform/http_platform_client.h"
+#include "src/api/message.h"
+#include "src/api/resource_service.h"
+#include "src/api/watch_stream.h"
+#include "src/platform/connection_threads.h"
+
+namespace gcw::api {
+namespace {
+
+using platform::HttpPlatformClient;
+
+constexpr Logger kLog("api");
+constexpr std::size_t kMaxConnections = 256;
+constexpr std::size_t kCallsPerConnection = 100'000;
+constexpr int kKeepAliveSeconds = 2;
+constexpr int kReadTimeoutSeconds = 5;
+constexpr std::size_t kMaxBodyBytes = std::size_t{512} * 1024;
+constexpr char kJson[] = "application/json";
+constexpr char kJsonLines[] = "application/x-ndjson";
+
+// Connections to the platform that calls borrow, one at a time each.
+// Thread-safe.
+class ClientPool {
+ public:
+  explicit ClientPool(const platform::HttpPlatformOptions& options)
+      : options_(options) {}
+
+  std::unique_ptr<HttpPlatformClient> Take() {
+    const absl::MutexLock lock(&mutex_);
+    if (idle_.empty()) {
+      return HttpPlatformClient::Make(options_);
+    }
+    std::unique_ptr<HttpPlatformClient> client = std::move(idle_.back());
+    idle_.pop_back();
+    return client;
+  }
+
+  void Return(std::unique_ptr<HttpPlatformClient> client) {
+    const absl::MutexLock lock(&mutex_);
+    idle_.push_back(std::move(client));
+  }
+
+ private:
+  const platform::HttpPlatformOptions options_;
+  absl::Mutex mutex_;
+  std::vector<std::unique_ptr<HttpPlatformClient>> idle_
+      ABSL_GUARDED_BY(mutex_);
+};
+
+std::optional<Method> MethodOf(const std::string& text) {
+  if (text == "GET") {
+    return Method::kGet;
+  }
+  if (text == "POST") {
+    return Method::kPost;
+  }
+  if (text == "PUT") {
+    return Method::kPut;
+  }
+  if (text == "PATCH") {
+    return Method::kPatch;
+  }
+  if (text == "DELETE") {
+    return Method::kDelete;
+  }
+  return std::nullopt;
+}
+
+ApiRequest ReadRequest(Method method, const httplib::Request& http) {
+  ApiRequest request;
+  request.method = method;
+  request.path = http.path;
+  request.body = http.body;
+  request.authorization = http.get_header_value("Authorization");
+  request.if_match = http.get_header_value("If-Match");
+  request.operation_id = http.get_header_value("Operation-Id");
+  request.dry_run = http.get_param_value("dry_run") == "1";
+  request.watch = http.get_param_value("watch") == "1";
+  request.after = http.get_param_value("after");
+  return request;
+}
+
+void WriteResponse(const ApiResponse& response, httplib::Response* http) {
+  http->status = response.status;
+  if (response.etag != 0) {
+    http->set_header("ETag", fmt::format("\"{}\"", response.etag));
+  }
+  http->set_content(response.body + "\n", kJson);
+}
+
+// The error of a request that the HTTP library has refused.
+Error LibraryError(int status) {
+  switch (status) {
+    case 413:
+      return {ResultCode::kTooLarge, "", "the request is too large"};
+    case 414:
+      return {ResultCode::kTooLarge, "path", "the path is too long"};
+    case 404:
+      return {ResultCode::kUnsupportedMethod, "", "the method is unknown"};
+    case 400:
+    case 416:
+      return {ResultCode::kInvalidField, "", "the HTTP request is malformed"};
+    default:
+      return {ResultCode::kInternal, "",
+              fmt::format("the server answered {}", status)};
+  }
+}
+
+Result<Version> ParseAfter(const std::string& text) {
+  Version after = 0;
+  const char* last = text.data() + text.size();
+  const auto [end, error] = std::from_chars(text.data(), last, after);
+  if (!text.empty() && (error != std::errc() || end != last)) {
+    return Error{ResultCode::kInvalidField, "after", "must be a version"};
+  }
+  return after;
+}
+
+}  // namespace
+
+class ApiServer::Impl {
+ public:
+  explicit Impl(const ApiSettings& settings)
+      : settings_(settings),
+        clients_({.platform = settings.platform, .bind_ip = settings.bind}) {
+    std::random_device random;
+    seed_ = random();
+  }
+
+  ~Impl() {
+    stopping_ = true;
+    {
+      const absl::MutexLock lock(&mutex_);
+      for (HttpPlatformClient* client : watching_) {
+        client->Stop();
+      }
+    }
+    server_.stop();
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  bool Start() {
+    server_.new_task_queue = [] {
+      return new platform::ConnectionThreads(kMaxConnections);
+    };
+    server_.set_keep_alive_max_count(kCallsPerConnection);
+    server_.set_keep_alive_timeout(kKeepAliveSeconds);
+    server_.set_read_timeout(kReadTimeoutSeconds);
+    server_.set_payload_max_length(kMaxBodyBytes);
+    server_.set_tcp_nodelay(true);
+    AddRoutes();
+    const int port = platform::BindServer(&server_, settings_.listen);
+    if (port == 0) {
+      return false;
+    }
+    endpoint_ = {settings_.listen.ip, static_cast<std::uint16_t>(port)};
+    thread_ = platform::ServeOnThread(&server_);
+    kLog.Info("Listening on {}.", ToString(endpoint_));
+    return true;
+  }
+
+  Endpoint endpoint() const { return endpoint_; }
+
+ private:
+  void AddRoutes() {
+    const auto handler = [this](const httplib::Request& request,
+                                httplib::Response& response) {
+      Handle(request, &response);
+    };
+    constexpr char kEveryPath[] = ".*";
+    server_.Get(kEveryPath, handler);
+    server_.Post(kEveryPath, handler);
+    server_.Put(kEveryPath, handler);
+    server_.Patch(kEveryPath, handler);
+    server_.Delete(kEveryPath, handler);
+    server_.Options(kEveryPath, handler);
+    server_.set_error_handler(
+        [](const httplib::Request&, httplib::Response& response) {
+          if (response.body.empty()) {
+            WriteResponse(MakeErrorResponse(LibraryError(response.status)),
+                          &response);
+          }
+        });
+  }
+
+  void Handle(const httplib::Request& http, httplib::Response* response) {
+    const std::optional<Method> method =
+        MethodOf(http.method == "HEAD" ? "GET" : http.method);
+    if (!method.has_value()) {
+      WriteResponse(MakeErrorResponse({ResultCode::kUnsupportedMethod, "",
+                                       "the API does not support this method"}),
+                    response);
+      return;
+    }
+    const ApiRequest request = ReadRequest(*method, http);
+    if (request.watch && request.method == Method::kGet) {
+      StartWatch(request, response);
+      return;
+    }
+    std::unique_ptr<HttpPlatformClient> client = clients_.Take();
+    ResourceService service(client.get(), &settings_, NextSeed());
+    WriteResponse(service.Handle(request), response);
+    clients_.Return(std::move(client));
+  }
+
+  void StartWatch(const ApiRequest& request, httplib::Response* response) {
+    const Result<Target> target = ParseTarget(request.path);
+    const Result<Version> after = ParseAfter(request.after);
+    if (!target.ok() || !after.ok()) {
+      WriteResponse(
+          MakeErrorResponse(target.ok() ? after.error() : target.error()),
+          response);
+      return;
+    }
+    if (target.value().kind != Target::Kind::kCollection) {
+      WriteResponse(MakeErrorResponse({ResultCode::kInvalidField, "watch",
+                                       "only a collection can be watched"}),
+                    response);
+      return;
+    }
+    std::shared_ptr<HttpPlatformClient> client = clients_.Take();
+    const std::uint64_t seed = NextSeed();
+    ResourceService service(client.get(), &settings_, seed);
+    const Result<CallContext> context = service.Open(request);
+    if (!context.ok()) {
+      WriteResponse(MakeErrorResponse(context.error()), response);
+      return;
+    }
+    const auto stream = std::make_shared<WatchStream>(
+        client.get(), target.value().resource_kind, context.value(),
+        after.value(), seed);
+    Register(client.get());
+    response->set_chunked_content_provider(
+        kJsonLines,
+        [this, stream](std::size_t, httplib::DataSink& sink) {
+          return Pump(stream.get(), &sink);
+        },
+        [this, client](bool) { Unregister(client.get()); });
+  }
+
+  // Writes the next lines of a watch. False ends the connection.
+  bool Pump(WatchStream* stream, httplib::DataSink* sink) {
+    const std::string lines = stopping_ ? "" : stream->Next();
+    if (lines.empty() || stopping_) {
+      sink->done();
+      return true;
+    }
+    return sink->write(lines.data(), lines.size());
+  }
+
+  void Register(HttpPlatformClient* client) {
+    const absl::MutexLock lock(&mutex_);
+    watching_.insert(client);
+  }
+
+  void Unregister(HttpPlatformClient* client) {
+    const absl::MutexLock lock(&mutex_);
+    watching_.erase(client);
+  }
+
+  std::uint64_t NextSeed() { return seed_ + calls_.fetch_add(1); }
+
+  const ApiSettings settings_;
+  Endpoint endpoint_;
+  ClientPool clients_;
+  std::uint64_t seed_ = 0;
+  std::atomic<std::uint64_t> calls_ = 0;
+  std::atomic<bool> stopping_ = false;
+  absl::Mutex mutex_;
+  std::set<HttpPlatformClient*> watching_ ABSL_GUARDED_BY(mutex_);
+
+  httplib::Server server_;
+  std::thread thread_;
+};
+
+Result<std::unique_ptr<ApiServer>> ApiServer::Make(
+    const ApiSettings& settings) {
+  auto impl = std::make_unique<Impl>(settings);
+  if (!impl->Start()) {
+    return Error{ResultCode::kBindFailed, "listen",
+                 fmt::format("cannot listen on {}", ToString(settings.listen))};
+  }
+  return std::unique_ptr<ApiServer>(new ApiServer(std::move(impl)));
+}
+
+ApiServer::ApiServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
+ApiServer::~ApiServer() = default;
+
+Endpoint ApiServer::endpoint() const {
+  return impl_->endpoint();
+}
+
+}  // namespace gcw::api
--- /dev/null
+++ b/src/api/resource_service.cc
@@ -0,0 +1,319 @@
+#include "src/api/resource_service.h"
+
+#include <fmt/format.h>
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <random>
+#include <utility>
+#include <variant>
+
+#include "absl/time/clock.h"
+#include "gcw/base/hash.h"
+#include "gcw/base/log.h"
+#include "gcw/config/object_reader.h"
+#include "src/api/resource_write.h"
+#include "src/api/views.h"
+
+namespace gcw::api {
+namespace {
+
+using nlohmann::json;
+using Errors = std::vector<Error>;
+
+constexpr Logger kLog("api");
+constexpr std::string_view kStatusPrefix = "status/";
+constexpr std::string_view kOperationIdField = "Operation-Id";
+constexpr int kCreated = 201;
+
+Error Unsupported(std::string_view what) {
+  return {ResultCode::kUnsupportedMethod, "",
+          fmt::format("{} does not support this method", what)};
+}
+
+std::optional<WriteMode> ModeOf(Method method) {
+  switch (method) {
+    case Method::kPost:
+      return WriteMode::kCreate;
+    case Method::kPut:
+      return WriteMode::kReplace;
+    case Method::kPatch:
+      return WriteMode::kPatch;
+    case Method::kDelete:
+      return WriteMode::kDelete;
+    case Method::kGet:
+      break;
+  }
+  return std::nullopt;
+}
+
+// Checks the headers of a write and fills in all but the identity and the
+// operation id.
+std::variant<ResourceWrite, Errors> ParseWrite(const ApiRequest& request,
+                                               const Target& target) {
+  ResourceWrite write;
+  write.mode = *ModeOf(request.method);
+  write.id = {target.resource_kind, target.name};
+  Errors errors;
+  const Result<std::optional<Version>> if_match =
+      ParseIfMatch(request.if_match);
+  if (if_match.ok()) {
+    write.if_match = if_match.value();
+  } else {
+    errors.push_back(if_match.error());
+  }
+  const bool needs_version =
+      write.mode == WriteMode::kReplace || write.mode == WriteMode::kDelete;
+  if (needs_version && request.if_match.empty()) {
+    errors.push_back({ResultCode::kVersionRequired, std::string(kIfMatchField),
+                      "is required to replace or delete"});
+  }
+  if (!request.operation_id.empty() && !IsOperationId(request.operation_id)) {
+    errors.push_back({ResultCode::kInvalidField, std::string(kOperationIdField),
+                      "must be 1 to 64 of A-Z, a-z, 0-9, '-' and '_'"});
+  }
+  if (write.mode != WriteMode::kDelete) {
+    Result<json> body = config::ParseJson(request.body);
+    if (body.ok()) {
+      write.body = std::move(body).value();
+    } else {
+      errors.push_back(body.error());
+    }
+  }
+  if (!errors.empty()) {
+    return errors;
+  }
+  return write;
+}
+
+// A creation names its resource in the body.
+Status TakeNameFromBody(ResourceWrite* write) {
+  const json& body = write->body;
+  const bool has_name = body.is_object() && body.contains("name") &&
+                        body.at("name").is_string() &&
+                        config::IsName(body.at("name").get<std::string>());
+  if (has_name) {
+    write->id.name = body.at("name").get<std::string>();
+    return OkStatus();
+  }
+  return Error{ResultCode::kInvalidField, "name",
+               "is required and must be a resource name"};
+}
+
+// The faults of a creation whose name is wrong, together with its others.
+Errors FaultsOf(const ResourceWrite& write, const Error& name_error) {
+  Errors errors = config::DecodeSpec(write.id.kind, write.body,
+                                     config::UnknownFields::kRefuse)
+                      .errors;
+  return errors.empty() ? Errors{name_error} : errors;
+}
+
+const platform::Object* FindObject(const CallContext& context,
+                                   const config::ResourceId& id) {
+  const std::string key = config::KeyOf(id);
+  for (const platform::Object& object : context.objects) {
+    if (object.key == key) {
+      return &object;
+    }
+  }
+  return nullptr;
+}
+
+Error NoSuch(const Target& target) {
+  return {ResultCode::kNotFound, "",
+          fmt::format("there is no {} '{}'",
+                      config::ToString(target.resource_kind), target.name)};
+}
+
+ApiResponse DryRun(const ResourceWrite& write, const CallContext& context) {
+  const platform::Object* current = FindObject(context, write.id);
+  auto planned = PlanWrite(write, current, *context.built.snapshot);
+  if (std::holds_alternative<Errors>(planned)) {
+    return MakeErrorResponse(std::get<Errors>(planned));
+  }
+  const auto& plan = std::get<PlannedWrite>(planned);
+  json body = {{"dry_run", true}};
+  for (const auto& [field, state] :
+       {std::pair{"before", &plan.before}, std::pair{"after", &plan.after}}) {
+    body[field] =
+        state->has_value() ? config::EncodeSpec(**state) : json(nullptr);
+  }
+  return {200, body.dump(), 0};
+}
+
+ApiResponse AnswerWrite(const ResourceWrite& write, const WriteResult& result) {
+  const Version version = result.outcome.version;
+  json body = {{"kind", config::ToString(write.id.kind)},
+               {"name", write.id.name},
+               {"version", version},
+               {"operation", write.op},
+               {"recognized", result.outcome.recognized},
+               {"superseded", result.outcome.superseded}};
+  if (result.resource.has_value()) {
+    body["spec"] = config::EncodeSpec(*result.resource);
+  }
+  const bool is_new = write.mode == WriteMode::kCreate;
+  return {is_new ? kCreated : 200, body.dump(), version};
+}
+
+}  // namespace
+
+ResourceService::ResourceService(platform::PlatformClient* client,
+                                 const ApiSettings* settings,
+                                 std::uint64_t seed)
+    : client_(client), settings_(settings), seed_(seed) {}
+
+Result<CallContext> ResourceService::Open(const ApiRequest& request) {
+  // A call without any token costs the platform nothing.
+  if (request.authorization.empty()) {
+    return Error{ResultCode::kUnauthenticated, "Authorization",
+                 "the token is missing or wrong"};
+  }
+  Result<platform::Listing> listing = client_->List(config::kConfigPrefix);
+  if (!listing.ok()) {
+    return listing.error();
+  }
+  CallContext context;
+  context.revision = listing.value().revision;
+  context.objects = std::move(listing.value().objects);
+  context.built = config::BuildSnapshot(context.objects, context.revision);
+  Result<Identity> identity =
+      Authenticate(request.authorization, *context.built.snapshot,
+                   settings_->pool_token_hash);
+  if (!identity.ok()) {
+    return identity.error();
+  }
+  context.identity = std::move(identity).value();
+  return context;
+}
+
+ApiResponse ResourceService::Handle(const ApiRequest& request) {
+  const Result<Target> target = ParseTarget(request.path);
+  if (!target.ok()) {
+    return MakeErrorResponse(target.error());
+  }
+  const Result<CallContext> context = Open(request);
+  if (!context.ok()) {
+    return MakeErrorResponse(context.error());
+  }
+  return Dispatch(request, target.value(), context.value());
+}
+
+ApiResponse ResourceService::Dispatch(const ApiRequest& request,
+                                      const Target& target,
+                                      const CallContext& context) {
+  const bool reads = request.method == Method::kGet;
+  switch (target.kind) {
+    case Target::Kind::kStatus:
+      return reads ? ShowStatus(context)
+                   : MakeErrorResponse(Unsupported("the status"));
+    case Target::Kind::kCollection:
+      if (reads) {
+        return List(target, context);
+      }
+      return request.method == Method::kPost
+                 ? Write(request, target, context)
+                 : MakeErrorResponse(Unsupported("a collection"));
+    case Target::Kind::kResource:
+      break;
+  }
+  if (reads) {
+    return Read(target, context);
+  }
+  return request.method == Method::kPost
+             ? MakeErrorResponse(Unsupported("a resource"))
+             : Write(request, target, context);
+}
+
+ApiResponse ResourceService::Read(const Target& target,
+                                  const CallContext& context) {
+  const platform::Object* object =
+      FindObject(context, {target.resource_kind, target.name});
+  if (object == nullptr) {
+    return MakeErrorResponse(NoSuch(target));
+  }
+  const std::optional<json> view = VisibleView(*object, context.identity);
+  if (!view.has_value()) {
+    return MakeErrorResponse(NoSuch(target));
+  }
+  return {200, view->dump(), object->version};
+}
+
+ApiResponse ResourceService::List(const Target& target,
+                                  const CallContext& context) {
+  json items = json::array();
+  for (const platform::Object& object : context.objects) {
+    const auto id = config::ParseKey(object.key);
+    if (!id.has_value() || id->kind != target.resource_kind) {
+      continue;
+    }
+    std::optional<json> view = VisibleView(object, context.identity);
+    if (view.has_value()) {
+      items.push_back(std::move(*view));
+    }
+  }
+  const json body = {{"revision", context.revision},
+                     {"items", std::move(items)}};
+  return {200, body.dump(), 0};
+}
+
+ApiResponse ResourceService::Write(const ApiRequest& request,
+                                   const Target& target,
+                                   const CallContext& context) {
+  auto parsed = ParseWrite(request, target);
+  if (std::holds_alternative<Errors>(parsed)) {
+    return MakeErrorResponse(std::get<Errors>(parsed));
+  }
+  auto write = std::get<ResourceWrite>(std::move(parsed));
+  if (write.mode == WriteMode::kCreate) {
+    const Status named = TakeNameFromBody(&write);
+    if (!named.ok()) {
+      return MakeErrorResponse(FaultsOf(write, named.error()));
+    }
+  }
+  write.identity = context.identity;
+  write.op = MakeOperationId(request, context.identity);
+  write.may_be_repeat = !request.operation_id.empty();
+  if (request.dry_run) {
+    return DryRun(write, context);
+  }
+  seed_ = MixHash(seed_, StableHash(write.op));
+  ResourceWriter writer(client_, seed_);
+  auto done = writer.Run(write, *context.built.snapshot);
+  if (std::holds_alternative<Errors>(done)) {
+    const auto& errors = std::get<Errors>(done);
+    kLog.Info("{}: {} of {} is refused: {}.", context.identity.name(), write.op,
+              config::KeyOf(write.id), ToString(errors.front()));
+    return MakeErrorResponse(errors);
+  }
+  const auto& result = std::get<WriteResult>(done);
+  kLog.Info("{}: {} of {} is accepted as version {}.", context.identity.name(),
+            write.op, config::KeyOf(write.id), result.outcome.version);
+  return AnswerWrite(write, result);
+}
+
+ApiResponse ResourceService::ShowStatus(const CallContext& context) {
+  const Result<platform::Listing> listing = client_->List(kStatusPrefix);
+  if (!listing.ok()) {
+    return MakeErrorResponse(listing.error());
+  }
+  const StatusInput input{&context.built, context.revision,
+                          listing.value().objects, absl::Now(),
+                          settings_->status_stale};
+  return {200, StatusView(input, context.identity).dump(), 0};
+}
+
+// Carries the firm, so that no firm can use the id of another's operation.
+std::string ResourceService::MakeOperationId(const ApiRequest& request,
+                                             const Identity& identity) {
+  if (!request.operation_id.empty()) {
+    return fmt::format("{}/{}", identity.name(), request.operation_id);
+  }
+  std::random_device random;
+  const std::uint64_t high = random();
+  const std::uint64_t low = random();
+  return fmt::format("{}/{:08x}{:08x}{:08x}", identity.name(), high, low,
+                     static_cast<std::uint64_t>(random()));
+}
+
+}  // namespace gcw::api
--- a/src/config/codec.cc
+++ b/src/config/codec.cc
@@ -164,6 +164,24 @@
   return ReadZone(reader);
 }
 
+void ReadClaims(const json& claims,
+                const std::string& path,
+                std::vector<Error>* errors,
+                AddressClaims* target) {
+  for (const auto& [text, version] : claims.items()) {
+    Endpoint address;
+    if (!ReadEndpointValue(text, FieldPath(path, text), errors, &address)) {
+      continue;
+    }
+    if (!version.is_number_unsigned()) {
+      errors->push_back({ResultCode::kInvalidField, FieldPath(path, text),
+                         "must be a version"});
+      continue;
+    }
+    target->emplace(address, version.get<Version>());
+  }
+}
+
 json EncodeFirm(const Firm& firm) {
   return {{"name", firm.name}, {"token_sha256", firm.token_sha256}};
 }
@@ -298,8 +316,13 @@
   return std::visit(SpecEncoder{}, resource);
 }
 
-std::string EncodeStored(std::string_view op, const Resource& resource) {
-  const json value = {{"op", std::string(op)}, {"spec", EncodeSpec(resource)}};
+std::string EncodeStored(std::string_view op,
+                         const Resource& resource,
+                         const AddressClaims& claims) {
+  json value = {{"op", std::string(op)}, {"spec", EncodeSpec(resource)}};
+  for (const auto& [address, version] : claims) {
+    value["claims"][gcw::ToString(address)] = version;
+  }
   return value.dump();
 }
 
@@ -315,6 +338,10 @@
   StoredObject stored;
   ObjectReader reader(parsed.value(), "", &errors);
   reader.ReadString("op", Presence::kOptional, kMaxOpBytes, &stored.op);
+  reader.ReadValue("claims", Presence::kOptional,
+                   [&](const json& claims, const std::string& path) {
+                     ReadClaims(claims, path, &errors, &stored.claims);
+                   });
   DecodedResource decoded;
   reader.ReadValue(
       "spec", Presence::kRequired, [&](const json& spec, const std::string&) {
--- a/src/config/snapshot_builder.cc
+++ b/src/config/snapshot_builder.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <tuple>
 #include <utility>
 #include <variant>
 
@@ -24,7 +25,12 @@
 // A user of an address: a service or a backend server.
 struct AddressUser {
   ResourceId id;
+  Version claim = 0;
   Version version = 0;
+
+  bool IsBefore(const AddressUser& other) const {
+    return std::tie(claim, version) < std::tie(other.claim, other.version);
+  }
 };
 
 // The snapshot while it is being built.
@@ -35,7 +41,11 @@
       problems_.push_back({key, decoded.error()});
       return;
     }
-    std::visit([this](const auto& r) { Insert(r); }, decoded.value().resource);
+    const StoredObject& object = decoded.value();
+    std::visit([this](const auto& r) { Insert(r); }, object.resource);
+    for (const auto& [address, claim] : object.claims) {
+      claims_[{IdOf(object.resource), address}] = claim;
+    }
   }
 
   void ResolveAddresses() {
@@ -86,23 +96,30 @@
 
   std::map<Endpoint, AddressUser> Owners() const {
     std::map<Endpoint, AddressUser> owners;
-    const auto offer = [&](const Endpoint& address, AddressUser user) {
+    const auto offer = [&](const Endpoint& address, const ResourceId& id,
+                           Version version) {
+      const AddressUser user{id, ClaimOf(id, address), version};
       const auto [it, is_new] = owners.emplace(address, user);
-      if (!is_new && it->second.version < user.version) {
-        it->second = std::move(user);
+      if (!is_new && it->second.IsBefore(user)) {
+        it->second = user;
       }
     };
     for (const auto& [name, service] : snapshot_->services) {
       for (const Endpoint& address : service.addresses) {
-        offer(address, {{ResourceKind::kService, name}, service.version});
+        offer(address, {ResourceKind::kService, name}, service.version);
       }
     }
     for (const auto& [name, server] : snapshot_->servers) {
-      offer(server.address, {{ResourceKind::kServer, name}, server.version});
+      offer(server.address, {ResourceKind::kServer, name}, server.version);
     }
     return owners;
   }
 
+  Version ClaimOf(const ResourceId& id, const Endpoint& address) const {
+    const auto it = claims_.find({id, address});
+    return it == claims_.end() ? 0 : it->second;
+  }
+
   void KeepOwnAddresses(const std::map<Endpoint, AddressUser>& owners,
                         Service* service) {
     const ResourceId id{ResourceKind::kService, service->name};
@@ -154,6 +171,7 @@
   }
 
   std::shared_ptr<Snapshot> snapshot_ = std::make_shared<Snapshot>();
+  std::map<std::pair<ResourceId, Endpoint>, Version> claims_;
   std::vector<ObjectProblem> problems_;
   Version largest_version_ = 0;
 };
--- a/src/config/validate.cc
+++ b/src/config/validate.cc
@@ -14,14 +14,20 @@
  public:
   explicit Validator(const Snapshot& snapshot) : snapshot_(snapshot) {}
 
-  void CheckWrite(const ResourceId& id, const Resource& after) {
+  void CheckWrite(const Change& change) {
+    const Resource& after = *change.after;
     CheckSize(after);
     if (const auto* service = std::get_if<Service>(&after)) {
       CheckService(*service);
     } else if (const auto* server = std::get_if<BackendServer>(&after)) {
       CheckServer(*server);
     }
-    CheckFixedFields(id, after);
+    const std::optional<Resource> before =
+        change.before.has_value() ? change.before
+                                  : FindResource(snapshot_, change.id);
+    if (before.has_value()) {
+      CheckFixedFields(*before, after);
+    }
   }
 
   void CheckDelete(const ResourceId& id) {
@@ -120,15 +126,11 @@
 
   // What makes a resource another one may not change under its name: traffic
   // would move to another VM or another owner with no new incarnation.
-  void CheckFixedFields(const ResourceId& id, const Resource& after) {
-    const std::optional<Resource> before = FindResource(snapshot_, id);
-    if (!before.has_value()) {
-      return;
-    }
-    if (OwnerOf(*before) != OwnerOf(after)) {
+  void CheckFixedFields(const Resource& before, const Resource& after) {
+    if (OwnerOf(before) != OwnerOf(after)) {
       ReportFixed("firm");
     }
-    const auto* old_server = std::get_if<BackendServer>(&*before);
+    const auto* old_server = std::get_if<BackendServer>(&before);
     const auto* new_server = std::get_if<BackendServer>(&after);
     if (old_server == nullptr || new_server == nullptr) {
       return;
@@ -214,7 +216,7 @@
                                   const Change& change) {
   Validator validator(snapshot);
   if (change.after.has_value()) {
-    validator.CheckWrite(change.id, *change.after);
+    validator.CheckWrite(change);
   } else {
     validator.CheckDelete(change.id);
   }
--- /dev/null
+++ b/tests/api/races_test.cc
@@ -0,0 +1,180 @@
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+#include <thread>
+#include <vector>
+
+#include "absl/time/clock.h"
+#include "gcw/config/codec.h"
+#include "gcw/config/snapshot_builder.h"
+#include "gcw/platform/conditional_write.h"
+#include "src/api/claims.h"
+#include "tests/api/api_fixture.h"
+
+namespace gcw::api {
+namespace {
+
+constexpr char kService[] = "/v1/services/dispatch";
+
+// What one operator was told: the version of each accepted write by its value.
+using Accepted = std::map<int, Version>;
+
+// Writes its own values, each on the version it has read, until `attempts` are
+// made; a conflict is read again and counts as an attempt.
+Accepted RaceWrites(Operator op, int first_value, int attempts) {
+  Accepted accepted;
+  for (int i = 0; i < attempts; ++i) {
+    const Reply read = op.Get(kService);
+    if (read.status != 200) {
+      continue;
+    }
+    json spec = read.body.at("spec");
+    spec["limits"]["queue"] = first_value + i;
+    const Reply reply = op.Put(kService, spec, read.version());
+    if (reply.status == 200) {
+      accepted[first_value + i] = reply.version();
+    } else {
+      CHECK(reply.status == 412);
+    }
+  }
+  return accepted;
+}
+
+TEST_CASE("1,000 racing writes with lost answers: each accepted one once") {
+  ApiFixture fixture;
+  // Each operator has a gcw-api of its own.
+  const std::unique_ptr<ApiServer> second_api = fixture.MakeApi();
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  REQUIRE(
+      crew.Post("/v1/services", ApiFixture::ServiceSpec(
+                                    "dispatch", "valtellina", "10.0.0.1:80"))
+          .status == 201);
+  const Version start = fixture.platform->revision();
+  fixture.platform->SetLostAnswers(0.1);
+  Accepted accepted[2];
+  std::thread first([&] {
+    accepted[0] = RaceWrites(fixture.MakeOperator(kValtellinaToken), 1000, 500);
+  });
+  std::thread second([&] {
+    accepted[1] = RaceWrites(Operator(second_api->endpoint(), kValtellinaToken),
+                             2000, 500);
+  });
+  first.join();
+  second.join();
+
+  std::map<Version, int> told;
+  for (const Accepted& writes : accepted) {
+    CHECK(writes.size() > 50);
+    for (const auto& [value, version] : writes) {
+      CHECK(told.emplace(version, value).second);
+    }
+  }
+  // What the platform has seen, in order.
+  std::map<Version, int> seen;
+  const auto log =
+      fixture.platform->EventsAfter("config/service/dispatch", start);
+  REQUIRE(log.ok());
+  for (const platform::WatchEvent& event : log.value().events) {
+    const json value = json::parse(event.object.value);
+    seen[event.object.version] = value.at("spec").at("limits").at("queue");
+  }
+  CHECK(told == seen);
+}
+
+TEST_CASE("of many who claim one address at once exactly one gets it") {
+  ApiFixture fixture;
+  fixture.platform->SetLostAnswers(0.1);
+  constexpr int kRounds = 15;
+  constexpr int kRacers = 4;
+  for (int round = 0; round < kRounds; ++round) {
+    const std::string address = fmt::format("10.0.9.{}:80", round + 1);
+    std::vector<int> statuses(kRacers);
+    std::vector<std::thread> racers;
+    for (int i = 0; i < kRacers; ++i) {
+      racers.emplace_back([&, i] {
+        const bool is_crew = i % 2 == 0;
+        Operator op =
+            fixture.MakeOperator(is_crew ? kValtellinaToken : kTaysideToken);
+        statuses[i] = op.Post("/v1/services",
+                              ApiFixture::ServiceSpec(
+                                  fmt::format("s{}-{}", round, i),
+                                  is_crew ? "valtellina" : "tayside", address))
+                          .status;
+      });
+    }
+    for (std::thread& racer : racers) {
+      racer.join();
+    }
+    CHECK(std::count(statuses.begin(), statuses.end(), 201) == 1);
+    CHECK(std::count(statuses.begin(), statuses.end(), 409) == kRacers - 1);
+  }
+  const platform::Listing listing = fixture.platform->List("config/");
+  const config::BuiltSnapshot built =
+      config::BuildSnapshot(listing.objects, listing.revision);
+  CHECK(built.problems.empty());
+  CHECK(built.snapshot->services.size() == kRounds);
+}
+
+std::string ClaimValue(const std::string& owner, absl::Time at) {
+  return json(
+             {{"op", "x"}, {"owner", owner}, {"at_ms", absl::ToUnixMillis(at)}})
+      .dump();
+}
+
+TEST_CASE("an orphaned claim is taken over, a fresh or used one is not") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const auto create = [&](const std::string& name, const std::string& address) {
+    return crew.Post("/v1/services",
+                     ApiFixture::ServiceSpec(name, "valtellina", address));
+  };
+  const std::string owner = "config/service/gone";
+  const absl::Time now = absl::Now();
+  REQUIRE(fixture.platform
+              ->Put("claim/10.0.0.1:80",
+                    ClaimValue(owner, now - 2 * kClaimGrace), 0)
+              .ok());
+  CHECK(create("a", "10.0.0.1:80").status == 201);
+  REQUIRE(fixture.platform->Put("claim/10.0.0.2:80", ClaimValue(owner, now), 0)
+              .ok());
+  CHECK(create("b", "10.0.0.2:80").status == 409);
+  REQUIRE(fixture.platform->Put("claim/10.0.0.3:80", "[7]", 0).ok());
+  CHECK(create("c", "10.0.0.3:80").status == 201);
+
+  // The claim is old, its holder uses the address, but the list is stale and
+  // does not show it.
+  fixture.platform->RememberState();
+  REQUIRE(create("d", "10.0.0.4:80").status == 201);
+  const Version claim =
+      fixture.platform->Get("claim/10.0.0.4:80").value().version;
+  REQUIRE(fixture.platform
+              ->Put("claim/10.0.0.4:80",
+                    ClaimValue("config/service/d", now - 2 * kClaimGrace),
+                    claim)
+              .ok());
+  CHECK(create("e", "10.0.0.4:80").status == 409);
+}
+
+TEST_CASE("a write that fails gives its new claims back") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const json spec =
+      ApiFixture::ServiceSpec("dispatch", "valtellina", "10.0.0.1:80");
+  const Reply created = crew.Post("/v1/services", spec);
+  REQUIRE(created.status == 201);
+  json more = spec;
+  more["addresses"] = {"10.0.0.1:80", "10.0.0.2:80", "10.1.0.1:9000"};
+  CHECK(crew.Put(kService, more, created.version()).status == 409);
+  CHECK(fixture.platform->List("claim/10.0.0.2").objects.empty());
+  more["addresses"] = {"10.0.0.2:80"};
+  const Reply moved = crew.Put(kService, more, created.version());
+  REQUIRE(moved.status == 200);
+  CHECK(fixture.platform->List("claim/10.0.0.1").objects.empty());
+  // The address that was left is free again, at once.
+  CHECK(crew.Post("/v1/services", ApiFixture::ServiceSpec(
+                                      "photos", "valtellina", "10.0.0.1:80"))
+            .status == 201);
+}
+
+}  // namespace
+}  // namespace gcw::api
--- /dev/null
+++ b/tests/api/resources_test.cc
@@ -0,0 +1,221 @@
+#include <catch2/catch.hpp>
+#include <thread>
+#include <vector>
+
+#include "tests/api/api_fixture.h"
+
+namespace gcw::api {
+namespace {
+
+using fake_platform::Outage;
+
+int Number(ResultCode code) {
+  return static_cast<int>(code);
+}
+
+TEST_CASE("a service lives from creation to deletion with versions") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const json spec =
+      ApiFixture::ServiceSpec("dispatch", "valtellina", "10.0.0.1:80");
+  const Reply created = crew.Post("/v1/services", spec);
+  REQUIRE(created.status == 201);
+  CHECK(created.etag == fmt::format("\"{}\"", created.version()));
+  CHECK(crew.Post("/v1/services", spec).status == 409);
+
+  const Reply read = crew.Get("/v1/services/dispatch");
+  CHECK(read.status == 200);
+  CHECK(read.version() == created.version());
+  CHECK(read.body.at("spec").at("limits").at("queue") == 200);
+  CHECK(crew.Get("/v1/services").body.at("items").size() == 1);
+
+  json changed = read.body.at("spec");
+  changed["limits"]["queue"] = 7;
+  const Reply replaced =
+      crew.Put("/v1/services/dispatch", changed, read.version());
+  REQUIRE(replaced.status == 200);
+  CHECK(replaced.version() > read.version());
+  const Reply stale =
+      crew.Put("/v1/services/dispatch", changed, read.version());
+  CHECK(stale.status == 412);
+  CHECK(stale.code() == Number(ResultCode::kVersionConflict));
+
+  const Reply patched = crew.Patch("/v1/services/dispatch", {{"kind", "flow"}});
+  REQUIRE(patched.status == 200);
+  CHECK(patched.body.at("spec").at("limits").at("queue") == 7);
+  CHECK(patched.body.at("spec").at("kind") == "flow");
+
+  CHECK(crew.Call("DELETE", "/v1/services/dispatch", "", {}).status == 428);
+  CHECK(crew.Delete("/v1/services/dispatch", read.version()).status == 412);
+  CHECK(crew.Delete("/v1/services/dispatch", patched.version()).status == 200);
+  CHECK(crew.Get("/v1/services/dispatch").status == 404);
+  CHECK(fixture.platform->List("claim/10.0.0.1").objects.empty());
+}
+
+TEST_CASE("a dry run checks everything and writes nothing") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const Version before = fixture.platform->revision();
+  json spec = ApiFixture::ServiceSpec("dispatch", "valtellina", "10.0.0.1:80");
+  const Reply good = crew.Post("/v1/services?dry_run=1", spec);
+  CHECK(good.status == 200);
+  CHECK(good.body.at("before").is_null());
+  CHECK(good.body.at("after").at("name") == "dispatch");
+  spec["servers"] = {{{"server", "nowhere"}}};
+  const Reply bad = crew.Post("/v1/services?dry_run=1", spec);
+  CHECK(bad.status == 422);
+  CHECK(bad.field() == "servers[0].server");
+  CHECK(fixture.platform->revision() == before);
+}
+
+TEST_CASE("every wrong field is in the answer") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const Reply reply = crew.Post("/v1/services", {{"name", "a"},
+                                                 {"firm", "Valtellina"},
+                                                 {"addresses", {"x"}},
+                                                 {"color", 1}});
+  CHECK(reply.status == 400);
+  REQUIRE(reply.body.at("errors").size() == 3);
+  CHECK(reply.body["errors"][0]["field"] == "firm");
+  CHECK(reply.body["errors"][1]["field"] == "addresses[0]");
+  CHECK(reply.body["errors"][2]["field"] == "color");
+  CHECK_FALSE(reply.body["error"]["what_to_do"].get<std::string>().empty());
+}
+
+TEST_CASE("a firm touches only what is its own") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  Operator fitter = fixture.MakeOperator(kTaysideToken);
+  const Reply service = crew.Post(
+      "/v1/services",
+      ApiFixture::ServiceSpec("dispatch", "valtellina", "10.0.0.1:80"));
+  REQUIRE(service.status == 201);
+  const Reply server =
+      crew.Post("/v1/servers", ApiFixture::ServerSpec("van", "valtellina", 5));
+  REQUIRE(server.status == 201);
+
+  // Not seen.
+  CHECK(fitter.Get("/v1/services/dispatch").status == 404);
+  CHECK(fitter.Get("/v1/services").body.at("items").empty());
+  CHECK(fitter.Get("/v1/servers/van").status == 404);
+  CHECK(fitter.Get("/v1/servers").body.at("items").size() == 1);
+  CHECK(fitter.Get("/v1/firms").body.at("items").size() == 1);
+
+  // Not changed.
+  const Version before = fixture.platform->revision();
+  const std::vector<Reply> refused = {
+      fitter.Patch("/v1/services/dispatch", {{"kind", "flow"}}),
+      fitter.Delete("/v1/services/dispatch", service.version()),
+      fitter.Put("/v1/services/dispatch",
+                 ApiFixture::ServiceSpec("dispatch", "tayside", "10.0.0.1:80"),
+                 service.version()),
+      fitter.Post("/v1/services",
+                  ApiFixture::ServiceSpec("new", "valtellina", "10.0.0.2:80")),
+      fitter.Post("/v1/services", ApiFixture::ServiceSpec("dispatch", "tayside",
+                                                          "10.0.0.2:80")),
+      fitter.Patch("/v1/servers/van", {{"state", "out"}}),
+      fitter.Patch("/v1/servers/shared", {{"state", "out"}}),
+      fitter.Post("/v1/servers", ApiFixture::ServerSpec("more", "", 9)),
+      fitter.Patch("/v1/zones/tirano", {{"state", "out"}}),
+      fitter.Patch("/v1/firms/valtellina", {{"token_sha256", ""}}),
+      fitter.Post("/v1/firms", {{"name", "third"}}),
+  };
+  for (std::size_t i = 0; i < refused.size(); ++i) {
+    INFO("call " << i << ": " << refused[i].body.dump());
+    CHECK(refused[i].status == 403);
+    CHECK(refused[i].code() == Number(ResultCode::kForbidden));
+  }
+  json spec = ApiFixture::ServiceSpec("desk", "tayside", "10.0.0.3:80");
+  spec["servers"] = {{{"server", "van"}}};
+  CHECK(fitter.Post("/v1/services", spec).status == 403);
+  spec = ApiFixture::ServiceSpec("desk", "tayside", "10.0.0.1:80");
+  const Reply claimed = fitter.Post("/v1/services", spec);
+  CHECK(claimed.status == 409);
+  CHECK(claimed.code() == Number(ResultCode::kAddressClaimed));
+  CHECK(fixture.platform->revision() == before);
+
+  // The pool changes what is shared.
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  CHECK(pool.Patch("/v1/zones/tirano", {{"state", "out"}}).status == 200);
+  CHECK(pool.Patch("/v1/servers/shared", {{"state", "draining"}}).status ==
+        200);
+}
+
+TEST_CASE("only the right token is let in, and a firm may change its own") {
+  ApiFixture fixture;
+  for (const char* token :
+       {"", "valtellina", "valtellina.", "valtellina.wrong", "pool.wrong",
+        "nobody.secret", "tayside.secret-of-crews", "."}) {
+    INFO(token);
+    Operator guesser = fixture.MakeOperator(token);
+    const Reply reply = guesser.Get("/v1/zones");
+    CHECK(reply.status == 401);
+    CHECK(reply.code() == Number(ResultCode::kUnauthenticated));
+  }
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const std::string next = "valtellina.next-secret";
+  CHECK(
+      crew.Patch("/v1/firms/valtellina", {{"token_sha256", "plain"}}).status ==
+      400);
+  CHECK(
+      crew.Patch("/v1/firms/valtellina", {{"token_sha256", HashOfToken(next)}})
+          .status == 200);
+  CHECK(crew.Get("/v1/zones").status == 401);
+  Operator renewed = fixture.MakeOperator(next);
+  CHECK(renewed.Get("/v1/zones").status == 200);
+}
+
+TEST_CASE("what is referenced stays until its references are gone") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  const Version zone = pool.Get("/v1/zones/tirano").version();
+  const Reply refused = pool.Delete("/v1/zones/tirano", zone);
+  CHECK(refused.status == 409);
+  CHECK(refused.code() == Number(ResultCode::kStillReferenced));
+  const Version server = pool.Get("/v1/servers/shared").version();
+  CHECK(pool.Delete("/v1/servers/shared", server).status == 200);
+  CHECK(pool.Delete("/v1/zones/tirano", zone).status == 200);
+}
+
+TEST_CASE("an outage is told apart from a write that may have been made") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  fixture.platform->SetOutage(Outage::kRefusing);
+  const Reply down = pool.Get("/v1/zones");
+  CHECK(down.status == 503);
+  CHECK(down.code() == Number(ResultCode::kPlatformUnavailable));
+  fixture.platform->SetOutage(Outage::kNone);
+  CHECK(pool.Get("/v1/zones").status == 200);
+}
+
+TEST_CASE("a repeated operation id is recognized, also behind later writes") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  const Version base = pool.Get("/v1/zones/tirano").version();
+  const httplib::Headers headers = {{"If-Match", fmt::to_string(base)},
+                                    {"Operation-Id", "take-out-1"}};
+  const Reply first =
+      pool.Patch("/v1/zones/tirano", {{"state", "out"}}, headers);
+  REQUIRE(first.status == 200);
+  const Reply again =
+      pool.Patch("/v1/zones/tirano", {{"state", "out"}}, headers);
+  CHECK(again.status == 200);
+  CHECK(again.version() == first.version());
+  CHECK(again.body.at("recognized") == true);
+  CHECK(pool.Patch("/v1/zones/tirano", {{"state", "in"}}).status == 200);
+  const Reply late =
+      pool.Patch("/v1/zones/tirano", {{"state", "out"}}, headers);
+  CHECK(late.status == 200);
+  CHECK(late.version() == first.version());
+  CHECK(late.body.at("superseded") == true);
+  // The later write stands.
+  CHECK(pool.Get("/v1/zones/tirano").body.at("spec").at("state") == "in");
+  const Reply other =
+      pool.Patch("/v1/zones/tirano", {{"state", "out"}},
+                 {{"If-Match", fmt::to_string(base)}, {"Operation-Id", "x"}});
+  CHECK(other.status == 412);
+}
+
+}  // namespace
+}  // namespace gcw::api
--- a/tests/config/snapshot_test.cc
+++ b/tests/config/snapshot_test.cc
@@ -94,6 +94,20 @@
   }
 }
 
+// A write that was held up until its claim had been taken over.
+TEST_CASE("a late write with an older claim takes no address") {
+  std::vector<ObjectRecord> records = BaseRecords();
+  const Service holder = MakeService("desk", "tayside", kAddressB);
+  const Service late = MakeService("photos", "valtellina", kAddressB);
+  records.push_back({"config/service/desk", 12, 12,
+                     EncodeStored("op", holder, {{kAddressB, 11}})});
+  records.push_back({"config/service/photos", 13, 13,
+                     EncodeStored("op", late, {{kAddressB, 9}})});
+  const BuiltSnapshot built = BuildSnapshot(records, 13);
+  CHECK(built.snapshot->services.at("desk").addresses.size() == 1);
+  CHECK(built.snapshot->services.at("photos").addresses.empty());
+}
+
 TEST_CASE("a member that now belongs to another firm is dropped") {
   std::vector<ObjectRecord> records = BaseRecords();
   records.push_back(Record(MakeServer("own", "tayside", {0x0a000110, 1}), 9));
