--- a/src/lab/lab_run.cc
+++ b/src/lab/lab_run.cc
@@ -372,6 +372,26 @@
     add("requests.sheds", requests.sheds);
   }
 
+  void AddServiceTotals(std::vector<Total>* totals) const {
+    for (const std::string& firm : topology_.firms) {
+      totals->push_back({"service." + firm, meter_.ServiceShare(firm)});
+    }
+    const auto ms = [&](ServiceIndex i, double share) {
+      return absl::ToDoubleMilliseconds(meter_.AnswerTime(i, share));
+    };
+    for (ServiceIndex i = 0; i < topology_.services.size(); ++i) {
+      const std::string& name = topology_.services[i].name;
+      const double flows = meter_.FlowImbalance(i);
+      const double slots = meter_.SlotImbalance(i);
+      totals->push_back({"imbalance." + name, std::max(flows, slots)});
+      totals->push_back({"imbalance_of_flows." + name, flows});
+      totals->push_back({"imbalance_of_slots." + name, slots});
+      totals->push_back({"answer_ms." + name + ".p50", ms(i, 0.5)});
+      totals->push_back({"answer_ms." + name + ".p99", ms(i, 0.99)});
+      totals->push_back({"answer_ms." + name + ".p999", ms(i, 0.999)});
+    }
+  }
+
   void AddRates(std::vector<Total>* totals) const {
     const double seconds = absl::ToDoubleSeconds(scenario_.duration);
     PeerTraffic worst;
@@ -394,17 +414,7 @@
     std::vector<Total> totals;
     AddFlowTotals(&totals);
     AddRequestTotals(&totals);
-    for (const std::string& firm : topology_.firms) {
-      totals.push_back({"service." + firm, meter_.ServiceShare(firm)});
-    }
-    for (ServiceIndex i = 0; i < topology_.services.size(); ++i) {
-      const std::string& name = topology_.services[i].name;
-      const double flows = meter_.FlowImbalance(i);
-      const double slots = meter_.SlotImbalance(i);
-      totals.push_back({"imbalance." + name, std::max(flows, slots)});
-      totals.push_back({"imbalance_of_flows." + name, flows});
-      totals.push_back({"imbalance_of_slots." + name, slots});
-    }
+    AddServiceTotals(&totals);
     totals.push_back({"cold.overload", meter_.cold_overload()});
     AddRates(&totals);
     totals.push_back(
--- a/src/lab/load_meter.cc
+++ b/src/lab/load_meter.cc
@@ -1,6 +1,7 @@
 #include "src/lab/load_meter.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace gcw::lab {
 namespace {
@@ -17,7 +18,8 @@
       eligible_(world.topology().servers.size(), true),
       window_slots_(world.topology().servers.size()),
       bearable_(world.topology().services.size()),
-      delivered_(world.topology().services.size()) {
+      delivered_(world.topology().services.size()),
+      answer_times_(world.topology().services.size()) {
   for (ServerUse& use : use_) {
     use.flows.resize(world.topology().services.size());
   }
@@ -58,8 +60,23 @@
   window_.push_back({service, worth, absl::ToDoubleSeconds(work)});
 }
 
-void LoadMeter::Delivered(ServiceIndex service, double worth) {
+void LoadMeter::Delivered(ServiceIndex service,
+                          double worth,
+                          absl::Duration elapsed) {
   delivered_[service] += worth;
+  answer_times_[service].push_back(elapsed);
+}
+
+absl::Duration LoadMeter::AnswerTime(ServiceIndex service, double share) const {
+  std::vector<absl::Duration> times = answer_times_[service];
+  if (times.empty()) {
+    return absl::ZeroDuration();
+  }
+  const auto rank = static_cast<std::size_t>(
+      std::ceil(share * static_cast<double>(times.size())));
+  const auto nth = times.begin() + static_cast<std::ptrdiff_t>(rank) - 1;
+  std::nth_element(times.begin(), nth, times.end());
+  return *nth;
 }
 
 void LoadMeter::EndWindow() {
--- a/src/lab/load_meter.h
+++ b/src/lab/load_meter.h
@@ -32,7 +32,8 @@
 
   // A caller offered a request that takes `work` of a slot.
   void Offered(ServiceIndex service, double worth, absl::Duration work);
-  void Delivered(ServiceIndex service, double worth);
+  // A caller had its whole answer in time, `elapsed` after it asked.
+  void Delivered(ServiceIndex service, double worth, absl::Duration elapsed);
   // Ends one window: what was offered in it competes for the slots of it.
   void EndWindow();
 
@@ -41,6 +42,9 @@
   double FlowImbalance(ServiceIndex service) const;
   // Largest over mean use of slots, relative to time in service.
   double SlotImbalance(ServiceIndex service) const;
+  // The time that a share of the delivered requests took at most; 0 if there
+  // were none. Precondition: 0 < `share` <= 1.
+  absl::Duration AnswerTime(ServiceIndex service, double share) const;
   double cold_overload() const { return cold_overload_; }
   // Delivered worth over the worth that the servers could have borne; 1 if
   // the firm offered nothing.
@@ -73,6 +77,7 @@
   std::vector<double> window_slots_;  // Slot-seconds borne, by server.
   std::vector<double> bearable_;      // Worth, by service.
   std::vector<double> delivered_;     // Worth, by service.
+  std::vector<std::vector<absl::Duration>> answer_times_;  // By service.
 };
 
 }  // namespace gcw::lab
--- a/src/lab/request_callers.cc
+++ b/src/lab/request_callers.cc
@@ -222,7 +222,8 @@
     }
     const bool in_time = scheduler_.now() <= request.deadline;
     if (in_time) {
-      meter_.Delivered(request.service, request.info.worth);
+      meter_.Delivered(request.service, request.info.worth,
+                       scheduler_.now() + load_.deadline - request.deadline);
     }
     End(packet.destination,
         in_time ? RequestOutcome::kDelivered : RequestOutcome::kLate);
--- a/tests/lab/request_counters_test.cc
+++ b/tests/lab/request_counters_test.cc
@@ -232,10 +232,13 @@
     f.meter.Offered(0, 1, span);
   }
   for (int i = 0; i < slots; ++i) {
-    f.meter.Delivered(0, 1);
+    f.meter.Delivered(0, 1, absl::Milliseconds(i + 1));
   }
   f.meter.EndWindow();
   CHECK(f.meter.ServiceShare("valtellina") == Approx(0.25));
+  CHECK(f.meter.AnswerTime(0, 0.5) == absl::Milliseconds(21));
+  CHECK(f.meter.AnswerTime(0, 1) == absl::Milliseconds(42));
+  CHECK(f.meter.AnswerTime(1, 1) == absl::ZeroDuration());
 }
 
 }  // namespace
