--- a/src/lab/config_watch.cc
+++ b/src/lab/config_watch.cc
@@ -50,6 +50,12 @@
   return true;
 }
 
+void ConfigWatch::Reset() {
+  pending_.clear();
+  longest_ = absl::ZeroDuration();
+  reverts_ = 0;
+}
+
 void ConfigWatch::Finish() {
   for (const Pending& pending : pending_) {
     if (!InForce(pending.version)) {
--- a/src/lab/config_watch.h
+++ b/src/lab/config_watch.h
@@ -28,6 +28,8 @@
   void Forget(DaemonIndex daemon);
   // Whether every daemon that can be expected to has `version`.
   bool InForce(std::uint64_t version) const;
+  // Forgets what was measured so far; what daemons reported is kept.
+  void Reset();
   // Writes that are not in force by now count with their age; call at the end.
   void Finish();
 
--- a/src/lab/flow_callers.cc
+++ b/src/lab/flow_callers.cc
@@ -242,6 +242,11 @@
     flow.server = reply.server;
     flow.connection = reply.connection;
     ledger_.FlowOpened();
+    if (!world_.KeepsConnections(flow.server, reply.incarnation)) {
+      // Its server was lost or taken out while the answer was on its way.
+      flow.excuse = Excuse::kGivenUp;
+      ledger_.FlowGivenUp();
+    }
     Advance(flow);
   }
 
--- a/src/lab/inner_packet.h
+++ b/src/lab/inner_packet.h
@@ -44,6 +44,7 @@
   std::uint32_t server = 0;  // Index of the server.
   std::uint32_t seq = 0;     // Sequence number that is answered.
   std::uint64_t connection = 0;
+  std::uint64_t incarnation = 0;  // Of the server.
 };
 
 Bytes EncodeFlowReply(const FlowReply& reply);
--- a/src/lab/lab_run.cc
+++ b/src/lab/lab_run.cc
@@ -308,6 +308,7 @@
     end_ = start_ + scenario_.duration;
     ledger_->set_start(start_);
     proxy_->ResetTraffic();
+    config_watch_->Reset();
     platform_calls_before_ = platform_->TotalCalls();
     last_sample_ = last_window_ = start_;
     std::vector<Event> events = scenario_.events;
--- a/src/lab/world.cc
+++ b/src/lab/world.cc
@@ -37,6 +37,13 @@
   }
 }
 
+bool World::KeepsConnections(ServerIndex server,
+                             std::uint64_t incarnation) const {
+  const ServerTruth& truth = servers_[server];
+  return truth.up && truth.incarnation == incarnation &&
+         zone_out_[topology_.servers[server].zone] == absl::InfiniteFuture();
+}
+
 bool World::Serves(ServerIndex server, ServiceIndex service) const {
   const auto& services = servers_[server].services;
   return std::find(services.begin(), services.end(), service) != services.end();
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -1,6 +1,7 @@
 #ifndef SRC_LAB_WORLD_H_
 #define SRC_LAB_WORLD_H_
 
+#include <cstdint>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -22,6 +23,7 @@
 // What is true of one server and what operators have asked of it.
 struct ServerTruth {
   bool up = true;
+  std::uint64_t incarnation = 1;  // Grows with each restart.
   absl::Time leaving_since = absl::InfiniteFuture();
   absl::Time down_since = absl::InfiniteFuture();
   std::vector<ServiceIndex> services;
@@ -57,6 +59,8 @@
     return a == b || (!cut_[a] && !cut_[b]);
   }
 
+  // Whether connections of this incarnation of the server can go on.
+  bool KeepsConnections(ServerIndex server, std::uint64_t incarnation) const;
   bool Serves(ServerIndex server, ServiceIndex service) const;
   // Whether the server is up, not asked to leave, and its zone is in.
   bool InService(ServerIndex server) const;
--- a/tests/lab/flow_counters_test.cc
+++ b/tests/lab/flow_counters_test.cc
@@ -91,6 +91,19 @@
   CHECK(f.flows.open_flows() == 0);
 }
 
+TEST_CASE("a flow that is established in a zone that is out is given up") {
+  Fixture f(FlowsOnly(0));
+  f.route = [&](const InnerPacket&, DaemonIndex) { return ServerIndex{0}; };
+  f.flows.Open(0, 0, f.scheduler.now() + absl::Seconds(60));
+  f.world.set_zone_out_since(f.topology.servers[0].zone, f.scheduler.now());
+  f.scheduler.Advance(absl::Seconds(1));
+  CHECK(f.ledger.flows().opened == 1);
+  CHECK(f.ledger.flows().given_up == 1);
+  f.servers[0]->Restart({}, false);
+  f.scheduler.Advance(absl::Seconds(10));
+  CHECK(f.ledger.flows().broken == 0);
+}
+
 TEST_CASE("flows.silent_stuck moves unless a silent flow is reset") {
   for (const bool reset : {false, true}) {
     Fixture f(FlowsOnly(0));
