--- a/include/gcw/wire/relay_header.h
+++ b/include/gcw/wire/relay_header.h
@@ -12,21 +12,22 @@
 // What a daemon says of a packet that it relays to another daemon. It travels
 // as the private data of a GUE variant 0 header:
 //
-//   bytes 0-3   GUE: version 0, control 0, header length 5 words, protocol 4
+//   bytes 0-3   GUE: version 0, control 0, header length 7 words, protocol 4
 //               (IPv4), flags with the private bit set
 //   byte  4     hops so far
-//   byte  5     flags: bit 0 the sender has no entry for the flow
+//   byte  5     ranks of holders that the packet has visited, a bit each
 //   bytes 6-7   zero
 //   bytes 8-15  the sender's configuration revision
-//   bytes 16-23 a stable hash of the service's name as the sender knows it
+//   bytes 16-23 the identity of the service as the sender knows it
+//   bytes 24-31 the identity of the backend server that the sender chose, or 0
 struct RelayHeader {
-  static constexpr std::size_t kSize = 24;
-  static constexpr std::uint8_t kMaxHops = 3;
+  static constexpr std::size_t kSize = 32;
 
   std::uint8_t hops = 0;
-  bool unknown_flow = false;
+  std::uint8_t visited = 0;
   std::uint64_t revision = 0;
-  std::uint64_t service_hash = 0;
+  std::uint64_t service = 0;
+  std::uint64_t placement = 0;
 
   bool operator==(const RelayHeader&) const = default;
 
--- a/src/wire/relay_header.cc
+++ b/src/wire/relay_header.cc
@@ -12,12 +12,12 @@
 constexpr std::uint8_t kHeaderWords = (RelayHeader::kSize - 4) / 4;
 constexpr std::uint8_t kProtocolIpv4 = 4;
 constexpr std::uint8_t kPrivateFlag = 0x01;
-constexpr std::uint8_t kUnknownFlowFlag = 0x01;
 
 constexpr std::size_t kHopsAt = 4;
-constexpr std::size_t kFlagsAt = 5;
+constexpr std::size_t kVisitedAt = 5;
 constexpr std::size_t kRevisionAt = 8;
-constexpr std::size_t kServiceHashAt = 16;
+constexpr std::size_t kServiceAt = 16;
+constexpr std::size_t kPlacementAt = 24;
 
 void Store64(std::uint8_t* to, std::uint64_t value) {
   const std::uint64_t big = htobe64(value);
@@ -38,9 +38,10 @@
   bytes[1] = kProtocolIpv4;
   bytes[3] = kPrivateFlag;
   bytes[kHopsAt] = hops;
-  bytes[kFlagsAt] = unknown_flow ? kUnknownFlowFlag : 0;
+  bytes[kVisitedAt] = visited;
   Store64(&bytes[kRevisionAt], revision);
-  Store64(&bytes[kServiceHashAt], service_hash);
+  Store64(&bytes[kServiceAt], service);
+  Store64(&bytes[kPlacementAt], placement);
   return bytes;
 }
 
@@ -52,9 +53,10 @@
   }
   RelayHeader header;
   header.hops = bytes[kHopsAt];
-  header.unknown_flow = (bytes[kFlagsAt] & kUnknownFlowFlag) != 0;
+  header.visited = bytes[kVisitedAt];
   header.revision = Load64(&bytes[kRevisionAt]);
-  header.service_hash = Load64(&bytes[kServiceHashAt]);
+  header.service = Load64(&bytes[kServiceAt]);
+  header.placement = Load64(&bytes[kPlacementAt]);
   return header;
 }
 
