--- a/include/gcw/base/endpoint.h
+++ b/include/gcw/base/endpoint.h
@@ -18,6 +18,7 @@
   std::uint32_t ip = 0;
   std::uint16_t port = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misfires on a rewritten comparison.
   auto operator<=>(const Endpoint&) const = default;
 
   // Parses "a.b.c.d:port". Fails with kInvalidField.
--- a/include/gcw/wire/relay_header.h
+++ b/include/gcw/wire/relay_header.h
@@ -15,8 +15,8 @@
 //   bytes 0-3   GUE: version 0, control 0, header length 7 words, protocol 4
 //               (IPv4), flags with the private bit set
 //   byte  4     hops so far
-//   byte  5     ranks of holders that the packet has visited, a bit each
-//   bytes 6-7   zero
+//   byte  5     zero
+//   bytes 6-7   ranks of holders that the packet has visited, a bit each
 //   bytes 8-15  the sender's configuration revision
 //   bytes 16-23 the identity of the service as the sender knows it
 //   bytes 24-31 the identity of the backend server that the sender chose, or 0
@@ -24,7 +24,7 @@
   static constexpr std::size_t kSize = 32;
 
   std::uint8_t hops = 0;
-  std::uint8_t visited = 0;
+  std::uint16_t visited = 0;
   std::uint64_t revision = 0;
   std::uint64_t service = 0;
   std::uint64_t placement = 0;
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -78,8 +78,8 @@
     relay::Options options;
     options.name = settings_.name;
     options.zone = settings_.zone;
-    auto made = relay::VersionedRelay::Make(options, kernel::MonotonicNow(),
-                                            seed_ + 1);
+    auto made =
+        relay::VersionedRelay::Make(options, kernel::MonotonicNow(), seed_ + 1);
     if (!made.ok()) {
       return made.error();
     }
@@ -93,10 +93,9 @@
       return mailbox.error();
     }
     mailbox_ = std::move(mailbox).value();
-    Status attached =
-        mailbox_->Attach(loop, [this](ClusterMessage& message) {
-          std::visit([this](auto& m) { OnMessage(m); }, message);
-        });
+    Status attached = mailbox_->Attach(loop, [this](ClusterMessage& message) {
+      std::visit([this](auto& m) { OnMessage(m); }, message);
+    });
     if (!attached.ok()) {
       return attached;
     }
@@ -104,8 +103,8 @@
   }
 
   Status MakeSockets(kernel::EventLoop& loop) {
-    auto socket = kernel::UdpSocket::Make(
-        {settings_.bind, settings_.ports.membership});
+    auto socket =
+        kernel::UdpSocket::Make({settings_.bind, settings_.ports.membership});
     if (!socket.ok()) {
       return socket.error();
     }
@@ -144,8 +143,7 @@
   }
 
   void OnDatagram(const Endpoint& from, std::span<const std::uint8_t> bytes) {
-    const auto verified =
-        signer_->Verify(auth::Channel::kMembership, bytes);
+    const auto verified = signer_->Verify(auth::Channel::kMembership, bytes);
     if (!verified.ok()) {
       CountRefused(from, verified.error());
       return;
@@ -166,8 +164,8 @@
                           "the sender names another member"});
       return;
     }
-    Perform(membership_->OnMessage(from, message.value(),
-                                   kernel::MonotonicNow()));
+    Perform(
+        membership_->OnMessage(from, message.value(), kernel::MonotonicNow()));
   }
 
   void CountRefused(const Endpoint& from, const Error& error) {
@@ -181,9 +179,9 @@
 
   void Perform(membership::Actions actions) {
     for (const membership::OutgoingMessage& out : actions.messages) {
-      const auto bytes = signer_->Sign(
-          auth::Channel::kMembership, membership::Encode(out.message),
-          absl::Now());
+      const auto bytes =
+          signer_->Sign(auth::Channel::kMembership,
+                        membership::Encode(out.message), absl::Now());
       socket_->Queue(out.to, bytes);
     }
     for (const membership::MemberEvent& event : actions.events) {
@@ -226,8 +224,8 @@
 
   void Perform(relay::Actions actions) {
     for (const relay::OutgoingMessage& out : actions.messages) {
-      SendTo(out.peer, control::MessageType::kRelay,
-             relay::Encode(out.message), control::Delivery::kQueued);
+      SendTo(out.peer, control::MessageType::kRelay, relay::Encode(out.message),
+             control::Delivery::kQueued);
     }
     if (actions.call.has_value()) {
       Tell<PlatformMessage>(kPlatformService, *actions.call);
@@ -346,13 +344,11 @@
   }
 
   void OnMessage(PlatformFailed& failed) {
-    Perform(relay_->OnCallFailed(failed.id, failed.code,
-                                 kernel::MonotonicNow()));
+    Perform(
+        relay_->OnCallFailed(failed.id, failed.code, kernel::MonotonicNow()));
   }
 
-  void OnMessage(PlatformVms& vms) {
-    membership_->SetPlatformSeeds(vms.seeds);
-  }
+  void OnMessage(PlatformVms& vms) { membership_->SetPlatformSeeds(vms.seeds); }
 
   void OnMessage(BeginShutdown& /*shutdown*/) {
     leaving_ = true;
@@ -423,10 +419,8 @@
                          std::uint64_t seed,
                          kernel::Kernel& kernel)
     : Task("cluster"),
-      impl_(std::make_unique<Impl>(settings,
-                                   std::move(signer),
-                                   seed,
-                                   kernel)) {}
+      impl_(std::make_unique<Impl>(settings, std::move(signer), seed, kernel)) {
+}
 
 ClusterTask::~ClusterTask() {
   Stop();
--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -27,14 +27,20 @@
 }
 
 routing::FlowPacket FlowPacketOf(const PacketView& view) {
-  return {view.source, view.destination, FlagsOf(view),
-          static_cast<std::uint32_t>(view.packet.size())};
+  routing::FlowPacket packet;
+  packet.source = view.source;
+  packet.service_address = view.destination;
+  packet.flags = FlagsOf(view);
+  packet.length = static_cast<std::uint32_t>(view.packet.size());
+  packet.payload = static_cast<std::uint32_t>(view.payload.size());
+  return packet;
 }
 
 // A reply names its flow as the packets that it answers do.
 routing::FlowPacket ReplyOf(const PacketView& view) {
-  return {view.destination, view.source, FlagsOf(view),
-          static_cast<std::uint32_t>(view.packet.size())};
+  routing::FlowPacket packet = FlowPacketOf(view);
+  std::swap(packet.source, packet.service_address);
+  return packet;
 }
 
 wire::RelayHeader ToWire(const routing::RelayHeader& header) {
@@ -211,8 +217,7 @@
   void OnRelayedPacket(const Endpoint& /*from*/,
                        std::span<const std::uint8_t> datagram) {
     const auto verified = signer_->Verify(auth::Channel::kRelay, datagram);
-    if (!verified.ok() ||
-        !window_.Accept(verified.value(), absl::Now()).ok()) {
+    if (!verified.ok() || !window_.Accept(verified.value(), absl::Now()).ok()) {
       ++refused_relays_;
       return;
     }
@@ -228,8 +233,8 @@
       ++malformed_;
       return;
     }
-    Perform(*view, policy_->OnRelayed(FlowPacketOf(*view), FromWire(*header),
-                                      now_));
+    Perform(*view,
+            policy_->OnRelayed(FlowPacketOf(*view), FromWire(*header), now_));
   }
 
   void Perform(const PacketView& view, const routing::Decision& decision) {
@@ -260,8 +265,8 @@
   }
 
   void Relay(const PacketView& view, const routing::Decision& decision) {
-    const auto ip = ips_.find(absl::string_view(decision.member.data(),
-                                                decision.member.size()));
+    const auto ip = ips_.find(
+        absl::string_view(decision.member.data(), decision.member.size()));
     if (ip == ips_.end()) {
       ++unknown_members_;
       return;
@@ -270,9 +275,9 @@
     relay_bytes_.assign(header.begin(), header.end());
     relay_bytes_.insert(relay_bytes_.end(), view.packet.begin(),
                         view.packet.end());
-    relay_->Queue({ip->second, settings_.ports.relay},
-                  signer_->Sign(auth::Channel::kRelay, relay_bytes_,
-                                absl::Now()));
+    relay_->Queue(
+        {ip->second, settings_.ports.relay},
+        signer_->Sign(auth::Channel::kRelay, relay_bytes_, absl::Now()));
   }
 
   // Timers and messages.
@@ -288,16 +293,15 @@
     for (routing::OutgoingMessage& out : policy_->TakeMessages()) {
       const auto cluster = kernel_.Find<ClusterMessage>(kClusterService);
       if (cluster.ok()) {
-        cluster.value()->Send(
-            SendControl{std::move(out.to), control::MessageType::kFlowRecords,
-                        std::move(out.bytes)});
+        cluster.value()->Send(SendControl{std::move(out.to),
+                                          control::MessageType::kFlowRecords,
+                                          std::move(out.bytes)});
       }
     }
   }
 
   void OnMessage(ConfigChanged& changed) {
-    policy_->ApplySnapshot(std::move(changed.snapshot),
-                           kernel::MonotonicNow());
+    policy_->ApplySnapshot(std::move(changed.snapshot), kernel::MonotonicNow());
   }
 
   void OnMessage(MembersChanged& changed) {
@@ -353,42 +357,41 @@
                          {"placed", server.placed}});
     }
     const absl::Duration quiet = kernel::MonotonicNow() - last_fabric_packet_;
-    request.reply->Put(
-        "routing",
-        {{"policy", settings_.policy},
-         {"revision", stats.revision},
-         {"flows", stats.flows},
-         {"records", stats.records},
-         {"services", stats.services},
-         {"buckets", stats.buckets},
-         {"unsettled_buckets", stats.unsettled_buckets},
-         {"tables", stats.tables},
-         {"table_bytes", stats.table_bytes},
-         {"flow_bytes", stats.flow_bytes},
-         {"new_flows", stats.new_flows},
-         {"exceptions", stats.exceptions},
-         {"forwarded", stats.forwarded},
-         {"relayed", stats.relayed},
-         {"relay_received", stats.relay_received},
-         {"resets", stats.resets},
-         {"silent_resets", stats.silent_resets},
-         {"drops", stats.drops},
-         {"evictions", stats.evictions},
-         {"refused_replies", stats.refused_replies},
-         {"control_bytes", stats.control_bytes},
-         {"bad_messages", stats.bad_messages},
-         {"fresh", stats.fresh},
-         {"complete", stats.complete},
-         {"handed_over", policy_->handed_over()},
-         {"quiet_ms", absl::ToInt64Milliseconds(
-                          std::min(quiet, absl::Hours(1)))},
-         {"malformed", malformed_},
-         {"refused_relays", refused_relays_},
-         {"dispatch_overruns", dispatch_overruns_},
-         {"dropped_datagrams", data_->datagrams_dropped() +
-                                   server_->datagrams_dropped() +
-                                   relay_->datagrams_dropped()},
-         {"servers", std::move(servers)}});
+    request.reply->Put("routing",
+                       {{"policy", settings_.policy},
+                        {"revision", stats.revision},
+                        {"flows", stats.flows},
+                        {"records", stats.records},
+                        {"services", stats.services},
+                        {"buckets", stats.buckets},
+                        {"unsettled_buckets", stats.unsettled_buckets},
+                        {"tables", stats.tables},
+                        {"table_bytes", stats.table_bytes},
+                        {"flow_bytes", stats.flow_bytes},
+                        {"new_flows", stats.new_flows},
+                        {"exceptions", stats.exceptions},
+                        {"forwarded", stats.forwarded},
+                        {"relayed", stats.relayed},
+                        {"relay_received", stats.relay_received},
+                        {"resets", stats.resets},
+                        {"silent_resets", stats.silent_resets},
+                        {"drops", stats.drops},
+                        {"evictions", stats.evictions},
+                        {"refused_replies", stats.refused_replies},
+                        {"control_bytes", stats.control_bytes},
+                        {"bad_messages", stats.bad_messages},
+                        {"fresh", stats.fresh},
+                        {"complete", stats.complete},
+                        {"handed_over", policy_->handed_over()},
+                        {"quiet_ms", absl::ToInt64Milliseconds(
+                                         std::min(quiet, absl::Hours(1)))},
+                        {"malformed", malformed_},
+                        {"refused_relays", refused_relays_},
+                        {"dispatch_overruns", dispatch_overruns_},
+                        {"dropped_datagrams", data_->datagrams_dropped() +
+                                                  server_->datagrams_dropped() +
+                                                  relay_->datagrams_dropped()},
+                        {"servers", std::move(servers)}});
   }
 
   const Settings settings_;
--- /dev/null
+++ b/src/balancer/platform_task.h
@@ -0,0 +1,31 @@
+#ifndef GCW_BALANCER_PLATFORM_TASK_H_
+#define GCW_BALANCER_PLATFORM_TASK_H_
+
+#include <memory>
+
+#include "gcw/kernel/kernel.h"
+#include "gcw/kernel/task.h"
+#include "src/balancer/messages.h"
+#include "src/balancer/settings.h"
+
+namespace gcw::balancer {
+
+// Makes the calls to the platform that the cluster task asks for. The calls
+// block this task's thread only.
+class PlatformTask : public kernel::Task {
+ public:
+  // `kernel` must outlive the task.
+  PlatformTask(const Settings& settings, kernel::Kernel& kernel);
+  ~PlatformTask() override;
+
+ protected:
+  Status Setup(kernel::EventLoop& loop) override;
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace gcw::balancer
+
+#endif  // GCW_BALANCER_PLATFORM_TASK_H_
--- a/src/balancer/settings.cc
+++ b/src/balancer/settings.cc
@@ -61,8 +61,8 @@
   ReadPort(reader, "control", &ports->control);
   ReadPort(reader, "status", &ports->status);
   reader.Finish();
-  const std::array all{ports->data,     ports->server,     ports->relay,
-                       ports->dispatch, ports->peer,       ports->membership,
+  const std::array all{ports->data,     ports->server, ports->relay,
+                       ports->dispatch, ports->peer,   ports->membership,
                        ports->control,  ports->status};
   if (std::set(all.begin(), all.end()).size() != all.size()) {
     reader.Report(ResultCode::kInvalidField, "", "two ports are the same");
@@ -144,11 +144,10 @@
                    [&](const json& value, const std::string& path) {
                      ReadKey(value, path, errors, &settings->cluster_keys);
                    });
-  reader.ReadValue("ports", Presence::kOptional,
-                   [&](const json& value, std::string path) {
-                     ReadPorts(value, std::move(path), errors,
-                               &settings->ports);
-                   });
+  reader.ReadValue(
+      "ports", Presence::kOptional, [&](const json& value, std::string path) {
+        ReadPorts(value, std::move(path), errors, &settings->ports);
+      });
 }
 
 }  // namespace
--- a/src/balancer/settings.h
+++ b/src/balancer/settings.h
@@ -48,8 +48,8 @@
   std::vector<PeerSeed> peers;
   // One or two shared secrets, raw bytes; the first one signs.
   std::vector<std::string> cluster_keys;
-  std::string policy = "tables";          // Of flows.
-  std::string dispatch_policy = "home";   // Of requests.
+  std::string policy = "tables";         // Of flows.
+  std::string dispatch_policy = "home";  // Of requests.
   LogLevel log_level = LogLevel::kInfo;
   std::uint64_t seed = 0;  // 0: a random one.
   absl::Duration shutdown_limit = absl::Seconds(30);
--- a/tests/wire/packet_test.cc
+++ b/tests/wire/packet_test.cc
@@ -110,7 +110,7 @@
 }
 
 TEST_CASE("a relay header keeps its fields and refuses others") {
-  const RelayHeader header{2, 5, 0x0102030405060708, 42, 43};
+  const RelayHeader header{2, 0x8005, 0x0102030405060708, 42, 43};
   const auto bytes = header.Encode();
   CHECK(RelayHeader::Decode(bytes) == header);
   CHECK_FALSE(RelayHeader::Decode(std::span(bytes).first(31)).has_value());
