--- a/Makefile
+++ b/Makefile
@@ -10,6 +10,7 @@
 	cmake --build --preset release
 
 test: build
+	bash tools/known_red.sh
 	ctest --test-dir build/release --output-on-failure -j 2
 
 demo: build
--- a/include/gcw/kernel/task.h
+++ b/include/gcw/kernel/task.h
@@ -29,6 +29,10 @@
   // Not thread-safe.
   Status Start();
 
+  // Processor time that the task's thread has used so far. Precondition:
+  // started and not stopped. Thread-safe.
+  absl::Duration cpu_time() const;
+
   // Ends the loop and waits for the thread. May be called again. Not
   // thread-safe; not from the task's own thread.
   void Stop();
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -217,7 +217,8 @@
     changed.self_leaving = leaving_;
     relay_->SetPeers(peers, kernel::MonotonicNow());
     Tell<PacketMessage>(kPacketService, changed);
-    Tell<DispatchMessage>(kDispatchService, std::move(changed));
+    Tell<DispatchMessage>(kDispatchService, changed);
+    Tell<StatusWriterMessage>(kStatusWriterService, std::move(changed));
   }
 
   // Configuration.
@@ -304,6 +305,8 @@
                               PeerBytes{name->second, message.payload});
         return;
       case control::MessageType::kStatus:
+        Tell<StatusWriterMessage>(kStatusWriterService,
+                                  PeerBytes{name->second, message.payload});
         return;
     }
   }
--- a/src/balancer/messages.h
+++ b/src/balancer/messages.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -127,6 +128,9 @@
                                     BeginShutdown,
                                     StatusRequest>;
 
+// Reports of other daemons come as PeerBytes.
+using StatusWriterMessage = std::variant<MembersChanged, PeerBytes>;
+
 // Calls that the platform task makes.
 using PlatformMessage = std::variant<relay::PlatformCall>;
 
--- a/src/kernel/task.cc
+++ b/src/kernel/task.cc
@@ -1,6 +1,7 @@
 #include "gcw/kernel/task.h"
 
 #include <pthread.h>
+#include <time.h>
 
 #include <cassert>
 #include <utility>
@@ -29,6 +30,18 @@
   return OkStatus();
 }
 
+absl::Duration Task::cpu_time() const {
+  clockid_t clock{};
+  timespec used{};
+  // native_handle() does not change the thread, but is not const.
+  const auto handle = const_cast<std::thread&>(thread_).native_handle();
+  if (pthread_getcpuclockid(handle, &clock) != 0 ||
+      clock_gettime(clock, &used) != 0) {
+    return absl::ZeroDuration();
+  }
+  return absl::DurationFromTimespec(used);
+}
+
 void Task::Stop() {
   if (thread_.joinable()) {
     loop_->Stop();
--- /dev/null
+++ b/tests/balancer/zone_status_test.cc
@@ -0,0 +1,100 @@
+#include "src/balancer/zone_status.h"
+
+#include <catch2/catch.hpp>
+
+namespace gcw::balancer {
+namespace {
+
+using membership::Member;
+using nlohmann::json;
+
+constexpr absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+Member MakeMember(const std::string& name, const std::string& zone) {
+  Member member;
+  member.name = name;
+  member.zone = zone;
+  member.revision = 3;
+  return member;
+}
+
+json MakeStatus(const std::string& name, bool cold) {
+  return {{"name", name},
+          {"revision", 7},
+          {"routing",
+           {{"flows", 5}, {"servers", {{{"server", "s1"}, {"flows", 4}}}}}},
+          {"dispatch",
+           {{"servers",
+             {{{"server", "s1"}, {"home", name}, {"cold", cold}},
+              {{"server", "s2"}, {"home", "other"}, {"cold", false}}}}}}};
+}
+
+TEST_CASE("a report names only the servers that the daemon is home to") {
+  const json report = ReportOf(MakeStatus("b1", true));
+  CHECK(report["revision"] == 7);
+  REQUIRE(report["servers"].size() == 1);
+  CHECK(report["servers"][0]["name"] == "s1");
+  CHECK(report["servers"][0]["state"] == "cold");
+  CHECK(report["servers"][0]["flows"] == 4);
+}
+
+TEST_CASE("all daemons of a zone agree on two candidates") {
+  std::vector<Member> members;
+  for (int i = 0; i < 9; ++i) {
+    members.push_back(MakeMember("b" + std::to_string(i), i < 6 ? "a" : "b"));
+  }
+  const auto candidates = StatusCandidates(members, "a");
+  CHECK(candidates.size() == 2);
+  std::reverse(members.begin(), members.end());
+  CHECK(StatusCandidates(members, "a") == candidates);
+  for (Member& member : members) {
+    if (member.name == candidates[0]) {
+      member.state = membership::MemberState::kDead;
+    }
+  }
+  const auto after = StatusCandidates(members, "a");
+  CHECK(std::find(after.begin(), after.end(), candidates[0]) == after.end());
+  CHECK(std::find(after.begin(), after.end(), candidates[1]) != after.end());
+}
+
+TEST_CASE("a silent daemon is said to be silent, and since is kept") {
+  ZoneStatus zone("a");
+  const std::vector<Member> members{
+      MakeMember("b1", "a"), MakeMember("b2", "a"), MakeMember("b3", "z")};
+  zone.Add("b1", ReportOf(MakeStatus("b1", true)), kStart);
+  const json first = zone.Build(members, kStart, kStart);
+  REQUIRE(first["daemons"].size() == 2);
+  CHECK(first["daemons"][0]["revision"] == 7);
+  CHECK(first["daemons"][1]["state"] == "silent");
+  CHECK(first["daemons"][1]["revision"] == 3);
+  REQUIRE(first["servers"].size() == 1);
+  CHECK(first["servers"][0]["cold"] == true);
+
+  const absl::Time later = kStart + absl::Seconds(10);
+  zone.Add("b1", ReportOf(MakeStatus("b1", true)), later);
+  const json second = zone.Build(members, later, later);
+  CHECK(second["servers"][0]["since"] == first["servers"][0]["since"]);
+  zone.Add("b1", ReportOf(MakeStatus("b1", false)), later);
+  const json third = zone.Build(members, later, later);
+  CHECK(third["servers"][0]["since"] != first["servers"][0]["since"]);
+
+  const absl::Time much_later = later + absl::Minutes(1);
+  const json fourth = zone.Build(members, much_later, much_later);
+  CHECK(fourth["daemons"][0]["state"] == "silent");
+  CHECK(fourth["servers"].empty());
+}
+
+TEST_CASE("a malformed report is ignored") {
+  ZoneStatus zone("a");
+  const std::vector<Member> members{MakeMember("b1", "a")};
+  for (const json& bad :
+       {json(3), json::object(), json{{"revision", "x"}},
+        json{{"revision", 1}, {"servers", {1, json::object()}}}}) {
+    zone.Add("b1", bad, kStart);
+    const json status = zone.Build(members, kStart, kStart);
+    CHECK(status["servers"].empty());
+  }
+}
+
+}  // namespace
+}  // namespace gcw::balancer
