--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -238,13 +238,13 @@
   }
 
   void Perform(const PacketView& view, const routing::Decision& decision) {
+    if (decision.new_flow) {
+      kLog.Info("flow {} to {} placed on {}{}", ToString(view.source),
+                decision.service_name, decision.server_name,
+                decision.exception ? " (exception)" : "");
+    }
     switch (decision.action) {
       case routing::Action::kForward:
-        if (decision.new_flow) {
-          kLog.Info("flow {} to {} placed on {}{}", ToString(view.source),
-                    decision.service_name, decision.server_name,
-                    decision.exception ? " (exception)" : "");
-        }
         server_->Queue(decision.server, view.packet);
         return;
       case routing::Action::kRelay:
