--- a/src/balancer/dispatch_task.cc
+++ b/src/balancer/dispatch_task.cc
@@ -5,6 +5,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/clock.h"
 #include "gcw/auth/replay_window.h"
+#include "gcw/base/hash.h"
 #include "gcw/base/log.h"
 #include "gcw/dispatch/codec.h"
 #include "gcw/dispatch/dispatcher.h"
@@ -109,6 +110,10 @@
     options.self = settings_.name;
     options.zone = settings_.zone;
     options.seed = seed_;
+    options.boot_id =
+        MixHash(seed_,
+                static_cast<std::uint64_t>(absl::GetCurrentTimeNanos())) |
+        1;
     auto dispatcher = dispatch::Dispatcher::Make(options);
     if (!dispatcher.ok()) {
       return dispatcher.error();
@@ -303,6 +308,11 @@
     dispatcher_->ApplyMembers(members, kernel::MonotonicNow());
   }
 
+  void OnMessage(FlowsLost& lost) {
+    kLog.Info("server at {} has lost its flows", ToString(lost.server));
+    dispatcher_->OnFlowsLost(lost.server, kernel::MonotonicNow());
+  }
+
   void OnMessage(PeerBytes& received) {
     PassPeerMessage(received.from, received.bytes);
   }
--- a/src/balancer/messages.h
+++ b/src/balancer/messages.h
@@ -73,6 +73,12 @@
   std::vector<std::uint8_t> payload;
 };
 
+// A backend server answered with RST to established flows of several callers:
+// it has restarted without notice.
+struct FlowsLost {
+  Endpoint server;
+};
+
 // Control bytes to send to another daemon.
 struct SendControl {
   std::string to;
@@ -116,6 +122,7 @@
                                      MembersChanged,
                                      PeerBytes,
                                      CallerDatagram,
+                                     FlowsLost,
                                      BeginShutdown,
                                      StatusRequest>;
 
--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -10,6 +10,7 @@
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
 #include "gcw/wire/relay_header.h"
+#include "src/balancer/reset_watch.h"
 
 namespace gcw::balancer {
 namespace {
@@ -185,6 +186,10 @@
     CallerDatagram datagram{view.source,
                             view.destination,
                             {view.payload.begin(), view.payload.end()}};
+    TellDispatch(std::move(datagram));
+  }
+
+  void TellDispatch(DispatchMessage message) {
     if (!dispatch_) {
       auto sink = kernel_.Find<DispatchMessage>(kDispatchService);
       if (!sink.ok()) {
@@ -192,7 +197,7 @@
       }
       dispatch_ = std::move(sink).value();
     }
-    if (!dispatch_->Send(std::move(datagram))) {
+    if (!dispatch_->Send(std::move(message))) {
       ++dispatch_overruns_;
     }
   }
@@ -212,6 +217,9 @@
       return;
     }
     data_->Queue(settings_.fabric, view->packet);
+    if (view->tcp.rst && reset_watch_.OnReset(from, view->destination, now_)) {
+      TellDispatch(FlowsLost{from});
+    }
   }
 
   void OnRelayedPacket(const Endpoint& /*from*/,
@@ -404,6 +412,7 @@
   std::unique_ptr<kernel::UdpSocket> relay_;
   std::unique_ptr<routing::RoutingPolicy> policy_;
   auth::ReplayWindow window_;
+  ResetWatch reset_watch_;
   std::vector<membership::Member> members_;
   absl::flat_hash_map<std::string, std::uint32_t> ips_;
   std::vector<std::uint8_t> relay_bytes_;
--- a/src/kernel/event_loop.cc
+++ b/src/kernel/event_loop.cc
@@ -169,7 +169,9 @@
 
 absl::Time MonotonicNow() {
   timespec now{};
-  clock_gettime(CLOCK_MONOTONIC, &now);
+  // Unlike CLOCK_MONOTONIC it counts while the VM is suspended, and so does
+  // the time after which others take a lease over.
+  clock_gettime(CLOCK_BOOTTIME, &now);
   return absl::TimeFromTimespec(now);
 }
 
--- a/tests/balancer/balancer_test.cc
+++ b/tests/balancer/balancer_test.cc
@@ -41,10 +41,10 @@
   std::optional<Datagram> got;
   const absl::Time limit = absl::Now() + patience;
   while (!got.has_value() && absl::Now() < limit) {
-    socket.Receive([&](const Endpoint& from,
-                       std::span<const std::uint8_t> datagram) {
-      got = Datagram{from, {datagram.begin(), datagram.end()}};
-    });
+    socket.Receive(
+        [&](const Endpoint& from, std::span<const std::uint8_t> datagram) {
+          got = Datagram{from, {datagram.begin(), datagram.end()}};
+        });
     absl::SleepFor(absl::Milliseconds(1));
   }
   return got;
@@ -154,9 +154,9 @@
   request.worth = 1;
   request.idempotent = true;
   request.body = {1, 2, 3};
-  fabric.Queue({kDaemonIp, 7000},
-               wire::BuildUdpPacket(kCaller, kService,
-                                    dispatch::Encode(request)));
+  fabric.Queue(
+      {kDaemonIp, 7000},
+      wire::BuildUdpPacket(kCaller, kService, dispatch::Encode(request)));
   fabric.Flush();
   const auto seen = NextRequest(server);
   REQUIRE(seen.has_value());
