--- a/bench/balancer_packet_path.cc
+++ b/bench/balancer_packet_path.cc
@@ -148,7 +148,7 @@
   auto generator = kernel::UdpSocket::Make(kGenerator);
   auto server = kernel::UdpSocket::Make(kServer);
   Settings settings;
-  settings.name = "b1";
+  settings.name = std::string("b1");
   settings.zone = "a";
   settings.bind = settings.advertise = kDaemonIp;
   settings.fabric = {kGenerator.ip, 9001};
--- a/tests/balancer/balancer_test.cc
+++ b/tests/balancer/balancer_test.cc
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "absl/time/clock.h"
+#include "gcw/base/hash.h"
 #include "gcw/dispatch/codec.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
--- a/tests/balancer/reset_watch_test.cc
+++ b/tests/balancer/reset_watch_test.cc
@@ -9,7 +9,7 @@
 constexpr Endpoint kOther{0x0a000002, 9000};
 constexpr Endpoint kAnna{0x0b000001, 1};
 constexpr Endpoint kBert{0x0b000002, 1};
-constexpr absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 
 TEST_CASE("resets of two callers within a second show a restart, once") {
   ResetWatch watch;
--- a/tests/balancer/zone_status_test.cc
+++ b/tests/balancer/zone_status_test.cc
@@ -8,7 +8,7 @@
 using membership::Member;
 using nlohmann::json;
 
-constexpr absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 
 Member MakeMember(const std::string& name, const std::string& zone) {
   Member member;
