--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -218,7 +218,6 @@
     relay_->SetPeers(peers, kernel::MonotonicNow());
     Tell<PacketMessage>(kPacketService, changed);
     Tell<DispatchMessage>(kDispatchService, changed);
-    Tell<StatusWriterMessage>(kStatusWriterService, std::move(changed));
   }
 
   // Configuration.
