balancer: one status writer per zone under a lease

Cause: operators need the status of a zone without a write by each daemon. Ruled out: a status object per daemon (writes grow with the fleet). Conclusion: each daemon reports to two candidates by rendezvous; the holder writes, fenced by version.

--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -13,6 +13,7 @@
 #include "src/balancer/packet_task.h"
 #include "src/balancer/platform_task.h"
 #include "src/balancer/status_server.h"
+#include "src/balancer/status_writer_task.h"
 
 namespace gcw::balancer {
 namespace {
@@ -53,17 +54,19 @@
 
 class Balancer::Impl {
  public:
-  Impl(const Settings& settings, std::shared_ptr<auth::Signer> signer)
+  Impl(const Settings& settings, const std::shared_ptr<auth::Signer>& signer)
       : settings_(settings),
         seed_(SeedOf(settings)),
         packet_(settings, signer, kernel_),
         dispatch_(settings, signer, seed_ + 1, kernel_),
         platform_(settings, kernel_),
+        status_writer_(settings, seed_ + 2, kernel_),
         cluster_(settings, signer, seed_, kernel_) {}
 
   gcw::Status Start() {
     // The cluster task comes last: it tells the others what it learns.
-    kernel::Task* const tasks[] = {&packet_, &dispatch_, &platform_, &cluster_};
+    kernel::Task* const tasks[] = {&packet_, &dispatch_, &platform_,
+                                   &status_writer_, &cluster_};
     for (kernel::Task* task : tasks) {
       gcw::Status started = task->Start();
       if (!started.ok()) {
@@ -117,6 +120,7 @@
   PacketTask packet_;
   DispatchTask dispatch_;
   PlatformTask platform_;
+  StatusWriterTask status_writer_;
   ClusterTask cluster_;
   std::unique_ptr<StatusServer> status_server_;
 };
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -177,7 +177,7 @@
     }
   }
 
-  void Perform(membership::Actions actions) {
+  void Perform(const membership::Actions& actions) {
     for (const membership::OutgoingMessage& out : actions.messages) {
       const auto bytes =
           signer_->Sign(auth::Channel::kMembership,
@@ -218,11 +218,12 @@
     relay_->SetPeers(peers, kernel::MonotonicNow());
     Tell<PacketMessage>(kPacketService, changed);
     Tell<DispatchMessage>(kDispatchService, changed);
+    Tell<StatusWriterMessage>(kStatusWriterService, std::move(changed));
   }
 
   // Configuration.
 
-  void Perform(relay::Actions actions) {
+  void Perform(const relay::Actions& actions) {
     for (const relay::OutgoingMessage& out : actions.messages) {
       SendTo(out.peer, control::MessageType::kRelay, relay::Encode(out.message),
              control::Delivery::kQueued);
--- a/src/balancer/status_server.cc
+++ b/src/balancer/status_server.cc
@@ -68,7 +68,7 @@
                                        "application/json");
                 });
     const Endpoint listen{settings_.bind, settings_.ports.status};
-    if (!server_.bind_to_port(IpToString(listen.ip).c_str(), listen.port)) {
+    if (!server_.bind_to_port(IpToString(listen.ip), listen.port)) {
       return Error{ResultCode::kBindFailed, "",
                    fmt::format("cannot bind TCP {}", ToString(listen))};
     }
