--- a/include/gcw/dispatch/peer_messages.h
+++ b/include/gcw/dispatch/peer_messages.h
@@ -122,19 +122,21 @@
   bool operator==(const HandOutcome&) const = default;
 };
 
-// A server that its home takes for cold or failing.
-struct ColdServer {
+// What a home knows of one of its servers: for the routing of flows, and for
+// the next home, which thereby sees a restart that nobody announced.
+struct ServerHint {
   std::string server;
+  std::uint64_t incarnation = 0;  // 0: it has not answered yet.
   bool ejected = false;
-  absl::Duration left;  // Until it bears its full load again.
+  absl::Duration cold_left;  // Until it bears its full load again.
 
-  bool operator==(const ColdServer&) const = default;
+  bool operator==(const ServerHint&) const = default;
 };
 
 // Home daemon to all: free slots of its servers (control).
 struct SlotHints {
   std::vector<SlotHint> hints;
-  std::vector<ColdServer> cold;
+  std::vector<ServerHint> servers;
 
   bool operator==(const SlotHints&) const = default;
 };
--- a/src/dispatch/home.cc
+++ b/src/dispatch/home.cc
@@ -270,8 +270,9 @@
 }
 
 bool Home::IsOwnerGone(const Held& held) const {
+  const std::uint64_t boot = context_.link.BootOf(held.owner);
   return !context_.members.Has(held.owner) ||
-         context_.link.BootOf(held.owner) != held.owner_boot;
+         (boot != 0 && boot != held.owner_boot);
 }
 
 void Home::OnShed(const Shed& shed, absl::Time now) {
@@ -322,6 +323,7 @@
 void Home::OnLost(Handle handle, absl::Time now) {
   Held& held = held_.at(handle);
   LeaveServer(held, true, now);
+  held.may_have_run = true;
   const Ending unknown{HandOutcomeKind::kUnknown, ResultCode::kOutcomeUnknown};
   if (held.hand.routed.request.idempotent) {
     TryAgain(handle, unknown, now);
@@ -363,6 +365,7 @@
   }
   for (const Handle handle : lost) {
     LeaveServer(held_.at(handle), false, now);
+    held_.at(handle).may_have_run = true;
     TryAgain(handle, {HandOutcomeKind::kUnknown, ResultCode::kOutcomeUnknown},
              now);
   }
@@ -436,6 +439,7 @@
     const Ending ending =
         cut ? Ending{HandOutcomeKind::kCut, ResultCode::kAnswerCut}
             : Ending{HandOutcomeKind::kUnknown, ResultCode::kOutcomeUnknown};
+    held.may_have_run = true;
     if (cut && held.hand.routed.request.idempotent && now < held.deadline) {
       TryAgain(handle, ending, now);
     } else {
@@ -495,11 +499,17 @@
 
 void Home::Finish(Handle handle, const Ending& ending, absl::Time now) {
   Held& held = held_.at(handle);
+  const bool proven = ending.kind == HandOutcomeKind::kNotSent ||
+                      ending.kind == HandOutcomeKind::kShed;
   HandOutcome outcome;
   outcome.id = held.id();
   outcome.hand_over = held.hand.hand_over;
   outcome.kind = ending.kind;
   outcome.code = ending.code;
+  if (proven && held.may_have_run) {
+    outcome.kind = HandOutcomeKind::kUnknown;
+    outcome.code = ResultCode::kOutcomeUnknown;
+  }
   outcome.attempts = held.hand.attempts;
   outcome.server = held.hand.avoid;
   outcome.hint = Hint(held.service(), now);
@@ -531,8 +541,9 @@
     }
   }
   for (const auto& [name, server] : pool_.servers()) {
-    if (pool_.IsMine(server) && (server.cold() || server.ejected(now))) {
-      hints.cold.push_back({name, server.ejected(now), server.cold_left(now)});
+    if (pool_.IsMine(server)) {
+      hints.servers.push_back({name, server.incarnation(), server.ejected(now),
+                               server.cold_left(now)});
     }
   }
   return hints;
--- a/src/dispatch/home.h
+++ b/src/dispatch/home.h
@@ -64,6 +64,8 @@
     absl::Time sent;
     absl::Time last_part;
     AnswerCollector answer;
+    // An earlier attempt ended without proof of "not run".
+    bool may_have_run = false;
 
     const std::string& id() const { return hand.routed.request.id; }
     const std::string& service() const { return hand.routed.request.service; }
--- a/src/dispatch/home_directory.cc
+++ b/src/dispatch/home_directory.cc
@@ -118,13 +118,14 @@
   return shortest;
 }
 
-void HomeDirectory::OnCold(const std::string& server, absl::Time until) {
-  cold_until_[server] = until;
+void HomeDirectory::OnServerHint(const ServerHint& hint, absl::Time now) {
+  servers_[hint.server] = {hint.incarnation, now + hint.cold_left};
 }
 
-bool HomeDirectory::IsCold(std::string_view server, absl::Time now) const {
-  const auto it = cold_until_.find(server);
-  return it != cold_until_.end() && now < it->second;
+const HomeDirectory::KnownServer* HomeDirectory::FindServer(
+    std::string_view server) const {
+  const auto it = servers_.find(server);
+  return it == servers_.end() ? nullptr : &it->second;
 }
 
 bool HomeDirectory::IsFreeElsewhere(const std::string& service,
--- a/src/dispatch/home_directory.h
+++ b/src/dispatch/home_directory.h
@@ -33,9 +33,15 @@
                      const std::function<bool(const std::string&)>& usable,
                      std::mt19937_64& random) const;
 
-  // What homes say of cold servers, for the day that this daemon is their home.
-  void OnCold(const std::string& server, absl::Time until);
-  bool IsCold(std::string_view server, absl::Time now) const;
+  // What a home says of a server of its, for the day that this daemon is its
+  // home.
+  void OnServerHint(const ServerHint& hint, absl::Time now);
+  // The last hint on `server`, or nullptr.
+  struct KnownServer {
+    std::uint64_t incarnation = 0;
+    absl::Time cold_until = absl::InfinitePast();
+  };
+  const KnownServer* FindServer(std::string_view server) const;
 
   // Whether a home other than `self` seems to have a free slot.
   bool IsFreeElsewhere(const std::string& service,
@@ -56,7 +62,7 @@
   using Homes = std::map<std::string, Home, std::less<>>;
 
   std::map<std::string, Homes, std::less<>> services_;
-  std::map<std::string, absl::Time, std::less<>> cold_until_;
+  std::map<std::string, KnownServer, std::less<>> servers_;
 };
 
 }  // namespace gcw::dispatch
--- a/src/dispatch/member_view.cc
+++ b/src/dispatch/member_view.cc
@@ -25,6 +25,7 @@
 
 std::vector<std::string> MemberView::Apply(std::span<const Member> members,
                                            absl::Time now) {
+  joined_ = true;
   std::set<std::string> before;
   for (auto& [name, known] : members_) {
     if (known.present) {
@@ -36,6 +37,9 @@
   for (const Member& member : members) {
     Known& known = members_[member.name];
     const bool leaving = member.state == MemberState::kLeaving;
+    // Nobody returns from leaving but as a new start.
+    const bool returned = !leaving && before.contains(member.name) &&
+                          known.leaving_since != absl::InfiniteFuture();
     if (!leaving && member.name != self_) {
       known.leaving_since = absl::InfiniteFuture();
     } else if (leaving && known.leaving_since == absl::InfiniteFuture()) {
@@ -48,7 +52,9 @@
     }
     known.present = true;
     known.last_seen = now;
-    before.erase(member.name);
+    if (!returned) {
+      before.erase(member.name);
+    }
   }
   before.erase(self_);
   std::erase_if(members_, [&](const auto& entry) {
@@ -162,8 +168,8 @@
     return false;
   }
   const std::string top = Top(id, [&](const std::string&, const Known& known) {
-    const absl::Time acts_until =
-        std::min(known.last_seen, known.leaving_since) + memory_;
+    const absl::Time seen = known.present ? now : known.last_seen;
+    const absl::Time acts_until = std::min(seen, known.leaving_since) + memory_;
     return known.member.zone == zone_ && acts_until >= now;
   });
   return top == self_;
--- a/src/dispatch/member_view.h
+++ b/src/dispatch/member_view.h
@@ -44,6 +44,9 @@
   // Own evidence on whether a member reacts; counts until told otherwise.
   void SetResponsive(const std::string& member, bool responsive);
 
+  // Whether the members were ever told: before, this daemon knows of none.
+  bool joined() const { return joined_; }
+
   bool Has(std::string_view member) const;
   // Present, not leaving, and reacting.
   bool Usable(std::string_view member) const;
@@ -68,6 +71,9 @@
   bool IsMajority(const std::set<std::string>& zones, absl::Time now) const;
   bool IsEveryZone(const std::set<std::string>& zones, absl::Time now) const;
 
+  std::size_t zone_count() const {
+    return zone_sets_.empty() ? 0 : zone_sets_.back().zones.size();
+  }
   std::string ZoneOf(std::string_view member) const;
 
   // The daemon that counts the slots of a backend server.
@@ -97,6 +103,7 @@
   std::string self_;
   std::string zone_;
   absl::Duration memory_;
+  bool joined_ = false;
   absl::Time since_ = absl::InfinitePast();
   std::map<std::string, Known, std::less<>> members_;
   std::deque<ZoneSet> zone_sets_;
--- a/src/dispatch/owner.cc
+++ b/src/dispatch/owner.cc
@@ -16,7 +16,9 @@
 // An answer that comes this much late is still sent to the caller.
 constexpr absl::Duration kLateGrace = absl::Milliseconds(20);
 constexpr std::size_t kMaxCopies = 16;
-constexpr std::uint32_t kMaxHandOvers = 12;
+constexpr std::uint32_t kMaxHandOvers = 50;
+// Hand-overs that follow each other at once.
+constexpr std::uint32_t kQuickHandOvers = 3;
 
 // Repeats of one request have equal contents.
 std::uint64_t Fingerprint(const Request& request) {
@@ -80,7 +82,7 @@
     Hand(entry, now);
     return;
   }
-  StartClaims(entry, now);
+  AskWitnesses(entry, now);
 }
 
 void Owner::OnRepeat(Entry& entry,
@@ -119,17 +121,25 @@
                      now + context_.options.claim_timeout);
 }
 
-void Owner::StartClaims(Entry& entry, absl::Time now) {
+void Owner::AskWitnesses(Entry& entry, absl::Time now) {
   const std::string& id = entry.routed.request.id;
   for (const MemberView::Witness& witness : context_.members.Witnesses(id)) {
-    if (!witness.member.empty()) {
-      ++entry.asked;
+    if (!witness.member.empty() && entry.asked.insert(witness.zone).second) {
       context_.link.Send(witness.member, Claim{id}, now,
                          now + context_.options.claim_timeout);
     }
   }
 }
 
+void Owner::Refresh(absl::Time now) {
+  for (const std::string& id : open_) {
+    Entry& entry = entries_.at(id);
+    if (entry.phase == Phase::kClaiming) {
+      AskWitnesses(entry, now);
+    }
+  }
+}
+
 // Two owners must never both run a non-idempotent request, so it takes a
 // majority of zones, and any two majorities share a witness. An idempotent one
 // only has to leave a trace that keeps others from promising "not run".
@@ -190,8 +200,9 @@
   const std::string other = OtherOwner(entry, now);
   if (!other.empty()) {
     Transfer(entry, other, now);
-  } else if (entry.recorded.size() + entry.taken.size() >= entry.asked) {
-    Refuse(entry, ResultCode::kOutcomeUnknown, now);
+  } else if (entry.recorded.size() + entry.taken.size() >=
+             context_.members.zone_count()) {
+    Refuse(entry, ResultCode::kOutcomeUnknown, "no majority of witnesses", now);
   }
 }
 
@@ -305,7 +316,7 @@
                    outcome.kind == HandOutcomeKind::kCut;
   entry->may_have_run = entry->may_have_run || ran;
   if (ran) {
-    Refuse(*entry, outcome.code, now);
+    Refuse(*entry, outcome.code, "sent, and no whole answer came", now);
     return;
   }
   const bool elsewhere = outcome.code == ResultCode::kRefusedNoServer ||
@@ -315,11 +326,17 @@
   const bool may = entry->attempts < context_.options.max_attempts &&
                    entry->hand_over < kMaxHandOvers &&
                    entry->deadline - now > kLeastTime && claims_;
+  if (elsewhere && may && entry->hand_over >= kQuickHandOvers) {
+    // Homes are about to change or all are busy.
+    entry->phase = Phase::kWaiting;
+    entry->retry_at = now + kWaitForHome;
+    return;
+  }
   if (elsewhere && may) {
     Hand(*entry, now);
     return;
   }
-  Refuse(*entry, outcome.code, now);
+  Refuse(*entry, outcome.code, "no home takes it", now);
 }
 
 void Owner::OnHandOverdue(const std::string& home,
@@ -349,7 +366,7 @@
     if (entry.routed.request.idempotent) {
       Hand(entry, now);
     } else {
-      Refuse(entry, ResultCode::kOutcomeUnknown, now);
+      Refuse(entry, ResultCode::kOutcomeUnknown, "its home is gone", now);
     }
   }
 }
@@ -366,11 +383,16 @@
     entry->may_have_run = true;
   }
   entry->refusal = ResultCode::kCancelled;
+  entry->why = "the caller gave up";
   SettleRefusal(*entry, now);
 }
 
-void Owner::Refuse(Entry& entry, ResultCode code, absl::Time now) {
+void Owner::Refuse(Entry& entry,
+                   ResultCode code,
+                   std::string_view why,
+                   absl::Time now) {
   entry.refusal = code;
+  entry.why = why;
   const bool promise = IsNotRun(code);
   if (promise && !entry.may_have_run && !MayPromiseNotRun(entry, now) &&
       now < entry.arrived + context_.options.claim_timeout) {
@@ -405,7 +427,7 @@
   context_.outbox.ToCaller(to, Refusal{id, code, not_run});
   context_.outbox.Decide({DecisionKind::kRefused, id,
                           entry.routed.request.service, "", code,
-                          not_run ? "not run" : "may have run"});
+                          std::string(entry.why)});
 }
 
 void Owner::SettleAnswer(Entry& entry, absl::Time now) {
@@ -472,7 +494,7 @@
 void Owner::TickOne(Entry& entry, absl::Time now) {
   const bool votes_late = now >= entry.arrived + context_.options.claim_timeout;
   if (entry.phase == Phase::kClaiming && votes_late) {
-    Refuse(entry, ResultCode::kOutcomeUnknown, now);
+    Refuse(entry, ResultCode::kOutcomeUnknown, "witnesses do not answer", now);
     return;
   }
   if (entry.phase == Phase::kRefusing && votes_late) {
@@ -481,7 +503,7 @@
   }
   if (entry.phase == Phase::kWaiting) {
     if (entry.deadline - now <= kLeastTime) {
-      Refuse(entry, ResultCode::kRefusedNoServer, now);
+      Refuse(entry, ResultCode::kRefusedNoServer, "no home in time", now);
     } else if (now >= entry.retry_at) {
       Hand(entry, now);
     }
@@ -492,7 +514,7 @@
                        HandCancel{entry.routed.request.id, entry.hand_over},
                        now, now + context_.options.claim_timeout);
     entry.may_have_run = true;
-    Refuse(entry, ResultCode::kOutcomeUnknown, now);
+    Refuse(entry, ResultCode::kOutcomeUnknown, "its home does not answer", now);
   }
 }
 
--- a/src/dispatch/owner.h
+++ b/src/dispatch/owner.h
@@ -43,6 +43,8 @@
   void OnHandOverdue(const std::string& home,
                      const HandRequest& hand,
                      absl::Time now);
+  // The context has newer members or zones.
+  void Refresh(absl::Time now);
   // `home` is gone or was started anew, and forgot what it was handed.
   void OnHomeLost(const std::string& home, absl::Time now);
 
@@ -73,7 +75,7 @@
     std::set<std::string> granted;
     // Zones whose witness recorded another owner, and which.
     std::map<std::string, std::string> taken;
-    std::size_t asked = 0;  // Witnesses.
+    std::set<std::string> asked;
     std::uint32_t hand_over = 0;
     std::uint32_t attempts = 0;
     std::string home;
@@ -82,6 +84,7 @@
     // Some hand-over may have reached a server without proof of "not run".
     bool may_have_run = false;
     ResultCode refusal = ResultCode::kOutcomeUnknown;
+    std::string_view why;
     AnswerCollector collector;
     std::vector<AnswerPart> answer;
     bool answer_dropped = false;  // To save memory.
@@ -98,7 +101,8 @@
                 const std::string& ingress,
                 RoutedRequest routed,
                 absl::Time now);
-  void StartClaims(Entry& entry, absl::Time now);
+  // Asks the witnesses of zones that were not asked yet.
+  void AskWitnesses(Entry& entry, absl::Time now);
   void CountVotes(Entry& entry, absl::Time now);
   // The other owner that a majority of zones recorded; empty if none.
   std::string OtherOwner(const Entry& entry, absl::Time now) const;
@@ -106,7 +110,11 @@
   bool MayPromiseNotRun(const Entry& entry, absl::Time now) const;
   void Transfer(Entry& entry, const std::string& to, absl::Time now);
   void Hand(Entry& entry, absl::Time now);
-  void Refuse(Entry& entry, ResultCode code, absl::Time now);
+  // `why`: a literal for the log.
+  void Refuse(Entry& entry,
+              ResultCode code,
+              std::string_view why,
+              absl::Time now);
   void SettleRefusal(Entry& entry, absl::Time now);
   void SettleAnswer(Entry& entry, absl::Time now);
   void Settle(Entry& entry, absl::Time now);
--- a/src/dispatch/peer_codec.cc
+++ b/src/dispatch/peer_codec.cc
@@ -138,10 +138,15 @@
     list.push_back(HintFields(hint));
   }
   json map = {{"t", "hints"}, {"l", std::move(list)}};
-  for (const ColdServer& cold : message.cold) {
-    map["c"].push_back({{"s", cold.server},
-                        {"e", cold.ejected},
-                        {"dl", absl::ToInt64Milliseconds(cold.left)}});
+  for (const ServerHint& server : message.servers) {
+    json fields = {{"s", server.server}, {"i", server.incarnation}};
+    if (server.ejected) {
+      fields["e"] = true;
+    }
+    if (server.cold_left > absl::ZeroDuration()) {
+      fields["dl"] = absl::ToInt64Milliseconds(server.cold_left);
+    }
+    map["c"].push_back(std::move(fields));
   }
   return map;
 }
@@ -206,11 +211,14 @@
   }
   for (const json& item : reader.List("c")) {
     FieldReader inner(item, reader.Path("c"));
-    ColdServer cold;
-    cold.server = inner.Text("s");
-    cold.ejected = inner.Flag("e");
-    cold.left = inner.Milliseconds("dl");
-    message.cold.push_back(std::move(cold));
+    ServerHint server;
+    server.server = inner.Text("s");
+    server.incarnation = inner.Number("i", kMax64);
+    server.ejected = inner.Flag("e", false);
+    if (inner.Has("dl")) {
+      server.cold_left = inner.Milliseconds("dl");
+    }
+    message.servers.push_back(std::move(server));
     reader.Join(inner);
   }
   return message;
--- a/src/dispatch/peer_link.cc
+++ b/src/dispatch/peer_link.cc
@@ -143,6 +143,7 @@
 }
 
 void PeerLink::Forget(const std::string& member) {
+  heard_[member].boot = 0;
   absl::erase_if(pending_, [&](const auto& entry) {
     return entry.second.member == member;
   });
--- a/src/dispatch/peer_link.h
+++ b/src/dispatch/peer_link.h
@@ -65,7 +65,7 @@
   // When something is to be repeated next.
   absl::Time NextTick() const;
 
-  // Forgets what waits for a member that is gone.
+  // Forgets the start of a member that is gone, and what waits for it.
   void Forget(const std::string& member);
 
   bool idle() const { return pending_.empty(); }
--- a/src/dispatch/role_dispatcher.cc
+++ b/src/dispatch/role_dispatcher.cc
@@ -11,6 +11,8 @@
 constexpr absl::Duration kBusyTick = absl::Milliseconds(5);
 // Bytes that hints may use a second: a part of the control budget.
 constexpr double kHintBytesPerSecond = 1200;
+// A cold server always bears a little.
+constexpr double kLeastShare = 0.1;
 // After BeginShutdown others may still send work until they know.
 constexpr absl::Duration kLinger = absl::Seconds(1);
 
@@ -70,10 +72,11 @@
   context_.directory.Rebuild(*context_.snapshot, context_.members);
   for (const std::string& member : gone) {
     context_.link.Forget(member);
-    cold_elsewhere_.erase(member);
+    servers_elsewhere_.erase(member);
     OnMemberLost(member, now);
   }
   home_.Refresh(now);
+  owner_.Refresh(now);
   Finish(now);
 }
 
@@ -167,10 +170,10 @@
   for (const SlotHint& hint : hints.hints) {
     context_.directory.OnHint(member, hint);
   }
-  for (const ColdServer& cold : hints.cold) {
-    context_.directory.OnCold(cold.server, now + cold.left);
+  for (const ServerHint& server : hints.servers) {
+    context_.directory.OnServerHint(server, now);
   }
-  cold_elsewhere_[member] = hints.cold;
+  servers_elsewhere_[member] = {hints.servers, now};
 }
 
 void RoleDispatcher::OnOverdue(const PeerLink::Overdue& overdue,
@@ -267,18 +270,25 @@
 
 std::vector<ServerAdvice> RoleDispatcher::advice() const {
   std::vector<ServerAdvice> advice;
-  const auto add = [&](const ColdServer& cold) {
-    const double left = absl::FDivDuration(cold.left, context_.options.warm_up);
-    const double share = cold.ejected ? 0 : std::clamp(1 - left, 0.0, 1.0);
+  const auto add = [&](const ServerHint& server, absl::Time as_of) {
+    const absl::Duration left =
+        std::max(server.cold_left - (now_ - as_of), absl::ZeroDuration());
+    const bool cold = left > absl::ZeroDuration();
+    if (!cold && !server.ejected) {
+      return;
+    }
+    const double progress =
+        1 - absl::FDivDuration(left, context_.options.warm_up);
+    const double share = std::clamp(progress, kLeastShare, 1.0);
     advice.push_back(
-        {cold.server, cold.left > absl::ZeroDuration(), cold.ejected, share});
+        {server.server, cold, server.ejected, server.ejected ? 0 : share});
   };
-  for (const ColdServer& cold : home_.AllHints(now_).cold) {
-    add(cold);
+  for (const ServerHint& server : home_.AllHints(now_).servers) {
+    add(server, now_);
   }
-  for (const auto& [member, list] : cold_elsewhere_) {
-    for (const ColdServer& cold : list) {
-      add(cold);
+  for (const auto& [member, heard] : servers_elsewhere_) {
+    for (const ServerHint& server : heard.servers) {
+      add(server, heard.when);
     }
   }
   return advice;
--- a/src/dispatch/role_dispatcher.h
+++ b/src/dispatch/role_dispatcher.h
@@ -67,8 +67,12 @@
   Owner owner_;
   Witness witness_;
   Ingress ingress_;
-  // What other homes say of their servers.
-  std::map<std::string, std::vector<ColdServer>> cold_elsewhere_;
+  // What another home said of its servers.
+  struct HeardServers {
+    std::vector<ServerHint> servers;
+    absl::Time when;
+  };
+  std::map<std::string, HeardServers> servers_elsewhere_;
   std::size_t hint_bytes_ = 0;
   absl::Time now_ = absl::InfinitePast();
   absl::Time last_hints_ = absl::InfinitePast();
--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -29,7 +29,13 @@
     const bool mine = policy_.IsMine(config, context_.members);
     bool& was_mine = mine_[name];
     if (mine && !was_mine) {
-      server.StartCautiously(context_.directory.IsCold(name, now), now);
+      const HomeDirectory::KnownServer* known =
+          context_.directory.FindServer(name);
+      // Of a server that nobody has told of, nobody knows that it is warm.
+      server.StartCautiously(
+          known == nullptr ? 0 : known->incarnation,
+          known == nullptr ? now + context_.options.warm_up : known->cold_until,
+          now);
     }
     was_mine = mine;
     server.SetWanted(mine && context_.IsWanted(config));
--- a/src/dispatch/server_state.cc
+++ b/src/dispatch/server_state.cc
@@ -9,6 +9,10 @@
 
 // A server that shed is left alone this long, doubled with each shed in a row.
 constexpr absl::Duration kFirstPause = absl::Milliseconds(40);
+// A new home waits this long, until daemons agree better on who it is.
+constexpr absl::Duration kTakeoverPause = absl::Milliseconds(300);
+// One of a cold server waits until most of its predecessor's work has ended.
+constexpr absl::Duration kColdTakeoverPause = absl::Seconds(1);
 constexpr std::uint32_t kMaxPauseDoublings = 4;
 constexpr std::uint32_t kSilencesToEject = 3;
 constexpr absl::Duration kEjection = absl::Seconds(2);
@@ -32,10 +36,19 @@
   }
 }
 
-void ServerState::StartCautiously(bool cold, absl::Time now) {
+void ServerState::StartCautiously(std::uint64_t incarnation,
+                                  absl::Time cold_until,
+                                  absl::Time now) {
   allowed_ = 1;
-  if (cold) {
+  const bool maybe_cold = incarnation == 0 || cold_until > now;
+  paused_until_ = now + (maybe_cold ? kColdTakeoverPause : kTakeoverPause);
+  if (incarnation != 0) {
+    incarnation_ = incarnation;
+  }
+  if (incarnation_ == 0) {
     TurnCold(now);
+  } else if (cold_until > now) {
+    TurnCold(cold_until - warm_up_);
   }
 }
 
--- a/src/dispatch/server_state.h
+++ b/src/dispatch/server_state.h
@@ -26,9 +26,12 @@
   // Takes over newer configuration. An object created anew starts cold.
   void Configure(const config::BackendServer& server, absl::Time now);
 
-  // This daemon became the home: others may have work there. `cold`: the
-  // former home said so.
-  void StartCautiously(bool cold, absl::Time now);
+  // This daemon became the home: others may have work there. The former home
+  // last saw `incarnation` (0: unknown) and took it for cold until
+  // `cold_until`.
+  void StartCautiously(std::uint64_t incarnation,
+                       absl::Time cold_until,
+                       absl::Time now);
 
   // It may have restarted: it is as good as cold.
   void TurnCold(absl::Time now);
--- a/src/dispatch/slot_policy.cc
+++ b/src/dispatch/slot_policy.cc
@@ -26,7 +26,8 @@
 
   bool IsMine(const config::BackendServer& server,
               const MemberView& members) const override {
-    return members.Home(server.name, server.zone) == members.self();
+    return members.joined() &&
+           members.Home(server.name, server.zone) == members.self();
   }
 
   bool Fits(const ServerState& server,
--- a/tests/dispatch/codec_test.cc
+++ b/tests/dispatch/codec_test.cc
@@ -64,7 +64,7 @@
           HandAnswer{2, ExamplePart(), hint},
           HandOutcome{"a", 2, HandOutcomeKind::kShed, ResultCode::kRefusedShed,
                       3, "s1", hint},
-          SlotHints{{hint, hint}, {{"s1", true, absl::Milliseconds(900)}}},
+          SlotHints{{hint, hint}, {{"s1", 7, true, absl::Milliseconds(900)}}},
           ClaimRecords{{{"a", "d1"}, {"b", "d2"}}, true},
           PeerAck{12}};
 }
