--- a/src/lab/daemon_fleet.h
+++ b/src/lab/daemon_fleet.h
@@ -56,8 +56,9 @@
 
   // Reaps ended processes and takes in their reports; call it often.
   void Tick();
-  // Whether every started daemon has reported `version`.
-  bool AllHave(std::uint64_t version) const;
+  // Whether every started daemon has reported `version` and that it can answer
+  // for non-idempotent requests.
+  bool AllReady(std::uint64_t version) const;
   // Daemons that ended by themselves or ended a shutdown with an error.
   std::uint64_t crashes() const { return crashes_; }
   std::string LogPath(DaemonIndex daemon) const;
@@ -67,11 +68,12 @@
     std::unique_ptr<DaemonProcess> process;
     std::uint64_t process_number = 0;
     std::uint64_t revision = 0;
+    bool certain = false;
   };
 
   std::string WriteSettings(DaemonIndex daemon) const;
   void OnEnded(DaemonIndex daemon, int exit_code);
-  void OnReport(const RevisionReport& report);
+  void OnReport(const StatusReport& report);
   void SprayAfterLag(DaemonIndex daemon);
   void PublishVms();
 
--- a/src/lab/status_poller.h
+++ b/src/lab/status_poller.h
@@ -9,10 +9,13 @@
 
 namespace gcw::lab {
 
-struct RevisionReport {
+// What a daemon's status says.
+struct StatusReport {
   DaemonIndex daemon = 0;
   std::uint64_t process = 0;  // As given to Poll().
   std::uint64_t revision = 0;
+  // Whether it can know of all non-idempotent requests that may have run.
+  bool certain = false;
 };
 
 // Asks daemons for their status on a thread of its own. Thread-safe.
@@ -26,7 +29,7 @@
   void Poll(DaemonIndex daemon, std::uint64_t process);
   void Skip(DaemonIndex daemon);
   // Reports since the last call, oldest first.
-  std::vector<RevisionReport> Take();
+  std::vector<StatusReport> Take();
 
  private:
   class Impl;
