--- /dev/null
+++ b/tests/api/bad_input_test.cc
@@ -0,0 +1,261 @@
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <catch2/catch.hpp>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "tests/api/api_fixture.h"
+
+namespace gcw::api {
+namespace {
+
+// One generated request that no operator should send.
+struct BadRequest {
+  std::string method;
+  std::string path;
+  std::string body;
+  httplib::Headers headers;
+};
+
+class Generator {
+ public:
+  explicit Generator(std::uint64_t seed) : random_(seed) {}
+
+  BadRequest Next() {
+    switch (Draw(5)) {
+      case 0:
+        return WrongBody();
+      case 1:
+        return WrongField();
+      case 2:
+        return WrongHeader();
+      case 3:
+        return WrongPath();
+      default:
+        return CutBody();
+    }
+  }
+
+ private:
+  std::size_t Draw(std::size_t count) { return random_() % count; }
+
+  template <typename T>
+  const T& Pick(const std::vector<T>& values) {
+    return values[Draw(values.size())];
+  }
+
+  json GoodSpec() {
+    return ApiFixture::ServiceSpec("dispatch", "valtellina", "10.0.0.1:80");
+  }
+
+  BadRequest WrongBody() {
+    static const std::vector<std::string> kBodies = {"",
+                                                     "null",
+                                                     "[]",
+                                                     "7",
+                                                     "{",
+                                                     "\"x\"",
+                                                     "{\"a\":1,\"a\":1}",
+                                                     "\xff\xfe",
+                                                     std::string(200, '['),
+                                                     "{\"name\":\"a\"} x",
+                                                     std::string(64, '\0'),
+                                                     "{\"name\":\"\\ud800\"}",
+                                                     "true",
+                                                     "-",
+                                                     "{\"name\":1e999}"};
+    return {"POST", Collection(), Pick(kBodies), {}};
+  }
+
+  BadRequest WrongField() {
+    static const std::vector<json> kValues = {nullptr,
+                                              -1,
+                                              1.5,
+                                              true,
+                                              "",
+                                              "a b",
+                                              "A",
+                                              "-a",
+                                              json::array(),
+                                              json::object(),
+                                              std::string(300, 'a'),
+                                              1e300,
+                                              "10.0.0.1",
+                                              "::1:80",
+                                              json::array({json::array()}),
+                                              18446744073709551615ULL,
+                                              "10.0.0.1:0"};
+    json spec = GoodSpec();
+    static const std::vector<std::string> kFields = {"name", "firm",
+                                                     "addresses"};
+    spec[Pick(kFields)] = Pick(kValues);
+    spec["extra"] = Pick(kValues);
+    return {"POST", "/v1/services", spec.dump(), {}};
+  }
+
+  BadRequest WrongHeader() {
+    static const std::vector<std::string> kVersions = {
+        "x",       "-1", "\"", "\"\"", "1.5", "\"1", "99999999999999999999999",
+        "W/\"1\"", "0",  "1,2"};
+    if (Draw(2) == 0) {
+      return {"PATCH",
+              "/v1/zones/tirano",
+              "{\"state\":\"in\"}",
+              {{"If-Match", Pick(kVersions)}}};
+    }
+    static const std::vector<std::string> kIds = {
+        "a b", "a/b", std::string(65, 'a'), "\xc3\xa9", "a;b", "{}"};
+    return {"PATCH",
+            "/v1/zones/tirano",
+            "{\"state\":\"in\"}",
+            {{"Operation-Id", Pick(kIds)}}};
+  }
+
+  BadRequest WrongPath() {
+    static const std::vector<std::string> kPaths = {
+        "/",
+        "/v1",
+        "/v1/",
+        "/v2/zones",
+        "/v1/lease",
+        "/v1/zones/",
+        "/v1/zones/UPPER",
+        "/v1/zones/a/b",
+        "/v1/services/..%2f..",
+        "/v1/claims",
+        "/v1/zones/%00",
+        "/v1/zones/%ff",
+        "//",
+        "/v1//zones",
+        "/v1/zones/nowhere",
+        "/v1/status/x",
+        "/v1/zones/" + std::string(100, 'a')};
+    static const std::vector<std::string> kMethods = {"GET", "DELETE", "PUT",
+                                                      "PATCH", "POST"};
+    return {Pick(kMethods), Pick(kPaths), "{}", {{"If-Match", "1"}}};
+  }
+
+  BadRequest CutBody() {
+    const std::string text = GoodSpec().dump();
+    return {"POST", "/v1/services", text.substr(0, Draw(text.size())), {}};
+  }
+
+  std::string Collection() {
+    static const std::vector<std::string> kCollections = {
+        "/v1/firms", "/v1/services", "/v1/servers", "/v1/zones"};
+    return Pick(kCollections);
+  }
+
+  std::mt19937_64 random_;
+};
+
+TEST_CASE("500 generated bad requests: each a clear 4xx, nothing written") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  const Version before = fixture.platform->revision();
+  Generator generator(11);
+  for (int i = 0; i < 500; ++i) {
+    const BadRequest bad = generator.Next();
+    INFO("request " << i << ": " << bad.method << " " << bad.path << " "
+                    << bad.body);
+    const Reply reply = pool.Call(bad.method, bad.path, bad.body, bad.headers);
+    CHECK(reply.status >= 400);
+    CHECK(reply.status < 500);
+    REQUIRE(reply.body.is_object());
+    CHECK(reply.code() >= 100);
+    CHECK_FALSE(reply.body["error"]["message"].get<std::string>().empty());
+    CHECK_FALSE(reply.body["error"]["what_to_do"].get<std::string>().empty());
+  }
+  CHECK(fixture.platform->revision() == before);
+  CHECK(pool.Get("/v1/zones").status == 200);
+}
+
+TEST_CASE("a request that is too large is refused") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  const std::string body = "{\"name\":\"" + std::string(1'000'000, 'a') + "\"}";
+  const Reply reply = pool.Call("POST", "/v1/zones", body, {});
+  CHECK(reply.status == 413);
+}
+
+// Sends bytes that need not be HTTP and closes.
+void SendRaw(const Endpoint& api, const std::string& bytes) {
+  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  REQUIRE(fd >= 0);
+  const sockaddr_in address = api.ToSockaddr();
+  REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&address),
+                  sizeof(address)) == 0);
+  CHECK(send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+        static_cast<ssize_t>(bytes.size()));
+  close(fd);
+}
+
+TEST_CASE("200 connections with random bytes leave the API alive") {
+  ApiFixture fixture;
+  std::mt19937_64 random(5);
+  for (int i = 0; i < 200; ++i) {
+    std::string bytes = i % 2 == 0 ? "POST /v1/zones HTTP/1.1\r\n" : "";
+    const std::size_t size = random() % 200;
+    for (std::size_t j = 0; j < size; ++j) {
+      bytes += static_cast<char>(random());
+    }
+    SendRaw(fixture.api->endpoint(), bytes);
+  }
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  CHECK(pool.Get("/v1/zones").status == 200);
+}
+
+std::string GoodSettings() {
+  return json({{"listen", "127.0.0.1:8080"},
+               {"platform", "127.0.0.1:8081"},
+               {"bind", "127.0.0.1"},
+               {"pool_token_hash", HashOfToken(kPoolToken)},
+               {"status_stale_seconds", 10},
+               {"log_level", "warning"}})
+      .dump();
+}
+
+TEST_CASE("good settings are read") {
+  const ParsedApiSettings parsed = ParseApiSettings(GoodSettings());
+  CHECK(parsed.errors.empty());
+  CHECK(parsed.settings.listen.port == 8080);
+  CHECK(parsed.settings.bind == kLoopback);
+  CHECK(parsed.settings.status_stale == absl::Seconds(10));
+  CHECK(parsed.settings.log_level == LogLevel::kWarning);
+}
+
+TEST_CASE("200 generated settings files: every wrong field is named") {
+  std::mt19937_64 random(3);
+  const std::vector<json> wrong = {nullptr,
+                                   -1,
+                                   true,
+                                   "x",
+                                   json::array(),
+                                   json::object(),
+                                   "1.2.3.4:70000",
+                                   std::string(600, 'x'),
+                                   1e300};
+  const json good = json::parse(GoodSettings());
+  for (int i = 0; i < 200; ++i) {
+    json settings = good;
+    auto it = settings.begin();
+    std::advance(it, static_cast<std::ptrdiff_t>(random() % settings.size()));
+    const std::string field = it.key();
+    it.value() = wrong[random() % wrong.size()];
+    settings["unknown"] = 1;
+    const ParsedApiSettings parsed = ParseApiSettings(settings.dump());
+    INFO(settings.dump());
+    REQUIRE(parsed.errors.size() == 2);
+    CHECK(parsed.errors[0].field == field);
+    CHECK(parsed.errors[1].field == "unknown");
+  }
+  for (std::size_t cut = 0; cut < GoodSettings().size(); cut += 7) {
+    CHECK_FALSE(ParseApiSettings(GoodSettings().substr(0, cut)).errors.empty());
+  }
+}
+
+}  // namespace
+}  // namespace gcw::api
