cli, api: the command line gcw, and changes that hold on any version

The change now runs in the API on the fresh state, guarded by If-Created and If-Spec, and a repeat is found by Operation-Id and Operation-After. The property test of three sends of one operation first found repeats where the object had been deleted between; absent objects are searched for as well now.

--- a/include/gcw/platform/conditional_write.h
+++ b/include/gcw/platform/conditional_write.h
@@ -35,6 +35,10 @@
   // not before version `repeat_after`.
   bool may_be_repeat = false;
   Version repeat_after = 0;
+  // The intent holds on any version, so that it would not notice a repeat:
+  // events after `repeat_after` are searched before each write. Only with
+  // `may_be_repeat`.
+  bool search_first = false;
 };
 
 struct WriteOptions {
--- a/src/api/api_server.cc
+++ b/src/api/api_server.cc
@@ -89,8 +89,12 @@
   request.path = http.path;
   request.body = http.body;
   request.authorization = http.get_header_value("Authorization");
-  request.if_match = http.get_header_value("If-Match");
-  request.operation_id = http.get_header_value("Operation-Id");
+  request.if_match = http.get_header_value(std::string(kIfMatchField));
+  request.if_created = http.get_header_value(std::string(kIfCreatedField));
+  request.if_spec = http.get_header_value(std::string(kIfSpecField));
+  request.operation_id = http.get_header_value(std::string(kOperationIdField));
+  request.operation_after =
+      http.get_header_value(std::string(kOperationAfterField));
   request.dry_run = http.get_param_value("dry_run") == "1";
   request.watch = http.get_param_value("watch") == "1";
   request.after = http.get_param_value("after");
--- a/src/api/message.cc
+++ b/src/api/message.cc
@@ -77,6 +77,12 @@
   return std::nullopt;
 }
 
+// Whether the field is a header that makes a request conditional.
+bool IsPrecondition(std::string_view field) {
+  return field == kIfMatchField || field == kIfCreatedField ||
+         field == kIfSpecField;
+}
+
 bool IsOperationIdChar(char c) {
   return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
          (c >= '0' && c <= '9') || c == '-' || c == '_';
@@ -110,7 +116,8 @@
   return Target{Target::Kind::kResource, *kind, std::string(name)};
 }
 
-Result<std::optional<Version>> ParseIfMatch(std::string_view text) {
+Result<std::optional<Version>> ParseVersionHeader(std::string_view field,
+                                                  std::string_view text) {
   if (text.empty() || text == "*") {
     return std::optional<Version>();
   }
@@ -122,7 +129,7 @@
   const char* last = digits.data() + digits.size();
   const auto [end, error] = std::from_chars(digits.data(), last, version);
   if (digits.empty() || error != std::errc() || end != last || version == 0) {
-    return Error{ResultCode::kInvalidField, std::string(kIfMatchField),
+    return Error{ResultCode::kInvalidField, std::string(field),
                  "must be a version as ETag states it"};
   }
   return std::optional<Version>(version);
@@ -176,8 +183,8 @@
     all.push_back(ErrorJson(error));
   }
   const Error& first = errors.front();
-  const bool is_precondition = first.code == ResultCode::kVersionConflict &&
-                               first.field == kIfMatchField;
+  const bool is_precondition =
+      first.code == ResultCode::kVersionConflict && IsPrecondition(first.field);
   const json body = {{"error", all.front()}, {"errors", all}};
   // What operators sent may be no UTF-8; their bytes come back replaced.
   return {is_precondition ? kPreconditionFailed : HttpStatusOf(first.code),
--- a/src/api/message.h
+++ b/src/api/message.h
@@ -13,8 +13,12 @@
 
 using config::Version;
 
-// The field of errors about the If-Match header.
+// Headers of requests, which errors name as fields.
 inline constexpr std::string_view kIfMatchField = "If-Match";
+inline constexpr std::string_view kIfCreatedField = "If-Created";
+inline constexpr std::string_view kIfSpecField = "If-Spec";
+inline constexpr std::string_view kOperationIdField = "Operation-Id";
+inline constexpr std::string_view kOperationAfterField = "Operation-After";
 
 enum class Method { kGet, kPost, kPut, kPatch, kDelete };
 
@@ -24,8 +28,11 @@
   std::string path;
   std::string body;
   std::string authorization;
-  std::string if_match;      // As sent.
-  std::string operation_id;  // As sent; empty: none.
+  std::string if_match;         // As sent.
+  std::string if_created;       // As sent.
+  std::string if_spec;          // As sent.
+  std::string operation_id;     // As sent; empty: none.
+  std::string operation_after;  // As sent.
   bool dry_run = false;
   bool watch = false;
   std::string after;  // As sent.
@@ -50,9 +57,10 @@
 // for a name that is none. Thread-safe.
 Result<Target> ParseTarget(std::string_view path);
 
-// The version in an If-Match header: `V`, `"V"`; `*` and an absent header are
+// The version in the header `field`: `V` or `"V"`; `*` and an absent header are
 // nothing. Fails with kInvalidField. Thread-safe.
-Result<std::optional<Version>> ParseIfMatch(std::string_view text);
+Result<std::optional<Version>> ParseVersionHeader(std::string_view field,
+                                                  std::string_view text);
 
 // Whether `text` may be an operation id: 1 to 64 of A-Z, a-z, 0-9, '-', '_'.
 // Thread-safe.
--- a/src/api/resource_service.cc
+++ b/src/api/resource_service.cc
@@ -23,7 +23,6 @@
 
 constexpr Logger kLog("api");
 constexpr std::string_view kStatusPrefix = "status/";
-constexpr std::string_view kOperationIdField = "Operation-Id";
 constexpr int kCreated = 201;
 
 Error Unsupported(std::string_view what) {
@@ -47,6 +46,32 @@
   return std::nullopt;
 }
 
+void ReadVersion(std::string_view field,
+                 std::string_view text,
+                 Errors* errors,
+                 std::optional<Version>* target) {
+  const Result<std::optional<Version>> version =
+      ParseVersionHeader(field, text);
+  if (version.ok()) {
+    *target = version.value();
+  } else {
+    errors->push_back(version.error());
+  }
+}
+
+void ReadIfSpec(const std::string& text, Errors* errors, json* target) {
+  if (text.empty()) {
+    return;
+  }
+  Result<json> parsed = config::ParseJson(text);
+  if (parsed.ok() && parsed.value().is_object()) {
+    *target = std::move(parsed).value();
+    return;
+  }
+  errors->push_back({ResultCode::kInvalidField, std::string(kIfSpecField),
+                     "must be a JSON object of fields and values"});
+}
+
 // Checks the headers of a write and fills in all but the identity and the
 // operation id.
 std::variant<ResourceWrite, Errors> ParseWrite(const ApiRequest& request,
@@ -55,13 +80,11 @@
   write.mode = *ModeOf(request.method);
   write.id = {target.resource_kind, target.name};
   Errors errors;
-  const Result<std::optional<Version>> if_match =
-      ParseIfMatch(request.if_match);
-  if (if_match.ok()) {
-    write.if_match = if_match.value();
-  } else {
-    errors.push_back(if_match.error());
-  }
+  ReadVersion(kIfMatchField, request.if_match, &errors, &write.if_match);
+  ReadVersion(kIfCreatedField, request.if_created, &errors, &write.if_created);
+  ReadVersion(kOperationAfterField, request.operation_after, &errors,
+              &write.operation_after);
+  ReadIfSpec(request.if_spec, &errors, &write.if_spec);
   const bool needs_version =
       write.mode == WriteMode::kReplace || write.mode == WriteMode::kDelete;
   if (needs_version && request.if_match.empty()) {
--- a/src/api/resource_write.cc
+++ b/src/api/resource_write.cc
@@ -44,6 +44,30 @@
   return {};
 }
 
+// Whether the resource is still the one that the caller has in mind.
+Errors CheckPreconditions(const ResourceWrite& write,
+                          const platform::Object& current,
+                          const Resource& before) {
+  if (write.if_created.has_value() && *write.if_created != current.created) {
+    return One(ResultCode::kVersionConflict, kIfCreatedField,
+               fmt::format("{} '{}' was deleted and created anew",
+                           config::ToString(write.id.kind), write.id.name));
+  }
+  if (!write.if_spec.is_object()) {
+    return {};
+  }
+  const nlohmann::json spec = config::EncodeSpec(before);
+  for (const auto& [field, value] : write.if_spec.items()) {
+    const nlohmann::json is = spec.value(field, nlohmann::json());
+    if (is != value) {
+      return One(
+          ResultCode::kVersionConflict, kIfSpecField,
+          fmt::format("{} is {}, not {}", field, is.dump(), value.dump()));
+    }
+  }
+  return {};
+}
+
 // The spec that the write asks for.
 nlohmann::json WantedSpec(const ResourceWrite& write,
                           const std::optional<Resource>& before) {
@@ -132,6 +156,12 @@
   if (!errors.empty()) {
     return errors;
   }
+  if (current != nullptr) {
+    errors = CheckPreconditions(write, *current, *plan.before);
+    if (!errors.empty()) {
+      return errors;
+    }
+  }
   if (write.mode != WriteMode::kDelete) {
     auto wanted = DecodeWanted(write, plan.before);
     if (std::holds_alternative<Errors>(wanted)) {
@@ -184,13 +214,16 @@
     return platform::DesiredState{
         config::EncodeStored(write.op, *plan.after, claims)};
   };
-  const Result<platform::WriteOutcome> outcome =
-      writer_.Write({.key = config::KeyOf(write.id),
-                     .op = write.op,
-                     .intent = intent,
-                     .base_revision = snapshot.revision,
-                     .may_be_repeat = write.may_be_repeat,
-                     .repeat_after = write.if_match.value_or(0)});
+  const Result<platform::WriteOutcome> outcome = writer_.Write(
+      {.key = config::KeyOf(write.id),
+       .op = write.op,
+       .intent = intent,
+       .base_revision = snapshot.revision,
+       .may_be_repeat = write.may_be_repeat,
+       .repeat_after =
+           write.operation_after.value_or(write.if_match.value_or(0)),
+       .search_first =
+           write.may_be_repeat && write.operation_after.has_value()});
   if (!outcome.ok()) {
     const bool may_be_made =
         outcome.error().code == ResultCode::kPlatformOutcomeUnknown;
--- a/src/api/resource_write.h
+++ b/src/api/resource_write.h
@@ -23,10 +23,14 @@
 struct ResourceWrite {
   WriteMode mode = WriteMode::kCreate;
   config::ResourceId id;
-  nlohmann::json body;              // The spec or the merge patch.
-  std::optional<Version> if_match;  // Only on this version.
+  nlohmann::json body;                // The spec or the merge patch.
+  std::optional<Version> if_match;    // Only on this version.
+  std::optional<Version> if_created;  // Only if created at this version.
+  nlohmann::json if_spec;  // Only while these fields have these values.
   std::string op;
   bool may_be_repeat = false;  // The operation id came from the caller.
+  // The caller has sent the operation id for the first time after this version.
+  std::optional<Version> operation_after;
   Identity identity;
 };
 
--- /dev/null
+++ b/src/cli/api_client.cc
@@ -0,0 +1,238 @@
+#include "src/cli/api_client.h"
+
+#include <fmt/format.h>
+#include <httplib.h>
+
+#include <cassert>
+#include <cstddef>
+#include <random>
+#include <utility>
+
+#include "absl/time/clock.h"
+#include "gcw/platform/backoff.h"
+
+namespace gcw::cli {
+namespace {
+
+using nlohmann::json;
+
+constexpr std::string_view kScheme = "http://";
+constexpr int kUnavailable = 503;
+constexpr int kOutcomeUnknown = 504;
+constexpr int kConnectSeconds = 2;
+constexpr platform::BackoffOptions kBackoff{absl::Milliseconds(100),
+                                            absl::Seconds(2)};
+
+Error Unreachable(std::string message) {
+  return {ResultCode::kApiUnreachable, "", std::move(message)};
+}
+
+// The error that the API states in `body`.
+Error StatedError(int status, const std::string& body) {
+  const json parsed = json::parse(body, nullptr, false);
+  Error unclear =
+      Unreachable(fmt::format("the API answered {} without a reason", status));
+  if (!parsed.is_object() || !parsed.contains("error")) {
+    return unclear;
+  }
+  try {
+    const json& error = parsed.at("error");
+    const auto code =
+        ResultCodeFromNumber(error.at("code").get<std::uint16_t>());
+    const std::string message =
+        fmt::format("{}. {}", error.at("message").get<std::string>(),
+                    error.at("what_to_do").get<std::string>());
+    return {code.value_or(ResultCode::kApiRefused),
+            error.at("field").get<std::string>(), message};
+  } catch (const json::exception&) {
+    return unclear;
+  }
+}
+
+// Whether the same call may succeed, and for a write with the same operation
+// id does no harm.
+bool IsWorthRetry(const httplib::Result& result) {
+  return !result || result->status == kUnavailable ||
+         result->status == kOutcomeUnknown;
+}
+
+Result<json> ReadAnswer(const httplib::Result& result) {
+  if (!result) {
+    return Unreachable("no answer: " + httplib::to_string(result.error()));
+  }
+  if (result->status >= 400) {
+    return StatedError(result->status, result->body);
+  }
+  json body = json::parse(result->body, nullptr, false);
+  if (body.is_discarded()) {
+    return Unreachable("the answer is not JSON");
+  }
+  return body;
+}
+
+std::string MakeOperationId() {
+  std::random_device random;
+  return fmt::format("gcw-{:08x}{:08x}{:08x}", random(), random(), random());
+}
+
+}  // namespace
+
+Result<std::vector<Endpoint>> ParseApis(std::string_view text) {
+  std::vector<Endpoint> apis;
+  while (true) {
+    const std::size_t comma = text.find(',');
+    std::string_view part = text.substr(0, comma);
+    if (part.starts_with(kScheme)) {
+      part.remove_prefix(kScheme.size());
+    }
+    if (part.ends_with('/')) {
+      part.remove_suffix(1);
+    }
+    const Result<Endpoint> api = Endpoint::Parse(part);
+    if (!api.ok()) {
+      return Error{ResultCode::kUsage, "--api", api.error().message};
+    }
+    apis.push_back(api.value());
+    if (comma == std::string_view::npos) {
+      return apis;
+    }
+    text.remove_prefix(comma + 1);
+  }
+}
+
+class ApiClient::Impl {
+ public:
+  explicit Impl(ApiClientOptions options)
+      : options_(std::move(options)), seed_(std::random_device{}()) {
+    assert(!options_.apis.empty());
+    Connect();
+  }
+
+  Result<json> Call(httplib::Request request) {
+    request.headers.emplace("Authorization", "Bearer " + options_.token);
+    const absl::Time deadline = absl::Now() + options_.budget;
+    platform::Backoff backoff(kBackoff, seed_++);
+    while (true) {
+      const httplib::Result result = Send(request, deadline);
+      const absl::Duration pause = backoff.Next();
+      if (!IsWorthRetry(result) || absl::Now() + pause > deadline) {
+        return ReadAnswer(result);
+      }
+      absl::SleepFor(pause);
+      TryNext();
+    }
+  }
+
+  Status Stream(const std::string& path,
+                const std::function<bool(const json&)>& on_line) {
+    std::string text;
+    bool wants_more = true;
+    client_->set_read_timeout(absl::ToChronoMicroseconds(absl::Seconds(30)));
+    const httplib::Result result =
+        client_->Get(path, {{"Authorization", "Bearer " + options_.token}},
+                     [&](const char* data, std::size_t size) {
+                       text.append(data, size);
+                       wants_more = wants_more && TakeLines(&text, on_line);
+                       return wants_more;
+                     });
+    if (!wants_more) {
+      Connect();
+      return OkStatus();
+    }
+    if (!result) {
+      TryNext();
+      return Unreachable("no answer: " + httplib::to_string(result.error()));
+    }
+    if (result->status >= 400) {
+      return StatedError(result->status, text);
+    }
+    return OkStatus();
+  }
+
+ private:
+  void Connect() {
+    const Endpoint& api = options_.apis[api_ % options_.apis.size()];
+    client_ = std::make_unique<httplib::Client>(IpToString(api.ip), api.port);
+    client_->set_keep_alive(true);
+    client_->set_tcp_nodelay(true);
+    client_->set_connection_timeout(kConnectSeconds);
+  }
+
+  void TryNext() {
+    ++api_;
+    Connect();
+  }
+
+  httplib::Result Send(const httplib::Request& request, absl::Time deadline) {
+    const absl::Duration left =
+        std::max(deadline - absl::Now(), absl::Milliseconds(100));
+    client_->set_read_timeout(absl::ToChronoMicroseconds(left));
+    return client_->send(request);
+  }
+
+  // Hands out the whole lines at the front of `text`.
+  static bool TakeLines(std::string* text,
+                        const std::function<bool(const json&)>& on_line) {
+    std::size_t end = 0;
+    while ((end = text->find('\n')) != std::string::npos) {
+      const json line = json::parse(text->substr(0, end), nullptr, false);
+      // An error answer is no line of a watch; it stays for StatedError.
+      if (!line.is_object() || !line.contains("type")) {
+        return true;
+      }
+      text->erase(0, end + 1);
+      if (!on_line(line)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  const ApiClientOptions options_;
+  std::uint64_t seed_;
+  std::size_t api_ = 0;
+  std::unique_ptr<httplib::Client> client_;
+};
+
+ApiClient::ApiClient(ApiClientOptions options)
+    : impl_(std::make_unique<Impl>(std::move(options))) {}
+ApiClient::~ApiClient() = default;
+
+Result<json> ApiClient::Get(const std::string& path) {
+  httplib::Request request;
+  request.method = "GET";
+  request.path = path;
+  return impl_->Call(std::move(request));
+}
+
+Result<json> ApiClient::Write(const std::string& method,
+                              const std::string& path,
+                              const json& body,
+                              const Preconditions& preconditions) {
+  httplib::Request request;
+  request.method = method;
+  request.path = path;
+  if (!body.is_null()) {
+    request.body = body.dump();
+  }
+  request.headers.emplace("Operation-Id", MakeOperationId());
+  const auto add_version = [&](const char* name, Version version) {
+    if (version != 0) {
+      request.headers.emplace(name, fmt::to_string(version));
+    }
+  };
+  add_version("If-Match", preconditions.if_match);
+  add_version("If-Created", preconditions.if_created);
+  add_version("Operation-After", preconditions.operation_after);
+  if (!preconditions.if_spec.is_null()) {
+    request.headers.emplace("If-Spec", preconditions.if_spec.dump());
+  }
+  return impl_->Call(std::move(request));
+}
+
+Status ApiClient::Stream(const std::string& path,
+                         const std::function<bool(const json&)>& on_line) {
+  return impl_->Stream(path, on_line);
+}
+
+}  // namespace gcw::cli
--- /dev/null
+++ b/src/cli/apply_plan.cc
@@ -0,0 +1,159 @@
+#include "src/cli/apply_plan.h"
+
+#include <fmt/format.h>
+
+#include <array>
+#include <set>
+#include <utility>
+#include <variant>
+
+#include "gcw/config/object_reader.h"
+#include "gcw/config/snapshot.h"
+#include "gcw/config/validate.h"
+
+namespace gcw::cli {
+namespace {
+
+using config::Resource;
+using config::ResourceId;
+using config::ResourceKind;
+using nlohmann::json;
+
+constexpr std::size_t kMaxResources = 10'000;
+// What is named by others is written before them.
+constexpr std::array kWriteOrder = {ResourceKind::kFirm, ResourceKind::kZone,
+                                    ResourceKind::kServer,
+                                    ResourceKind::kService};
+
+std::string Name(const ResourceId& id) {
+  return fmt::format("{} {}", config::ToString(id.kind), id.name);
+}
+
+// Adds resources to a snapshot as if they had been written.
+struct SnapshotWriter {
+  config::Snapshot* snapshot;
+
+  void operator()(const config::Firm& firm) const {
+    snapshot->firms[firm.name] = firm;
+  }
+  void operator()(const config::Service& service) const {
+    snapshot->services[service.name] = service;
+  }
+  void operator()(const config::BackendServer& server) const {
+    snapshot->servers[server.name] = server;
+  }
+  void operator()(const config::AvailabilityZone& zone) const {
+    snapshot->zones[zone.name] = zone;
+  }
+};
+
+void ReadCollection(ResourceKind kind,
+                    config::ObjectReader& reader,
+                    Document* document) {
+  std::set<std::string> names;
+  const auto read = [&](const json& spec, const std::string& path) {
+    config::DecodedResource decoded =
+        config::DecodeSpec(kind, spec, config::UnknownFields::kRefuse);
+    for (Error& error : decoded.errors) {
+      error.field = config::FieldPath(path, error.field);
+      document->errors.push_back(std::move(error));
+    }
+    if (!decoded.resource.has_value()) {
+      return;
+    }
+    if (!names.insert(config::NameOf(*decoded.resource)).second) {
+      document->errors.push_back(
+          {ResultCode::kInvalidField, path + ".name", "stands twice"});
+    }
+    document->resources.push_back(std::move(*decoded.resource));
+  };
+  reader.ReadArray(fmt::format("{}s", config::ToString(kind)),
+                   config::Presence::kOptional, kMaxResources, read);
+}
+
+PlannedChange PlanOne(const Resource& wanted, const CurrentResources& current) {
+  const auto it = current.find(config::IdOf(wanted));
+  if (it == current.end()) {
+    return {PlannedChange::Action::kCreate, wanted, std::nullopt, 0};
+  }
+  const Resource& before = it->second.resource;
+  const bool is_equal =
+      config::EncodeSpec(before) == config::EncodeSpec(wanted);
+  return {
+      is_equal ? PlannedChange::Action::kNone : PlannedChange::Action::kReplace,
+      wanted, before, it->second.version};
+}
+
+std::string RenderFields(const PlannedChange& change) {
+  const json before =
+      change.before.has_value() ? config::EncodeSpec(*change.before) : json();
+  const json after = config::EncodeSpec(change.after);
+  std::string lines;
+  for (const auto& [field, value] : after.items()) {
+    const json old = before.is_object() ? before.value(field, json()) : json();
+    if (old == value) {
+      continue;
+    }
+    lines += old.is_null() ? fmt::format("    {}: {}\n", field, value.dump())
+                           : fmt::format("    {}: {} -> {}\n", field,
+                                         old.dump(), value.dump());
+  }
+  return lines;
+}
+
+}  // namespace
+
+Document ParseDocument(std::string_view text) {
+  Document document;
+  const Result<json> parsed = config::ParseJson(text);
+  if (!parsed.ok()) {
+    document.errors.push_back(parsed.error());
+    return document;
+  }
+  config::ObjectReader reader(parsed.value(), "", &document.errors);
+  for (ResourceKind kind : kWriteOrder) {
+    ReadCollection(kind, reader, &document);
+  }
+  reader.Finish();
+  return document;
+}
+
+ApplyPlan PlanApply(const Document& document, const CurrentResources& current) {
+  ApplyPlan plan;
+  config::Snapshot snapshot;
+  const SnapshotWriter write{&snapshot};
+  for (const auto& [id, resource] : current) {
+    std::visit(write, resource.resource);
+  }
+  for (const Resource& wanted : document.resources) {
+    PlannedChange change = PlanOne(wanted, current);
+    const ResourceId id = config::IdOf(wanted);
+    for (Error& error :
+         config::ValidateChange(snapshot, {id, wanted, change.before})) {
+      error.field = config::FieldPath(Name(id), error.field);
+      plan.errors.push_back(std::move(error));
+    }
+    std::visit(write, wanted);
+    plan.changes.push_back(std::move(change));
+  }
+  return plan;
+}
+
+std::string RenderDiff(const ApplyPlan& plan) {
+  std::string lines;
+  std::size_t unchanged = 0;
+  for (const PlannedChange& change : plan.changes) {
+    if (change.action == PlannedChange::Action::kNone) {
+      ++unchanged;
+      continue;
+    }
+    const bool is_new = change.action == PlannedChange::Action::kCreate;
+    lines += fmt::format("{} {}\n", is_new ? '+' : '~',
+                         Name(config::IdOf(change.after)));
+    lines += RenderFields(change);
+  }
+  return lines + fmt::format("{} changed, {} unchanged\n",
+                             plan.changes.size() - unchanged, unchanged);
+}
+
+}  // namespace gcw::cli
--- a/src/platform/conditional_write.cc
+++ b/src/platform/conditional_write.cc
@@ -33,7 +33,8 @@
       : request_(std::move(request)),
         options_(options),
         backoff_(options.backoff, seed),
-        deadline_(now + options.budget) {}
+        deadline_(now + options.budget),
+        searched_(request_.repeat_after) {}
 
   WriteStep OnObject(Result<Object> object, absl::Time now) {
     if (!object.ok() && object.error().code != ResultCode::kNotFound) {
@@ -46,10 +47,15 @@
     if (current_.has_value() && OperationOf(current_->value) == request_.op) {
       return Finish{WriteOutcome{current_->version, true, false}};
     }
-    if (!doubt_.has_value()) {
-      return Evaluate();
+    if (doubt_.has_value()) {
+      return ResolveDoubt();
     }
-    return ResolveDoubt();
+    const bool has_changed =
+        !current_.has_value() || current_->version > searched_;
+    if (request_.search_first && has_changed) {
+      return LookUpEvents(searched_);
+    }
+    return Evaluate();
   }
 
   WriteStep OnEvents(const Result<WatchAnswer>& answer, absl::Time now) {
@@ -70,6 +76,7 @@
         return Finish{WriteOutcome{event.object.version, true, true}};
       }
     }
+    searched_ = std::max(searched_, answer.value().revision);
     if (refusal_.has_value()) {
       return Finish{*refusal_};
     }
@@ -197,6 +204,8 @@
   const WriteOptions options_;
   Backoff backoff_;
   const absl::Time deadline_;
+  // Up to here the events do not hold the operation.
+  Version searched_ = 0;
   int conflicts_ = 0;
   std::optional<Object> current_;
   std::optional<Doubt> doubt_;
--- a/tests/api/resources_test.cc
+++ b/tests/api/resources_test.cc
@@ -217,5 +217,50 @@
   CHECK(other.status == 412);
 }
 
+TEST_CASE("a patch on any version is made once though it is repeated") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  const Reply read = pool.Get("/v1/servers/shared");
+  const httplib::Headers headers = {
+      {"Operation-Id", "drain-1"},
+      {"Operation-After", fmt::to_string(read.version())},
+      {"If-Created", fmt::to_string(read.body.at("created").get<Version>())}};
+  const json drain = {{"state", "draining"}};
+  CHECK(pool.Patch("/v1/servers/shared", {{"slots", 4}}).status == 200);
+  const Reply first = pool.Patch("/v1/servers/shared", drain, headers);
+  REQUIRE(first.status == 200);
+  CHECK(first.body.at("spec").at("slots") == 4);
+  CHECK(pool.Patch("/v1/servers/shared", {{"state", "in"}}).status == 200);
+  const Reply again = pool.Patch("/v1/servers/shared", drain, headers);
+  CHECK(again.status == 200);
+  CHECK(again.version() == first.version());
+  CHECK(pool.Get("/v1/servers/shared").body.at("spec").at("state") == "in");
+}
+
+TEST_CASE("a patch is refused where the intent does not hold any more") {
+  ApiFixture fixture;
+  Operator pool = fixture.MakeOperator(kPoolToken);
+  const Reply read = pool.Get("/v1/servers/shared");
+  const std::string created =
+      fmt::to_string(read.body.at("created").get<Version>());
+  CHECK(pool.Patch("/v1/servers/shared", {{"state", "out"}}).status == 200);
+  const Reply other_state =
+      pool.Patch("/v1/servers/shared", {{"state", "draining"}},
+                 {{"If-Created", created}, {"If-Spec", R"({"state":"in"})"}});
+  CHECK(other_state.status == 412);
+  CHECK(other_state.field() == "If-Spec");
+  const Version version = pool.Get("/v1/servers/shared").version();
+  CHECK(pool.Delete("/v1/servers/shared", version).status == 200);
+  CHECK(pool.Post("/v1/servers", ApiFixture::ServerSpec("shared", "", 1))
+            .status == 201);
+  const Reply other_server = pool.Patch(
+      "/v1/servers/shared", {{"state", "out"}}, {{"If-Created", created}});
+  CHECK(other_server.status == 412);
+  CHECK(other_server.field() == "If-Created");
+  CHECK(
+      pool.Patch("/v1/servers/shared", {{"state", "out"}}, {{"If-Spec", "[1]"}})
+          .status == 400);
+}
+
 }  // namespace
 }  // namespace gcw::api
--- a/tests/platform/conditional_write_test.cc
+++ b/tests/platform/conditional_write_test.cc
@@ -282,6 +282,40 @@
   CHECK(other.error().code == ResultCode::kVersionConflict);
 }
 
+// The caller's own answer is lost, so it sends the operation again, through
+// another process, while others write.
+TEST_CASE("an operation sent three times on any version is made once") {
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    Store store(1'000'000);
+    REQUIRE(store.Put(kKey, R"({"op":"start"})", 0).ok());
+    FaultyClient client(&store, seed);
+    client.other_writer = 0.3;
+    std::set<std::string> accepted;
+    for (int i = 0; i < 200; ++i) {
+      const std::string op = fmt::format("op-{}", i);
+      const Version before = store.revision();
+      for (std::uint64_t process = 0; process < 3; ++process) {
+        ConditionalWriter writer(&client, FastOptions(), seed + process);
+        WriteRequest request = OverwriteRequest(op);
+        request.base_revision = store.revision();
+        request.may_be_repeat = true;
+        request.repeat_after = before;
+        request.search_first = true;
+        if (writer.Write(std::move(request)).ok()) {
+          accepted.insert(op);
+        }
+      }
+    }
+    client.Settle();
+    std::map<std::string, int> counts = CountOperations(store);
+    CHECK(accepted.size() == 200);
+    for (const std::string& op : accepted) {
+      INFO("seed " << seed << " " << op);
+      CHECK(counts[op] == 1);
+    }
+  }
+}
+
 WriteRequest CreateRequest() {
   return {.key = kKey,
           .op = "mine",
