--- a/src/lab/matrix.cc
+++ b/src/lab/matrix.cc
@@ -122,18 +122,32 @@
   return cell;
 }
 
+// The checks of one report that were missed, for its line of progress.
+std::string DescribeMissed(const std::vector<MatrixCell>& cells) {
+  std::string text;
+  for (const MatrixCell& cell : cells) {
+    if (!cell.ok) {
+      text += fmt::format(" {}={:.4g}", cell.total, cell.worst);
+    }
+  }
+  return text;
+}
+
 void Collect(const Job& job,
              const MatrixOptions& options,
              std::vector<MatrixCell>* cells) {
   const std::string text = ReadFile(job.report);
-  if (!AddReport(text, cells).ok()) {
-    cells->push_back(FailedRun(job));
+  std::vector<MatrixCell> own;
+  if (!AddReport(text, &own).ok()) {
+    own = {FailedRun(job)};
+    cells->push_back(own.front());
+  } else {
+    (void)AddReport(text, cells).ok();
   }
-  const auto json = nlohmann::json::parse(text, nullptr, false);
-  const bool passed = json.is_object() && json.value("passed", false);
-  fmt::print("{} {} seed {}: {}\n", fs::path(job.scenario).stem().string(),
-             job.base, job.seed, passed ? "passed" : "FAILED");
-  if (!passed) {
+  const std::string missed = DescribeMissed(own);
+  fmt::print("{} {} seed {}: {}{}\n", fs::path(job.scenario).stem().string(),
+             job.base, job.seed, missed.empty() ? "passed" : "FAILED", missed);
+  if (!missed.empty()) {
     auto arguments = job.Arguments(options);
     arguments.resize(arguments.size() - 2);  // Without --report.
     fmt::print("  repeat: {}\n", fmt::join(arguments, " "));
