--- a/src/lab/event_player.cc
+++ b/src/lab/event_player.cc
@@ -202,6 +202,7 @@
 void EventPlayer::TakeZoneOut(ZoneIndex zone) {
   context_.config->SetZoneState(zone, config::ZoneState::kOut);
   context_.world->set_zone_out_since(zone, context_.scheduler->now());
+  context_.world->set_unsettled_until(context_.scheduler->now() + kWishGrace);
   for (ServerIndex i = 0; i < context_.servers->size(); ++i) {
     if (context_.world->topology().servers[i].zone == zone) {
       context_.flows->GiveUpServer(i);
@@ -218,6 +219,7 @@
   }
   context_.config->SetZoneState(zone, config::ZoneState::kIn);
   context_.world->set_zone_out_since(zone, absl::InfiniteFuture());
+  context_.world->set_unsettled_until(context_.scheduler->now() + kWishGrace);
 }
 
 void EventPlayer::Partition(const Event& event) {
--- a/src/lab/lab_run.cc
+++ b/src/lab/lab_run.cc
@@ -295,7 +295,7 @@
     meter_.Sample(loads, loop_->now() - last_sample_);
     last_sample_ = loop_->now();
     if (loop_->now() - last_window_ >= kMeterWindow) {
-      meter_.EndWindow();
+      EndWindow();
       last_window_ = loop_->now();
     }
     if (loop_->now() < end_) {
@@ -303,6 +303,10 @@
     }
   }
 
+  void EndWindow() {
+    meter_.EndWindow(last_window_ >= world_.unsettled_until());
+  }
+
   void Play() {
     start_ = loop_->now();
     end_ = start_ + scenario_.duration;
@@ -323,7 +327,7 @@
     callers_->Start(end_);
     Measure();
     loop_->RunUntil(end_);
-    meter_.EndWindow();
+    EndWindow();
     traffic_ = proxy_->traffic();
     platform_calls_ = platform_->TotalCalls() - platform_calls_before_;
     config_watch_->Finish();
@@ -376,6 +380,8 @@
   void AddServiceTotals(std::vector<Total>* totals) const {
     for (const std::string& firm : topology_.firms) {
       totals->push_back({"service." + firm, meter_.ServiceShare(firm)});
+      totals->push_back(
+          {"service_settled." + firm, meter_.SettledServiceShare(firm)});
     }
     const auto ms = [&](ServiceIndex i, double share) {
       return absl::ToDoubleMilliseconds(meter_.AnswerTime(i, share));
--- a/src/lab/load_meter.cc
+++ b/src/lab/load_meter.cc
@@ -17,9 +17,8 @@
       use_(world.topology().servers.size()),
       eligible_(world.topology().servers.size(), true),
       window_slots_(world.topology().servers.size()),
-      bearable_(world.topology().services.size()),
-      delivered_(world.topology().services.size()),
       answer_times_(world.topology().services.size()) {
+  OpenWindow();
   for (ServerUse& use : use_) {
     use.flows.resize(world.topology().services.size());
   }
@@ -54,16 +53,24 @@
   }
 }
 
-void LoadMeter::Offered(ServiceIndex service,
-                        double worth,
-                        absl::Duration work) {
-  window_.push_back({service, worth, absl::ToDoubleSeconds(work)});
+void LoadMeter::OpenWindow() {
+  const std::size_t services = world_.topology().services.size();
+  windows_.push_back(
+      {false, std::vector<double>(services), std::vector<double>(services)});
+}
+
+std::size_t LoadMeter::Offered(ServiceIndex service,
+                               double worth,
+                               absl::Duration work) {
+  offers_.push_back({service, worth, absl::ToDoubleSeconds(work)});
+  return windows_.size() - 1;
 }
 
 void LoadMeter::Delivered(ServiceIndex service,
                           double worth,
-                          absl::Duration elapsed) {
-  delivered_[service] += worth;
+                          absl::Duration elapsed,
+                          std::size_t window) {
+  windows_[window].delivered[service] += worth;
   answer_times_[service].push_back(elapsed);
 }
 
@@ -79,12 +86,12 @@
   return *nth;
 }
 
-void LoadMeter::EndWindow() {
+void LoadMeter::EndWindow(bool settled) {
   // Services that share servers compete; each server's slots go to its
   // services in proportion to what was offered to them.
   const auto& services = world_.topology().services;
   std::vector<double> offered(services.size());
-  for (const Offer& offer : window_) {
+  for (const Offer& offer : offers_) {
     offered[offer.service] += offer.slot_seconds;
   }
   std::vector<double> slots(services.size());
@@ -103,13 +110,15 @@
   for (ServiceIndex s = 0; s < services.size(); ++s) {
     BearBestOffers({s}, slots[s]);
   }
-  window_.clear();
+  offers_.clear();
+  windows_.back().settled = settled;
+  OpenWindow();
 }
 
 void LoadMeter::BearBestOffers(const std::vector<ServiceIndex>& services,
                                double slot_seconds) {
   std::vector<Offer> offers;
-  for (const Offer& offer : window_) {
+  for (const Offer& offer : offers_) {
     if (std::find(services.begin(), services.end(), offer.service) !=
         services.end()) {
       offers.push_back(offer);
@@ -125,7 +134,7 @@
     const double share = offer.slot_seconds <= slot_seconds
                              ? 1
                              : slot_seconds / offer.slot_seconds;
-    bearable_[offer.service] += offer.worth * share;
+    windows_.back().bearable[offer.service] += offer.worth * share;
     slot_seconds -= offer.slot_seconds;
   }
 }
@@ -165,13 +174,23 @@
 }
 
 double LoadMeter::ServiceShare(const std::string& firm) const {
+  return Share(firm, false);
+}
+
+double LoadMeter::SettledServiceShare(const std::string& firm) const {
+  return Share(firm, true);
+}
+
+double LoadMeter::Share(const std::string& firm, bool settled_only) const {
   double bearable = 0;
   double delivered = 0;
   const auto& services = world_.topology().services;
-  for (ServiceIndex s = 0; s < services.size(); ++s) {
-    if (services[s].firm == firm) {
-      bearable += bearable_[s];
-      delivered += delivered_[s];
+  for (const Window& window : windows_) {
+    for (ServiceIndex s = 0; s < services.size(); ++s) {
+      if (services[s].firm == firm && (window.settled || !settled_only)) {
+        bearable += window.bearable[s];
+        delivered += window.delivered[s];
+      }
     }
   }
   return bearable > 0 ? std::min(1.0, delivered / bearable) : 1;
--- a/src/lab/load_meter.h
+++ b/src/lab/load_meter.h
@@ -31,11 +31,16 @@
   void Sample(const std::vector<ServerLoad>& loads, absl::Duration span);
 
   // A caller offered a request that takes `work` of a slot.
-  void Offered(ServiceIndex service, double worth, absl::Duration work);
+  // Returns the window of the offer, for Delivered().
+  std::size_t Offered(ServiceIndex service, double worth, absl::Duration work);
   // A caller had its whole answer in time, `elapsed` after it asked.
-  void Delivered(ServiceIndex service, double worth, absl::Duration elapsed);
-  // Ends one window: what was offered in it competes for the slots of it.
-  void EndWindow();
+  void Delivered(ServiceIndex service,
+                 double worth,
+                 absl::Duration elapsed,
+                 std::size_t window);
+  // Ends one window: what was offered in it competes for the slots of it. It
+  // is settled unless a zone has just left or returned.
+  void EndWindow(bool settled);
 
   // Largest over mean rate of new flows, relative to time in service; 1 if
   // there were none.
@@ -49,6 +54,8 @@
   // Delivered worth over the worth that the servers could have borne; 1 if
   // the firm offered nothing.
   double ServiceShare(const std::string& firm) const;
+  // The same over settled windows only.
+  double SettledServiceShare(const std::string& firm) const;
 
  private:
   struct Offer {
@@ -56,12 +63,19 @@
     double worth;
     double slot_seconds;
   };
+  struct Window {
+    bool settled = false;
+    std::vector<double> bearable;   // Worth, by service.
+    std::vector<double> delivered;  // Worth, by service.
+  };
   struct ServerUse {
     double eligible_s = 0;
     double slot_seconds = 0;
     std::vector<std::uint64_t> flows;  // By service.
   };
 
+  void OpenWindow();
+  double Share(const std::string& firm, bool settled_only) const;
   bool Counts(ServerIndex server) const;
   double Imbalance(ServiceIndex service,
                    double (*load)(const ServerUse&, ServiceIndex)) const;
@@ -73,10 +87,9 @@
   std::vector<ServerUse> use_;
   std::vector<bool> eligible_;
   double cold_overload_ = 0;
-  std::vector<Offer> window_;
+  std::vector<Offer> offers_;         // Of the current window.
   std::vector<double> window_slots_;  // Slot-seconds borne, by server.
-  std::vector<double> bearable_;      // Worth, by service.
-  std::vector<double> delivered_;     // Worth, by service.
+  std::vector<Window> windows_;       // The last one is the current one.
   std::vector<std::vector<absl::Duration>> answer_times_;  // By service.
 };
 
--- a/src/lab/request_callers.cc
+++ b/src/lab/request_callers.cc
@@ -30,8 +30,9 @@
   RequestInfo info;
   absl::Time deadline;
   std::optional<DaemonIndex> daemon;
-  int copies = 0;    // Sent so far.
-  int refusals = 0;  // Got so far.
+  std::size_t window = 0;  // Of the load meter.
+  int copies = 0;          // Sent so far.
+  int refusals = 0;        // Got so far.
   bool unknown = false;
   std::map<std::uint32_t, Bytes> parts;
 };
@@ -90,8 +91,8 @@
     } while (requests_.contains(caller));
     std::string id = request.id;
     requests_.emplace(caller, std::move(request));
-    meter_.Offered(service, requests_[caller].info.worth,
-                   info.mean_service_time);
+    requests_[caller].window = meter_.Offered(
+        service, requests_[caller].info.worth, info.mean_service_time);
     SendCopy(caller);
     if (random_.Chance(load_.double_share)) {
       SendCopy(caller);
@@ -223,7 +224,8 @@
     const bool in_time = scheduler_.now() <= request.deadline;
     if (in_time) {
       meter_.Delivered(request.service, request.info.worth,
-                       scheduler_.now() + load_.deadline - request.deadline);
+                       scheduler_.now() + load_.deadline - request.deadline,
+                       request.window);
     }
     End(packet.destination,
         in_time ? RequestOutcome::kDelivered : RequestOutcome::kLate);
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -54,6 +54,10 @@
   void Cut(const std::vector<ZoneIndex>& zones);
   // Ends all cuts at `now`.
   void Heal(absl::Time now);
+  // The time around a zone's leaving and returning is judged apart.
+  void set_unsettled_until(absl::Time when) { unsettled_until_ = when; }
+  absl::Time unsettled_until() const { return unsettled_until_; }
+
   bool IsCut(ZoneIndex zone) const { return cut_[zone]; }
   bool Connected(ZoneIndex a, ZoneIndex b) const {
     return a == b || (!cut_[a] && !cut_[b]);
@@ -74,6 +78,7 @@
   std::vector<ServerTruth> servers_;
   std::vector<absl::Time> zone_out_;
   std::vector<bool> cut_;
+  absl::Time unsettled_until_ = absl::InfinitePast();
 };
 
 }  // namespace gcw::lab
--- a/tests/lab/request_counters_test.cc
+++ b/tests/lab/request_counters_test.cc
@@ -51,7 +51,7 @@
   f.callers.Start(f.scheduler.now() + absl::Seconds(10));
   for (int i = 0; i < 12; ++i) {
     f.scheduler.Advance(absl::Seconds(1));
-    f.meter.EndWindow();
+    f.meter.EndWindow(true);
   }
   const RequestTotals& totals = f.requests.totals();
   CHECK(totals.sent > 500);
@@ -211,7 +211,7 @@
       }
       f.meter.Sample(loads, absl::Milliseconds(20));
       if (i % 50 == 49) {
-        f.meter.EndWindow();
+        f.meter.EndWindow(true);
       }
     }
     const double share = f.meter.ServiceShare("valtellina");
@@ -232,14 +232,29 @@
     f.meter.Offered(0, 1, span);
   }
   for (int i = 0; i < slots; ++i) {
-    f.meter.Delivered(0, 1, absl::Milliseconds(i + 1));
+    f.meter.Delivered(0, 1, absl::Milliseconds(i + 1), 0);
   }
-  f.meter.EndWindow();
+  f.meter.EndWindow(true);
   CHECK(f.meter.ServiceShare("valtellina") == Approx(0.25));
   CHECK(f.meter.AnswerTime(0, 0.5) == absl::Milliseconds(21));
   CHECK(f.meter.AnswerTime(0, 1) == absl::Milliseconds(42));
   CHECK(f.meter.AnswerTime(1, 1) == absl::ZeroDuration());
 }
 
+TEST_CASE("service_settled.<firm> leaves out windows of a zone's change") {
+  Fixture f;
+  const std::vector<ServerLoad> loads(f.servers.size(), {0, 3, false});
+  for (const bool settled : {true, false}) {
+    f.meter.Sample(loads, absl::Seconds(1));
+    const std::size_t window = f.meter.Offered(0, 1, absl::Seconds(1));
+    if (settled) {
+      f.meter.Delivered(0, 1, absl::Seconds(1), window);
+    }
+    f.meter.EndWindow(settled);
+  }
+  CHECK(f.meter.ServiceShare("valtellina") == Approx(0.5));
+  CHECK(f.meter.SettledServiceShare("valtellina") == Approx(1));
+}
+
 }  // namespace
 }  // namespace gcw::lab
