membership: a leaving daemon stays a live member until it is gone

Ruled out: the stopping daemon's own drain, which had not ended. Conclusion: leaving is a bit of the incarnation, so it spreads and outlives suspicions; a test covers loss and a pause.

--- a/include/gcw/membership/member.h
+++ b/include/gcw/membership/member.h
@@ -33,6 +33,17 @@
   return incarnation >> kRefutationBits;
 }
 
+// Set in the incarnation of a member from when it begins to leave: it finishes
+// what it holds and should get nothing new. Part of the incarnation, so that it
+// spreads and outlives suspicions like any newer statement of the member.
+inline constexpr Incarnation kLeavingBit = Incarnation{1}
+                                           << (kRefutationBits - 1);
+
+// Whether the member with `incarnation` has begun to leave. Thread-safe.
+constexpr bool IsLeaving(Incarnation incarnation) {
+  return (incarnation & kLeavingBit) != 0;
+}
+
 // One daemon of the deployment.
 struct Member {
   std::string name;
@@ -47,6 +58,9 @@
   // The configuration revision in its last message to this daemon.
   std::uint64_t revision = 0;
 
+  // Whether it has begun to leave; it may still be live.
+  bool leaving() const { return IsLeaving(incarnation); }
+
   // Whether it takes part: alive or only suspected.
   bool live() const {
     return state == MemberState::kAlive || state == MemberState::kSuspect;
--- a/include/gcw/membership/membership.h
+++ b/include/gcw/membership/membership.h
@@ -65,6 +65,7 @@
   kRecovered,  // The suspicion was refuted.
   kDied,
   kLeft,
+  kLeaving,  // Finishes what it holds; still live.
 };
 
 // Thread-safe.
@@ -129,7 +130,11 @@
                     const Message& message,
                     absl::Time now);
 
-  // Tells members that this daemon leaves. Keep ticking for about a second
+  // Tells members that this daemon finishes what it holds and should get
+  // nothing new. It stays a live member until Leave. Idempotent.
+  void BeginLeave();
+
+  // Tells members that this daemon is gone. Keep ticking for about a second
   // after it, so that the news spreads.
   Actions Leave(absl::Time now);
 
--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -20,6 +20,8 @@
 
 constexpr Logger kLog("balancer");
 constexpr absl::Duration kShutdownPoll = absl::Milliseconds(100);
+// Long enough to tell several members that this one is gone.
+constexpr absl::Duration kFarewell = absl::Milliseconds(500);
 // The fabric has stopped sending to a daemon that hears nothing this long.
 constexpr int kQuietMilliseconds = 1000;
 
@@ -82,17 +84,15 @@
   }
 
   bool Shutdown() {
-    Tell<DispatchMessage>(kDispatchService);
-    Tell<ClusterMessage>(kClusterService);
-    Tell<PacketMessage>(kPacketService);
-    const absl::Time limit = absl::Now() + settings_.shutdown_limit;
-    while (absl::Now() < limit) {
-      absl::SleepFor(kShutdownPoll);
-      if (MayStop(Status())) {
-        return true;
-      }
-    }
-    return false;
+    // The others hear of it first, so that they send nothing new while this
+    // daemon still takes what is on its way.
+    Tell<ClusterMessage>(kClusterService, BeginShutdown{});
+    Tell<DispatchMessage>(kDispatchService, BeginShutdown{});
+    Tell<PacketMessage>(kPacketService, BeginShutdown{});
+    const bool complete = WaitUntilDone();
+    Tell<ClusterMessage>(kClusterService, FinishShutdown{});
+    absl::SleepFor(kFarewell);
+    return complete;
   }
 
   nlohmann::json Status() { return GatherStatus(settings_, kernel_); }
@@ -106,11 +106,22 @@
     return status["routing"].value("quiet_ms", 0) >= kQuietMilliseconds;
   }
 
-  template <typename T>
-  void Tell(std::string_view service) {
+  bool WaitUntilDone() {
+    const absl::Time limit = absl::Now() + settings_.shutdown_limit;
+    while (absl::Now() < limit) {
+      absl::SleepFor(kShutdownPoll);
+      if (MayStop(Status())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  template <typename T, typename M>
+  void Tell(std::string_view service, M message) {
     const auto sink = kernel_.Find<T>(service);
     if (sink.ok()) {
-      sink.value()->Send(BeginShutdown{});
+      sink.value()->Send(std::move(message));
     }
   }
 
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -356,8 +356,13 @@
   void OnMessage(BeginShutdown& /*shutdown*/) {
     leaving_ = true;
     kLog.Info("leaving");
-    Perform(membership_->Leave(kernel::MonotonicNow()));
+    membership_->BeginLeave();
+    OnTick();
     ShareMembers();
+  }
+
+  void OnMessage(FinishShutdown& /*shutdown*/) {
+    Perform(membership_->Leave(kernel::MonotonicNow()));
     socket_->Flush();
   }
 
--- a/src/balancer/dispatch_task.cc
+++ b/src/balancer/dispatch_task.cc
@@ -23,6 +23,9 @@
 constexpr std::size_t kMaxBatches = 8;
 
 dispatch::MemberState StateOf(const membership::Member& member) {
+  if (member.leaving()) {
+    return dispatch::MemberState::kLeaving;
+  }
   return member.state == membership::MemberState::kSuspect
              ? dispatch::MemberState::kSuspect
              : dispatch::MemberState::kLive;
--- a/src/balancer/messages.h
+++ b/src/balancer/messages.h
@@ -61,6 +61,9 @@
 // Begin to leave: no new work, hand over, then report drained in the status.
 struct BeginShutdown {};
 
+// Nothing is held any more: tell the other daemons that this one is gone.
+struct FinishShutdown {};
+
 // Put the part's status into `reply`.
 struct StatusRequest {
   std::shared_ptr<StatusReply> reply;
@@ -133,6 +136,7 @@
                                     PlatformFailed,
                                     PlatformVms,
                                     BeginShutdown,
+                                    FinishShutdown,
                                     StatusRequest>;
 
 // Reports of other daemons come as PeerBytes.
--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -60,6 +60,9 @@
 }
 
 routing::MemberState StateOf(const membership::Member& member) {
+  if (member.leaving()) {
+    return routing::MemberState::kLeaving;
+  }
   return member.state == membership::MemberState::kSuspect
              ? routing::MemberState::kSuspect
              : routing::MemberState::kAlive;
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -36,6 +36,9 @@
   if (StartOf(before.incarnation) != StartOf(after.incarnation)) {
     return EventType::kRestarted;
   }
+  if (!before.leaving() && after.leaving()) {
+    return EventType::kLeaving;
+  }
   if (before.state == after.state) {
     return std::nullopt;
   }
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -116,6 +116,8 @@
       return "died";
     case EventType::kLeft:
       return "left";
+    case EventType::kLeaving:
+      return "is leaving";
   }
   return "unknown";
 }
@@ -127,6 +129,7 @@
   // Inputs.
   void Tick(absl::Time now, Actions& actions);
   void Receive(const Message& message, absl::Time now, Actions& actions);
+  void BeginLeave();
   void Leave(absl::Time now, Actions& actions);
 
   // Periodic work.
@@ -532,13 +535,24 @@
   if (StartOf(at_least) > StartOf(self.incarnation)) {
     // An earlier process of this name had a clock that was ahead. Peers must
     // still see that this is another process.
-    self.incarnation = (StartOf(at_least) + 1) << kRefutationBits;
+    const Incarnation leaving_bit = self.incarnation & kLeavingBit;
+    self.incarnation =
+        ((StartOf(at_least) + 1) << kRefutationBits) | leaving_bit;
   } else {
     self.incarnation = std::max(at_least, self.incarnation) + 1;
   }
   news.Add(ToGossip(self));
 }
 
+void Membership::State::BeginLeave() {
+  if (self.leaving()) {
+    return;
+  }
+  self.incarnation |= kLeavingBit;
+  urgent_news = true;
+  news.Add(ToGossip(self));
+}
+
 void Membership::State::Leave(absl::Time now, Actions& actions) {
   leaving = true;
   self.state = MemberState::kLeft;
@@ -640,6 +654,10 @@
   return actions;
 }
 
+void Membership::BeginLeave() {
+  state_->BeginLeave();
+}
+
 Actions Membership::Leave(absl::Time now) {
   Actions actions;
   state_->Leave(now, actions);
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -180,6 +180,46 @@
   }
 }
 
+TEST_CASE(
+    "a daemon that begins to leave stays a live member until it is gone") {
+  for (std::uint64_t seed : kSeeds) {
+    Network network(seed);
+    network.faults.loss = 0.2;
+    network.AddAll(4, 3);
+    network.Run(absl::Seconds(5));
+    network.ClearCounters();
+    auto& leaver = network.node(1);
+    leaver.membership->BeginLeave();
+    network.Run(absl::Milliseconds(1500));
+    INFO("seed " << seed);
+    for (std::size_t i : {0, 2, 3}) {
+      const auto member = network.node(i).membership->Find("entry-1");
+      CHECK(member->live());
+      CHECK(member->leaving());
+    }
+    CHECK(network.CountEvents(EventType::kLeaving, "entry-1") == 3);
+
+    // Neither time nor a suspicion makes it stay.
+    leaver.paused = true;
+    network.Run(absl::Milliseconds(1500));
+    leaver.paused = false;
+    network.Run(absl::Seconds(5));
+    for (std::size_t i : {0, 2, 3}) {
+      const auto member = network.node(i).membership->Find("entry-1");
+      CHECK(member->live());
+      CHECK(member->leaving());
+    }
+
+    network.faults.loss = 0;
+    network.Send(leaver, leaver.membership->Leave(network.now()));
+    network.Run(absl::Milliseconds(1200));
+    for (std::size_t i : {0, 2, 3}) {
+      const auto member = network.node(i).membership->Find("entry-1");
+      CHECK(member->state == MemberState::kLeft);
+    }
+  }
+}
+
 TEST_CASE("a daemon restarted under its name is seen as new") {
   for (std::uint64_t seed : kSeeds) {
     Network network(seed);
