dispatch: leaving daemons finish what they hold, homes tell their successors

A daemon that leaves the members may still run what it was handed: a non-idempotent request waits for it now instead of being called unknown at once, and a leaving daemon relays new requests to the next owner.

--- a/src/dispatch/home.cc
+++ b/src/dispatch/home.cc
@@ -260,9 +260,8 @@
   for (AnswerPart& part : parts) {
     part.attempt_id.clear();
     if (owner_gone) {
-      // Nobody else can tell the caller.
+      // It may live on unseen, but nobody else can tell the caller.
       context_.outbox.ToCaller(held.hand.routed, part);
-      continue;
     }
     context_.link.Send(held.owner,
                        HandAnswer{held.hand.hand_over, std::move(part), hint},
@@ -381,6 +380,10 @@
   }
 }
 
+void Home::OnServerHint(const ServerHint& hint, absl::Time now) {
+  pool_.OnServerHint(hint, now);
+}
+
 void Home::OnFlowsLost(Endpoint address, absl::Time now) {
   ServerState* server = pool_.FindByAddress(address);
   if (server != nullptr && !server->cold()) {
@@ -542,12 +545,7 @@
       hints.hints.push_back(Hint(name, now));
     }
   }
-  for (const auto& [name, server] : pool_.servers()) {
-    if (pool_.IsMine(server)) {
-      hints.servers.push_back({name, server.incarnation(), server.ejected(now),
-                               server.cold_left(now)});
-    }
-  }
+  hints.servers = pool_.ServerHints(now);
   return hints;
 }
 
--- a/src/dispatch/home.h
+++ b/src/dispatch/home.h
@@ -38,6 +38,8 @@
   void OnAnswer(AnswerPart part, absl::Time now);
   void OnShed(const Shed& shed, absl::Time now);
   void OnLoadReport(const LoadReport& report, absl::Time now);
+  // Another daemon says what it knows of a server.
+  void OnServerHint(const ServerHint& hint, absl::Time now);
   void OnFlowsLost(Endpoint server, absl::Time now);
 
   void OnTick(absl::Time now);
--- a/src/dispatch/ingress.cc
+++ b/src/dispatch/ingress.cc
@@ -50,6 +50,15 @@
   pending.routed = std::move(routed);
 }
 
+void Ingress::Relay(const RoutedRequest& routed, absl::Time now) {
+  const std::string owner = context_.members.Owner(routed.request.id);
+  if (owner == context_.options.self) {
+    owner_.OnForward(owner, routed, now);
+    return;
+  }
+  Forward(routed, owner, now);
+}
+
 void Ingress::Forward(const RoutedRequest& routed,
                       const std::string& to,
                       absl::Time now) {
--- a/src/dispatch/ingress.h
+++ b/src/dispatch/ingress.h
@@ -19,6 +19,8 @@
   Ingress(Context& context, Owner& owner, bool shares);
 
   void OnRequest(RoutedRequest routed, absl::Time now);
+  // A request for a daemon that leaves: to the owner that follows it.
+  void Relay(const RoutedRequest& routed, absl::Time now);
   void OnCancel(const std::string& id, absl::Time now);
   // The owner has answered or refused.
   void OnSettled(const std::string& id) { pending_.erase(id); }
--- a/src/dispatch/owner.cc
+++ b/src/dispatch/owner.cc
@@ -352,22 +352,38 @@
   Hand(*entry, now);
 }
 
-void Owner::OnHomeLost(const std::string& home, absl::Time now) {
-  std::vector<std::string> lost;
+std::vector<std::string> Owner::HandedTo(const std::string& home) const {
+  std::vector<std::string> ids;
   for (const std::string& id : open_) {
     const Entry& entry = entries_.at(id);
     if (entry.phase == Phase::kHanded && entry.home == home) {
-      lost.push_back(id);
+      ids.push_back(id);
     }
   }
-  for (const std::string& id : lost) {
+  return ids;
+}
+
+void Owner::OnHomeGone(const std::string& home, absl::Time now) {
+  for (const std::string& id : HandedTo(home)) {
+    Entry& entry = entries_.at(id);
+    // A non-idempotent one may be answered yet, and must not run elsewhere.
+    if (entry.routed.request.idempotent) {
+      entry.may_have_run = true;
+      entry.avoid_home = home;
+      Hand(entry, now);
+    }
+  }
+}
+
+void Owner::OnHomeRestarted(const std::string& home, absl::Time now) {
+  for (const std::string& id : HandedTo(home)) {
     Entry& entry = entries_.at(id);
     entry.may_have_run = true;
     entry.avoid_home = home;
     if (entry.routed.request.idempotent) {
       Hand(entry, now);
     } else {
-      Refuse(entry, ResultCode::kOutcomeUnknown, "its home is gone", now);
+      Refuse(entry, ResultCode::kOutcomeUnknown, "its home was restarted", now);
     }
   }
 }
--- a/src/dispatch/owner.h
+++ b/src/dispatch/owner.h
@@ -44,9 +44,13 @@
                      absl::Time now);
   // The context has newer members or zones.
   void Refresh(absl::Time now);
-  // `home` is gone or was started anew, and forgot what it was handed.
-  void OnHomeLost(const std::string& home, absl::Time now);
+  // `home` is not a member any more; it may still finish what it holds.
+  void OnHomeGone(const std::string& home, absl::Time now);
+  // `home` was started anew, and forgot what it was handed.
+  void OnHomeRestarted(const std::string& home, absl::Time now);
 
+  // Whether it holds a record of the request.
+  bool Knows(const std::string& id) const { return entries_.contains(id); }
   void OnTick(absl::Time now);
   bool idle() const { return open_.empty(); }
 
@@ -123,6 +127,7 @@
   void DropOldRecords(absl::Time now);
   void DropOldAnswers();
   Entry* Find(std::string_view id);
+  std::vector<std::string> HandedTo(const std::string& home) const;
   Entry* FindHanded(std::string_view id,
                     const std::string& home,
                     std::uint32_t hand_over);
--- a/src/dispatch/role_dispatcher.cc
+++ b/src/dispatch/role_dispatcher.cc
@@ -10,7 +10,7 @@
 
 constexpr absl::Duration kBusyTick = absl::Milliseconds(5);
 // Bytes that hints may use a second: a part of the control budget.
-constexpr double kHintBytesPerSecond = 1200;
+constexpr double kHintBytesPerSecond = 800;
 // A cold server always bears a little.
 constexpr double kLeastShare = 0.1;
 // After BeginShutdown others may still send work until they know.
@@ -40,7 +40,8 @@
 void RoleDispatcher::Finish(absl::Time now) {
   while (true) {
     for (const std::string& member : context_.link.TakeRestarted()) {
-      OnMemberLost(member, now);
+      owner_.OnHomeRestarted(member, now);
+      ingress_.OnOwnerLost(member, now);
     }
     std::vector<PeerBody> local = context_.link.TakeLocal();
     if (local.empty()) {
@@ -73,18 +74,15 @@
   for (const std::string& member : gone) {
     context_.link.Forget(member);
     servers_elsewhere_.erase(member);
-    OnMemberLost(member, now);
+    owner_.OnHomeGone(member, now);
+    ingress_.OnOwnerLost(member, now);
   }
   home_.Refresh(now);
   owner_.Refresh(now);
+  last_hints_ = absl::InfinitePast();  // New members are told at once.
   Finish(now);
 }
 
-void RoleDispatcher::OnMemberLost(const std::string& member, absl::Time now) {
-  owner_.OnHomeLost(member, now);
-  ingress_.OnOwnerLost(member, now);
-}
-
 void RoleDispatcher::OnRequest(Endpoint caller,
                                Endpoint service_address,
                                Request request,
@@ -141,7 +139,7 @@
                             PeerBody body,
                             absl::Time now) {
   if (auto* forward = std::get_if<ForwardRequest>(&body)) {
-    owner_.OnForward(member, std::move(forward->routed), now);
+    OnForward(member, std::move(forward->routed), now);
   } else if (const auto* cancel = std::get_if<ForwardCancel>(&body)) {
     owner_.OnForwardCancel(cancel->id, now);
   } else if (const auto* settled = std::get_if<Settled>(&body)) {
@@ -164,6 +162,16 @@
   }
 }
 
+void RoleDispatcher::OnForward(const std::string& member,
+                               RoutedRequest routed,
+                               absl::Time now) {
+  if (context_.shutting_down && !owner_.Knows(routed.request.id)) {
+    ingress_.Relay(routed, now);
+    return;
+  }
+  owner_.OnForward(member, std::move(routed), now);
+}
+
 void RoleDispatcher::OnHints(const std::string& member,
                              const SlotHints& hints,
                              absl::Time now) {
@@ -172,6 +180,7 @@
   }
   for (const ServerHint& server : hints.servers) {
     context_.directory.OnServerHint(server, now);
+    home_.OnServerHint(server, now);
   }
   servers_elsewhere_[member] = {hints.servers, now};
 }
--- a/src/dispatch/role_dispatcher.h
+++ b/src/dispatch/role_dispatcher.h
@@ -53,10 +53,12 @@
   // Handles what roles of this daemon sent to each other, until none is left.
   void Finish(absl::Time now);
   void Handle(const std::string& member, PeerBody body, absl::Time now);
+  void OnForward(const std::string& member,
+                 RoutedRequest routed,
+                 absl::Time now);
   void OnHints(const std::string& member,
                const SlotHints& hints,
                absl::Time now);
-  void OnMemberLost(const std::string& member, absl::Time now);
   void OnOverdue(const PeerLink::Overdue& overdue, absl::Time now);
   void SendHints(absl::Time now);
   absl::Duration HintInterval() const;
--- a/src/dispatch/server_pool.cc
+++ b/src/dispatch/server_pool.cc
@@ -3,6 +3,12 @@
 #include <algorithm>
 
 namespace gcw::dispatch {
+namespace {
+
+// A former home tells of its server this much longer.
+constexpr absl::Duration kTellAfterLoss = absl::Seconds(3);
+
+}  // namespace
 
 ServerPool::ServerPool(Context& context, const SlotPolicy& policy)
     : context_(context), policy_(policy) {}
@@ -27,7 +33,9 @@
             .first->second;
     server.Configure(config, now);
     const bool mine = policy_.IsMine(config, context_.members);
-    bool& was_mine = mine_[name];
+    absl::Time& until =
+        mine_until_.try_emplace(name, absl::InfinitePast()).first->second;
+    const bool was_mine = until == absl::InfiniteFuture();
     if (mine && !was_mine) {
       const HomeDirectory::KnownServer* known =
           context_.directory.FindServer(name);
@@ -37,7 +45,9 @@
           known == nullptr ? now + context_.options.warm_up : known->cold_until,
           now);
     }
-    was_mine = mine;
+    if (mine != was_mine) {
+      until = mine ? absl::InfiniteFuture() : now;
+    }
     server.SetWanted(mine && context_.IsWanted(config));
   }
   services_.clear();
@@ -134,8 +144,29 @@
 }
 
 bool ServerPool::IsMine(const ServerState& server) const {
-  const auto it = mine_.find(server.name());
-  return it != mine_.end() && it->second;
+  const auto it = mine_until_.find(server.name());
+  return it != mine_until_.end() && it->second == absl::InfiniteFuture();
+}
+
+void ServerPool::OnServerHint(const ServerHint& hint, absl::Time now) {
+  ServerState* server = Find(hint.server);
+  if (server != nullptr && IsMine(*server) && server->incarnation() == 0 &&
+      hint.incarnation != 0) {
+    server->StartCautiously(hint.incarnation, now + hint.cold_left, now);
+  }
+}
+
+std::vector<ServerHint> ServerPool::ServerHints(absl::Time now) const {
+  std::vector<ServerHint> hints;
+  for (const auto& [name, server] : servers_) {
+    const auto until = mine_until_.find(name);
+    // The next home has to hear of it too.
+    if (until != mine_until_.end() && now - until->second < kTellAfterLoss) {
+      hints.push_back({name, server.incarnation(), server.ejected(now),
+                       server.cold_left(now)});
+    }
+  }
+  return hints;
 }
 
 void ServerPool::OnTick(absl::Time now) {
--- a/src/dispatch/server_pool.h
+++ b/src/dispatch/server_pool.h
@@ -39,6 +39,11 @@
   // already. Returns whether it did.
   bool TryEject(ServerState& server, absl::Time now);
 
+  // The home before this one said what it knows of a server.
+  void OnServerHint(const ServerHint& hint, absl::Time now);
+  // What this daemon knows of servers that are or lately were its own.
+  std::vector<ServerHint> ServerHints(absl::Time now) const;
+
   SlotHint Hint(const std::string& service, absl::Time now) const;
   void OnTick(absl::Time now);
 
@@ -53,7 +58,8 @@
   Context& context_;
   const SlotPolicy& policy_;
   std::map<std::string, ServerState, std::less<>> servers_;
-  std::map<std::string, bool, std::less<>> mine_;
+  // Until when each server was this daemon's; InfiniteFuture if it still is.
+  std::map<std::string, absl::Time, std::less<>> mine_until_;
   std::map<std::string, std::vector<ServerState*>, std::less<>> services_;
   absl::Time last_query_ = absl::InfinitePast();
 };
--- a/src/dispatch/server_state.cc
+++ b/src/dispatch/server_state.cc
@@ -49,6 +49,8 @@
     TurnCold(now);
   } else if (cold_until > now) {
     TurnCold(cold_until - warm_up_);
+  } else {
+    cold_ = false;
   }
 }
 
