--- a/src/membership/gossip_queue.cc
+++ b/src/membership/gossip_queue.cc
@@ -1,6 +1,6 @@
 #include "src/membership/gossip_queue.h"
 
-#include <algorithm>
+#include <utility>
 
 namespace gcw::membership {
 
@@ -14,7 +14,7 @@
   std::erase_if(items_, [&](const Item& item) {
     return item.gossip.name == gossip.name;
   });
-  items_.push_back(Item{gossip, 0});
+  items_.push_front(Item{gossip, 0});
 }
 
 void GossipQueue::Take(std::size_t max_items,
@@ -22,25 +22,26 @@
                        int limit,
                        std::string_view skip,
                        std::vector<Gossip>& out) {
-  std::stable_sort(
-      items_.begin(), items_.end(),
-      [](const Item& a, const Item& b) { return a.sent < b.sent; });
   std::size_t taken = 0;
   std::size_t bytes = 0;
-  for (Item& item : items_) {
-    const std::size_t size = EncodedBytes(item.gossip);
-    if (taken == max_items || bytes + size > max_bytes) {
+  for (std::size_t left = items_.size(); left > 0 && taken < max_items;
+       --left) {
+    const std::size_t size = EncodedBytes(items_.front().gossip);
+    if (bytes + size > max_bytes) {
       break;
     }
-    if (item.gossip.name == skip) {
-      continue;
+    Item item = std::move(items_.front());
+    items_.pop_front();
+    if (item.gossip.name != skip) {
+      out.push_back(item.gossip);
+      ++item.sent;
+      ++taken;
+      bytes += size;
+    }
+    if (item.sent < limit) {
+      items_.push_back(std::move(item));
     }
-    out.push_back(item.gossip);
-    ++item.sent;
-    ++taken;
-    bytes += size;
   }
-  std::erase_if(items_, [&](const Item& item) { return item.sent >= limit; });
 }
 
 }  // namespace gcw::membership
--- a/src/membership/gossip_queue.h
+++ b/src/membership/gossip_queue.h
@@ -2,6 +2,8 @@
 #define GCW_SRC_MEMBERSHIP_GOSSIP_QUEUE_H_
 
 #include <cstddef>
+#include <deque>
+#include <string_view>
 #include <vector>
 
 #include "gcw/membership/message.h"
@@ -12,7 +14,7 @@
 std::size_t EncodedBytes(const Gossip& gossip);
 
 // News that still has to be passed on, each a bounded number of times, the
-// least passed on first. One item for each member. Not thread-safe.
+// newest first and then in turn. One item for each member. Not thread-safe.
 class GossipQueue {
  public:
   // Replaces older news of the same member.
@@ -35,7 +37,7 @@
     int sent = 0;
   };
 
-  std::vector<Item> items_;
+  std::deque<Item> items_;
 };
 
 }  // namespace gcw::membership
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -22,10 +22,13 @@
 constexpr std::size_t kLeaveFanout = 16;
 constexpr std::size_t kNewsFanout = 4;
 constexpr absl::Duration kNewsGap = absl::Milliseconds(200);
-// Pages of the member list are fetched at these intervals, while joining and
-// later when digests differ.
+// Pages of the member list are fetched at these intervals: while joining or
+// while pages bring news, and when digests merely differ.
 constexpr absl::Duration kJoinPageInterval = absl::Milliseconds(100);
 constexpr absl::Duration kPageInterval = absl::Seconds(1);
+// When a whole fleet starts, the peers that are asked know little themselves.
+constexpr absl::Duration kStartupTime = absl::Seconds(30);
+constexpr absl::Duration kForgetInterval = absl::Seconds(5);
 // A seed or dead member is contacted at this interval, one at a time; faster
 // while this daemon knows nobody.
 constexpr absl::Duration kContactInterval = absl::Seconds(1);
@@ -134,6 +137,7 @@
   void ExpireProbes(absl::Time now, Actions& actions);
   void ExpireSuspicions(absl::Time now, Actions& actions);
   void TellLeave(absl::Time now, Actions& actions);
+  void ForgetDead(absl::Time now);
   void ProbeNext(absl::Time now, Actions& actions);
   void TellSuspects(Actions& actions);
   bool IsUnknown(const Seed& seed) const;
@@ -150,7 +154,8 @@
   void Reply(MessageType type, const Message& to, Actions& actions);
 
   // Statements.
-  void Apply(const Gossip& gossip, absl::Time now, Actions& actions);
+  bool Apply(const Gossip& gossip, absl::Time now, Actions& actions);
+  void Spread(const Gossip& gossip, absl::Time now, Actions& actions);
   void Refute(const Gossip& gossip);
   void RaiseIncarnation(Incarnation at_least);
 
@@ -196,13 +201,16 @@
   bool urgent_news = false;
   bool joining = true;
   bool page_wanted = false;
+  bool page_had_news = false;
   Endpoint page_peer;
   std::string page_cursor;
 
   absl::Time last_tick = absl::InfinitePast();
+  absl::Time first_tick = absl::InfinitePast();
   absl::Time next_probe = absl::InfinitePast();
   absl::Time next_contact = absl::InfinitePast();
   absl::Time next_page = absl::InfinitePast();
+  absl::Time next_forget = absl::InfinitePast();
   absl::Time next_news = absl::InfinitePast();
 };
 
@@ -210,7 +218,7 @@
   NoticePause(now);
   ExpireProbes(now, actions);
   ExpireSuspicions(now, actions);
-  table.Forget(now - options.dead_retention);
+  ForgetDead(now);
   if (leaving) {
     if (now >= next_probe) {
       TellLeave(now, actions);
@@ -232,6 +240,9 @@
 // have given this member up, which a new incarnation undoes.
 void Membership::State::NoticePause(absl::Time now) {
   const absl::Time before = std::exchange(last_tick, now);
+  if (before == absl::InfinitePast()) {
+    first_tick = now;
+  }
   if (before == absl::InfinitePast() ||
       now - before <= options.pause_threshold) {
     return;
@@ -275,7 +286,7 @@
       Gossip suspicion = ToGossip(*member);
       suspicion.state = MemberState::kSuspect;
       urgent_news = true;
-      Apply(suspicion, now, actions);
+      Spread(suspicion, now, actions);
     }
   }
 }
@@ -293,7 +304,14 @@
   }
   urgent_news |= !deaths.empty();
   for (const Gossip& death : deaths) {
-    Apply(death, now, actions);
+    Spread(death, now, actions);
+  }
+}
+
+void Membership::State::ForgetDead(absl::Time now) {
+  if (now >= next_forget) {
+    next_forget = now + kForgetInterval;
+    table.Forget(now - options.dead_retention);
   }
 }
 
@@ -362,8 +380,11 @@
   if (!page_wanted || now < next_page) {
     return;
   }
-  next_page = now + Jitter(joining ? kJoinPageInterval : kPageInterval);
-  page_wanted = joining;
+  const bool hurry =
+      joining || page_had_news || now - first_tick < kStartupTime;
+  next_page = now + Jitter(hurry ? kJoinPageInterval : kPageInterval);
+  page_wanted = joining || page_had_news;
+  page_had_news = false;
   Message request = NewMessage(MessageType::kSyncRequest, NextNonce());
   request.target = page_cursor;
   Send(page_peer, "", std::move(request), actions);
@@ -390,10 +411,17 @@
   if (message.sender.name == self.name) {
     return;
   }
+  // What comes by the page is old news that everyone can fetch: it is not
+  // passed on.
+  const bool page = message.type == MessageType::kSyncReply;
   for (const Gossip& gossip : message.gossip) {
-    Apply(gossip, now, actions);
+    const bool changed = Apply(gossip, now, actions);
+    if (changed && !page) {
+      news.Add(gossip);
+    }
+    page_had_news |= changed && page;
   }
-  Apply(message.sender, now, actions);
+  Spread(message.sender, now, actions);
   table.Heard(message.sender.name, message.sender.incarnation, message.revision,
               now);
   if (!message.payload.empty()) {
@@ -500,20 +528,28 @@
   Send(to.sender.address, to.sender.name, NewMessage(type, to.nonce), actions);
 }
 
-void Membership::State::Apply(const Gossip& gossip,
+// Takes a statement into the table; whether it changed anything there.
+bool Membership::State::Apply(const Gossip& gossip,
                               absl::Time now,
                               Actions& actions) {
   if (gossip.name == self.name) {
     Refute(gossip);
-    return;
+    return false;
   }
   MemberTable::Outcome outcome = table.Merge(gossip, now);
-  if (outcome.news) {
-    news.Add(gossip);
-  }
   if (outcome.event) {
     actions.events.push_back(std::move(*outcome.event));
   }
+  return outcome.news;
+}
+
+// Takes a statement that was learned first-hand and passes it on.
+void Membership::State::Spread(const Gossip& gossip,
+                               absl::Time now,
+                               Actions& actions) {
+  if (Apply(gossip, now, actions)) {
+    news.Add(gossip);
+  }
 }
 
 // Statements about this member itself: an equal or newer one that does not say
