--- a/src/lab/daemon_fleet.cc
+++ b/src/lab/daemon_fleet.cc
@@ -120,6 +120,7 @@
     return;
   }
   truth.state = DaemonState::kPaused;
+  truth.resumed = absl::InfiniteFuture();
   truth.informed_since = absl::InfiniteFuture();
   members_[daemon].process->Signal(SIGSTOP);
   context_.poller->Skip(daemon);
@@ -133,6 +134,7 @@
   }
   members_[daemon].process->Signal(SIGCONT);
   truth.state = DaemonState::kLive;
+  truth.resumed = context_.scheduler->now();
   const ZoneIndex zone = context_.world->topology().daemons[daemon].zone;
   if (!context_.world->IsCut(zone)) {
     truth.informed_since = context_.scheduler->now();
--- a/src/lab/event_reader.cc
+++ b/src/lab/event_reader.cc
@@ -185,8 +185,8 @@
               std::vector<Error>* errors,
               LinkRule* rule) {
   std::size_t position = 0;
-  reader.ReadWord("on", Presence::kRequired, {"peers", "servers", "callers"},
-                  &position);
+  reader.ReadWord("on", Presence::kRequired,
+                  {"peers", "servers", "callers", "control"}, &position);
   rule->kind = static_cast<LinkKind>(position);
   if (reader.Has("zones")) {
     Event pair;
--- a/src/lab/network.h
+++ b/src/lab/network.h
@@ -13,7 +13,12 @@
 
 namespace gcw::lab {
 
-enum class LinkKind { kPeers, kServers, kCallers };
+enum class LinkKind {
+  kPeers,    // Datagrams between daemons.
+  kServers,  // Daemons and backend servers.
+  kCallers,  // Callers and daemons.
+  kControl,  // Streams between daemons.
+};
 
 // What a link does to each packet beside its usual delay.
 struct LinkFaults {
--- a/src/lab/peer_proxy.cc
+++ b/src/lab/peer_proxy.cc
@@ -160,7 +160,7 @@
       traffic_[forth ? receiver : sender].control_received += bytes;
     };
     hooks.delay = [this, from, to] {
-      return network_.StreamDelay(LinkKind::kPeers, from, to);
+      return network_.StreamDelay(LinkKind::kControl, from, to);
     };
     hooks.is_cut = [this, from, to] { return !world_.Connected(from, to); };
     return hooks;
--- a/src/lab/request_callers.cc
+++ b/src/lab/request_callers.cc
@@ -80,7 +80,7 @@
     request.service = service;
     request.zone = zone;
     request.info = {service, kWorths[random_.Below(std::size(kWorths))],
-                    idempotent};
+                    idempotent, load_.deadline};
     request.deadline = scheduler_.now() + load_.deadline;
     Endpoint caller;
     do {
--- a/src/lab/request_ledger.h
+++ b/src/lab/request_ledger.h
@@ -45,6 +45,7 @@
   ServiceIndex service = 0;
   double worth = 1;
   bool idempotent = true;
+  absl::Duration deadline = absl::Seconds(1);
 };
 
 // Follows every request over all callers and servers. Not thread-safe.
--- a/src/lab/storm.cc
+++ b/src/lab/storm.cc
@@ -155,7 +155,7 @@
 
   void Links(absl::Duration at, absl::Duration length) {
     constexpr std::array kKinds{LinkKind::kPeers, LinkKind::kServers,
-                                LinkKind::kCallers};
+                                LinkKind::kCallers, LinkKind::kControl};
     Event& event = Add(EventKind::kLink, at);
     event.link.kind = kKinds[random_.Below(kKinds.size())];
     event.link.faults.loss = 0.02 * random_.Uniform();
--- a/src/lab/world.h
+++ b/src/lab/world.h
@@ -18,6 +18,7 @@
   absl::Time informed_since = absl::InfinitePast();
   absl::Time stop_began = absl::InfiniteFuture();  // Graceful shutdown.
   absl::Time ended = absl::InfiniteFuture();
+  absl::Time resumed = absl::InfinitePast();  // After the last pause.
 };
 
 // What is true of one server and what operators have asked of it.
--- a/tests/lab/request_counters_test.cc
+++ b/tests/lab/request_counters_test.cc
@@ -165,6 +165,26 @@
   CHECK(f.requests.totals().cut_by_planned_stop == 1);
 }
 
+TEST_CASE("a drain after the deadline or a paused daemon cuts nothing") {
+  Fixture drained(RequestsOnly());
+  const std::string id = SendOne(drained);
+  drained.SendRequest(0, id, "r");
+  drained.scheduler.Advance(absl::Milliseconds(1100));
+  drained.world.server(0).leaving_since = drained.scheduler.now();
+  drained.scheduler.Advance(absl::Seconds(1));
+  CHECK(drained.requests.totals().unanswered == 1);
+  CHECK(drained.requests.totals().cut_by_planned_stop == 0);
+
+  Fixture paused(RequestsOnly());
+  const std::string other = SendOne(paused);
+  paused.SendRequest(0, other, "r");
+  paused.world.server(0).leaving_since = paused.scheduler.now();
+  paused.world.daemon(0).resumed = absl::InfiniteFuture();
+  paused.scheduler.Advance(absl::Seconds(2));
+  CHECK(paused.requests.totals().unanswered == 1);
+  CHECK(paused.requests.totals().cut_by_planned_stop == 0);
+}
+
 TEST_CASE("a planned stop is not blamed for what a server's death took") {
   Fixture f(RequestsOnly());
   const std::string id = SendOne(f);
