--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -102,6 +102,9 @@
   for (std::size_t i = 0; i < objects.size() && !error; ++i) {
     const std::string path = "objects[" + std::to_string(i) + "]";
     Object object = ReadObject(objects[i], path, error);
+    if (update.full && object.deleted) {
+      reader.Fail(path, "is a deletion among all live objects");
+    }
     const bool inside = object.version > update.from || update.full;
     if (!inside || object.version > update.to) {
       reader.Fail(path, "has a version outside the update");
