api: read the status as the daemons write it

Status objects come with a fence around the data, the time as text, and only every 30 s when nothing changes, so the default of status_stale is 45 s.

--- a/include/gcw/api/api_settings.h
+++ b/include/gcw/api/api_settings.h
@@ -20,8 +20,9 @@
   std::uint32_t bind = 0;  // Local address of platform calls; 0: any.
   // Hash of the token of the pool's operators, see auth::HashToken.
   std::string pool_token_hash;
-  // A zone whose status is older counts as unreachable.
-  absl::Duration status_stale = absl::Seconds(15);
+  // A zone whose status is older counts as unreachable. Status writers write
+  // an unchanged status every 30 s.
+  absl::Duration status_stale = absl::Seconds(45);
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/src/api/views.cc
+++ b/src/api/views.cc
@@ -26,15 +26,35 @@
   json servers = json::array();
 };
 
+// The time in a report, as RFC 3339 text or in milliseconds since the epoch.
+std::optional<absl::Time> ReadTime(const json& value) {
+  if (value.is_number_integer()) {
+    return absl::FromUnixMillis(value.get<std::int64_t>());
+  }
+  absl::Time at;
+  std::string error;
+  const bool is_time = value.is_string() &&
+                       absl::ParseTime(absl::RFC3339_full,
+                                       value.get<std::string>(), &at, &error);
+  return is_time ? std::optional(at) : std::nullopt;
+}
+
 ZoneReport ReadReport(const std::string& text) {
   ZoneReport report;
-  const json value = json::parse(text, nullptr, false);
-  if (!value.is_object() || !value.contains("at") ||
-      !value.at("at").is_number()) {
+  json value = json::parse(text, nullptr, false);
+  // A fenced write holds the fence beside the data.
+  if (value.is_object() && value.contains("data")) {
+    value = json(value.at("data"));
+  }
+  if (!value.is_object() || !value.contains("at")) {
+    return report;
+  }
+  const std::optional<absl::Time> at = ReadTime(value.at("at"));
+  if (!at.has_value()) {
     return report;
   }
   report.is_readable = true;
-  report.at = absl::FromUnixMillis(value.at("at").get<std::int64_t>());
+  report.at = *at;
   for (const auto& [field, target] : {std::pair{"daemons", &report.daemons},
                                       std::pair{"servers", &report.servers}}) {
     if (value.contains(field) && value.at(field).is_array()) {
--- a/tools/gcw-api/main.cc
+++ b/tools/gcw-api/main.cc
@@ -89,7 +89,7 @@
   CLI::App app("The resource API of goldcrestwheel for operators.", "gcw-api");
   std::string settings;
   bool check_only = false;
-  app.add_option("settings", settings, "Settings file (JSON)")->required();
+  app.add_option("--settings", settings, "Settings file (JSON)")->required();
   app.add_flag("--check", check_only, "Check the settings and exit");
   app.set_version_flag("--version", kVersion);
   try {
