--- /dev/null
+++ b/tests/platform/conditional_writer_outage_test.cc
@@ -0,0 +1,117 @@
+#include <fmt/format.h>
+
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/time/clock.h"
+#include "gcw/platform/conditional_write.h"
+#include "gcw/platform/http_platform_client.h"
+#include "src/fake_platform/fake_platform.h"
+
+namespace gcw::platform {
+namespace {
+
+using fake_platform::FakePlatform;
+using fake_platform::Outage;
+
+constexpr std::uint32_t kLoopback = 0x7f000001;
+constexpr char kKey[] = "config/zone/a";
+constexpr int kWritesEach = 60;
+
+// What a writer was told of its operations.
+struct Told {
+  std::set<std::string> accepted;
+  std::set<std::string> refused;  // Surely not made.
+  std::set<std::string> unknown;
+};
+
+Told WriteMany(const FakePlatform& platform, int writer) {
+  const auto client =
+      HttpPlatformClient::Make({.platform = platform.endpoint(),
+                                .call_timeout = absl::Milliseconds(100)});
+  ConditionalWriter writes(client.get(), {.budget = absl::Seconds(10)},
+                           static_cast<std::uint64_t>(writer));
+  Told told;
+  for (int i = 0; i < kWritesEach; ++i) {
+    const std::string op = fmt::format("w{}-{}", writer, i);
+    const auto intent = [&op](const Object*) -> Result<DesiredState> {
+      return DesiredState{nlohmann::json({{"op", op}}).dump()};
+    };
+    const Result<WriteOutcome> outcome =
+        writes.Write({.key = kKey, .op = op, .intent = intent});
+    if (outcome.ok()) {
+      told.accepted.insert(op);
+    } else if (outcome.error().code == ResultCode::kPlatformOutcomeUnknown) {
+      told.unknown.insert(op);
+    } else {
+      told.refused.insert(op);
+    }
+  }
+  return told;
+}
+
+TEST_CASE("writes through outages, lost answers and stale reads stay whole") {
+  auto made = FakePlatform::Make(
+      {.listen = {kLoopback, 0}, .seed = 4, .limits = {1e6, 1e6}});
+  REQUIRE(made.ok());
+  const std::unique_ptr<FakePlatform> platform = std::move(made).value();
+  REQUIRE(platform->Put(kKey, R"({"op":"start"})", 0).ok());
+  platform->RememberState();
+  platform->SetLostAnswers(0.2);
+  platform->SetStaleReads(0.1);
+
+  std::vector<Told> told(3);
+  std::vector<std::thread> writers;
+  for (int i = 0; i < 3; ++i) {
+    writers.emplace_back([&, i] { told[i] = WriteMany(*platform, i); });
+  }
+  std::atomic<bool> done = false;
+  std::thread faults([&] {
+    for (int i = 0; !done; ++i) {
+      absl::SleepFor(absl::Milliseconds(150));
+      platform->SetOutage(i % 2 == 0 ? Outage::kSilent : Outage::kRefusing);
+      absl::SleepFor(absl::Milliseconds(150));
+      platform->SetOutage(Outage::kNone);
+    }
+  });
+  for (std::thread& writer : writers) {
+    writer.join();
+  }
+  done = true;
+  faults.join();
+
+  std::map<std::string, int> seen;
+  const Result<WatchAnswer> log = platform->EventsAfter(kKey, 0);
+  REQUIRE(log.ok());
+  for (const WatchEvent& event : log.value().events) {
+    ++seen[OperationOf(event.object.value)];
+  }
+  std::size_t accepted = 0;
+  for (const Told& answers : told) {
+    accepted += answers.accepted.size();
+    for (const std::string& op : answers.accepted) {
+      INFO(op);
+      CHECK(seen[op] == 1);
+    }
+    for (const std::string& op : answers.refused) {
+      INFO(op);
+      CHECK(seen[op] == 0);
+    }
+    for (const std::string& op : answers.unknown) {
+      INFO(op);
+      CHECK(seen[op] <= 1);
+    }
+  }
+  // The budget is far longer than an outage.
+  CHECK(accepted == 3 * kWritesEach);
+}
+
+}  // namespace
+}  // namespace gcw::platform
