--- a/src/dispatch/home.h
+++ b/src/dispatch/home.h
@@ -38,6 +38,8 @@
   void OnAnswer(AnswerPart part, absl::Time now);
   void OnShed(const Shed& shed, absl::Time now);
   void OnLoadReport(const LoadReport& report, absl::Time now);
+  // Another daemon says what it knows of a server.
+  void OnServerHint(const ServerHint& hint, absl::Time now);
   void OnFlowsLost(Endpoint server, absl::Time now);
 
   void OnTick(absl::Time now);
@@ -113,7 +115,7 @@
   ServiceStatsMap stats_;
   std::map<std::string, RequestQueue, std::less<>> queues_;
   Handle next_handle_ = 1;
-  absl::flat_hash_map<Handle, Held> held_;
+  std::map<Handle, Held> held_;
   absl::flat_hash_map<std::string, Handle> by_key_;
   absl::flat_hash_map<std::string, Handle> by_attempt_;
 };
--- a/src/dispatch/ingress.h
+++ b/src/dispatch/ingress.h
@@ -1,9 +1,9 @@
 #ifndef GCW_DISPATCH_INGRESS_H_
 #define GCW_DISPATCH_INGRESS_H_
 
+#include <map>
 #include <string>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
 #include "src/dispatch/context.h"
 #include "src/dispatch/owner.h"
@@ -19,6 +19,8 @@
   Ingress(Context& context, Owner& owner, bool shares);
 
   void OnRequest(RoutedRequest routed, absl::Time now);
+  // A request for a daemon that leaves: to the owner that follows it.
+  void Relay(const RoutedRequest& routed, absl::Time now);
   void OnCancel(const std::string& id, absl::Time now);
   // The owner has answered or refused.
   void OnSettled(const std::string& id) { pending_.erase(id); }
@@ -42,7 +44,7 @@
   Context& context_;
   Owner& owner_;
   bool shares_;
-  absl::flat_hash_map<std::string, Pending> pending_;
+  std::map<std::string, Pending> pending_;
 };
 
 }  // namespace gcw::dispatch
