--- a/tests/relay/cluster.h
+++ b/tests/relay/cluster.h
@@ -36,6 +36,7 @@
     std::unique_ptr<VersionedRelay> relay;
     bool running = true;
     Version seen = 0;
+    std::optional<Digest> checked;
     std::uint64_t bytes = 0;
     PlatformMode platform = PlatformMode::kUp;
   };
@@ -77,6 +78,7 @@
     node.relay = std::move(made).value();
     node.running = true;
     node.seen = 0;
+    node.checked.reset();
     ++generation_[node.name];
     ScheduleTick(node, now_ + absl::Microseconds(random_() % 50'000));
   }
@@ -155,7 +157,15 @@
   void Check(Node& node) {
     const Version revision = node.relay->revision();
     REQUIRE(revision >= node.seen);
+    // The hash covers every key and version, so an unchanged one needs no
+    // second look.
+    const bool same =
+        revision == node.seen && node.checked == node.relay->digest();
+    if (same) {
+      return;
+    }
     node.seen = revision;
+    node.checked = node.relay->digest();
     const auto& truth = platform.At(revision);
     const std::vector<Object> held = node.relay->objects();
     const bool complete = std::equal(
