--- a/src/api/access.cc
+++ b/src/api/access.cc
@@ -53,6 +53,14 @@
 
 }  // namespace
 
+std::string_view ClaimedFirm(std::string_view authorization) {
+  if (!authorization.starts_with(kScheme)) {
+    return {};
+  }
+  const std::string_view token = authorization.substr(kScheme.size());
+  return token.substr(0, token.find('.'));
+}
+
 Result<Identity> Authenticate(std::string_view authorization,
                               const config::Snapshot& snapshot,
                               std::string_view pool_token_hash) {
@@ -62,7 +70,7 @@
     return refused;
   }
   const std::string_view token = authorization.substr(kScheme.size());
-  const std::string_view name = token.substr(0, token.find('.'));
+  const std::string_view name = ClaimedFirm(authorization);
   const std::string_view stored = HashOf(name, snapshot, pool_token_hash);
   const bool is_known = !stored.empty();
   if (!auth::VerifyToken(token, is_known ? stored : kNoHash) || !is_known) {
--- a/src/api/access.h
+++ b/src/api/access.h
@@ -26,6 +26,10 @@
   bool operator==(const Identity&) const = default;
 };
 
+// The firm that the header "Bearer FIRM.SECRET" names, not yet verified; empty
+// if it names none. Thread-safe.
+std::string_view ClaimedFirm(std::string_view authorization);
+
 // Tells who holds the token in an Authorization header "Bearer FIRM.SECRET":
 // the hash of the whole token is kept in the firm, that of the pool in
 // `pool_token_hash`. Fails with kUnauthenticated, without saying why, so that
--- a/src/api/resource_service.cc
+++ b/src/api/resource_service.cc
@@ -215,6 +215,10 @@
   if (!target.ok()) {
     return MakeErrorResponse(target.error());
   }
+  if (target.value().kind == Target::Kind::kResource &&
+      request.method == Method::kGet) {
+    return Read(request, target.value());
+  }
   const Result<CallContext> context = Open(request);
   if (!context.ok()) {
     return MakeErrorResponse(context.error());
@@ -240,26 +244,46 @@
     case Target::Kind::kResource:
       break;
   }
-  if (reads) {
-    return Read(target, context);
-  }
   return request.method == Method::kPost
              ? MakeErrorResponse(Unsupported("a resource"))
              : Write(request, target, context);
 }
 
-ApiResponse ResourceService::Read(const Target& target,
-                                  const CallContext& context) {
-  const platform::Object* object =
-      FindObject(context, {target.resource_kind, target.name});
-  if (object == nullptr) {
-    return MakeErrorResponse(NoSuch(target));
+ApiResponse ResourceService::Read(const ApiRequest& request,
+                                  const Target& target) {
+  const Result<Identity> identity = Identify(request);
+  if (!identity.ok()) {
+    return MakeErrorResponse(identity.error());
   }
-  const std::optional<json> view = VisibleView(*object, context.identity);
+  const Result<platform::Object> object =
+      client_->Get(config::KeyOf({target.resource_kind, target.name}));
+  if (!object.ok()) {
+    const bool is_absent = object.error().code == ResultCode::kNotFound;
+    return MakeErrorResponse(is_absent ? NoSuch(target) : object.error());
+  }
+  const std::optional<json> view =
+      VisibleView(object.value(), identity.value());
   if (!view.has_value()) {
     return MakeErrorResponse(NoSuch(target));
   }
-  return {200, view->dump(), object->version};
+  return {200, view->dump(), object.value().version};
+}
+
+Result<Identity> ResourceService::Identify(const ApiRequest& request) {
+  std::vector<platform::Object> firms;
+  const std::string_view firm = ClaimedFirm(request.authorization);
+  if (config::IsName(firm) && firm != kPoolName) {
+    Result<platform::Object> object = client_->Get(
+        config::KeyOf({config::ResourceKind::kFirm, std::string(firm)}));
+    if (object.ok()) {
+      firms.push_back(std::move(object).value());
+    } else if (object.error().code != ResultCode::kNotFound) {
+      return object.error();
+    }
+  }
+  const config::BuiltSnapshot built = config::BuildSnapshot(firms, 0);
+  return Authenticate(request.authorization, *built.snapshot,
+                      settings_->pool_token_hash);
 }
 
 ApiResponse ResourceService::List(const Target& target,
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -20,7 +20,9 @@
 using config::ResourceKind;
 using nlohmann::json;
 
-constexpr absl::Duration kStatusPollInterval = absl::Milliseconds(200);
+// Each poll costs the platform two reads.
+constexpr platform::BackoffOptions kStatusPolls{absl::Milliseconds(200),
+                                                absl::Seconds(2)};
 constexpr platform::BackoffOptions kWatchBackoff{absl::Milliseconds(200),
                                                  absl::Seconds(5)};
 
@@ -73,6 +75,7 @@
   }
   const absl::Time deadline = absl::Now() + session.wait;
   std::string lagging = " the API";
+  platform::Backoff polls(kStatusPolls, version);
   while (absl::Now() < deadline) {
     const Result<json> status = session.api->Get("/v1/status");
     if (status.ok() && IsInForce(status.value(), version)) {
@@ -82,7 +85,7 @@
     }
     lagging = status.ok() ? WhoLags(status.value(), version)
                           : fmt::format(" {}", ToString(status.error()));
-    absl::SleepFor(kStatusPollInterval);
+    absl::SleepFor(std::min(polls.Next(), deadline - absl::Now()));
   }
   return Error{ResultCode::kWaitTimedOut, "",
                fmt::format("version {} is accepted; still waiting for:{}",
--- a/tests/api/resources_test.cc
+++ b/tests/api/resources_test.cc
@@ -166,6 +166,18 @@
   CHECK(renewed.Get("/v1/zones").status == 200);
 }
 
+TEST_CASE("a read of one resource lists nothing") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  const auto lists = [&] {
+    return fixture.platform->TotalCalls(fake_platform::CallKind::kList);
+  };
+  const std::uint64_t before = lists();
+  CHECK(crew.Get("/v1/zones/tirano").status == 200);
+  CHECK(crew.Get("/v1/firms/tayside").status == 404);
+  CHECK(lists() == before);
+}
+
 TEST_CASE("what is referenced stays until its references are gone") {
   ApiFixture fixture;
   Operator pool = fixture.MakeOperator(kPoolToken);
--- a/tests/platform/http_platform_client_test.cc
+++ b/tests/platform/http_platform_client_test.cc
@@ -151,6 +151,17 @@
   CHECK(client->Vms().value() == std::vector<Vm>{vm});
 }
 
+TEST_CASE("the VM list lags") {
+  auto made = FakePlatform::Make(
+      {.listen = {kLoopback, 0}, .vm_list_lag = absl::Milliseconds(300)});
+  REQUIRE(made.ok());
+  const auto client = MakeClient(*made.value());
+  made.value()->SetVms({{"entry1", "127.0.1.1", "tirano", VmState::kLive}});
+  CHECK(client->Vms().value().empty());
+  absl::SleepFor(absl::Milliseconds(350));
+  CHECK(client->Vms().value().size() == 1);
+}
+
 TEST_CASE("no platform at all is unavailable, also for writes") {
   Endpoint endpoint;
   {
