--- a/src/api/resource_service.cc
+++ b/src/api/resource_service.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <random>
@@ -142,6 +143,16 @@
   return nullptr;
 }
 
+// The largest version of a resource. The platform's own revision would also
+// count writes of status and leases.
+Version LatestVersion(const CallContext& context) {
+  Version latest = 0;
+  for (const platform::Object& object : context.objects) {
+    latest = std::max(latest, object.version);
+  }
+  return latest;
+}
+
 Error NoSuch(const Target& target) {
   return {ResultCode::kNotFound, "",
           fmt::format("there is no {} '{}'",
@@ -344,7 +355,7 @@
   if (!listing.ok()) {
     return MakeErrorResponse(listing.error());
   }
-  const StatusInput input{&context.built, context.revision,
+  const StatusInput input{&context.built, LatestVersion(context),
                           listing.value().objects, absl::Now(),
                           settings_->status_stale};
   return {200, StatusView(input, context.identity).dump(), 0};
--- a/src/api/views.h
+++ b/src/api/views.h
@@ -30,7 +30,7 @@
 // What the status is gathered from.
 struct StatusInput {
   const config::BuiltSnapshot* built = nullptr;
-  Version revision = 0;
+  Version revision = 0;  // The largest version of a resource.
   std::span<const platform::Object> objects;  // Under "status/".
   absl::Time now;
   absl::Duration stale;
--- a/tests/api/watch_test.cc
+++ b/tests/api/watch_test.cc
@@ -156,7 +156,10 @@
     REQUIRE(fixture.platform->Put("status/zone/tirano", value, version).ok());
     return crew.Get("/v1/status").body;
   };
+  const Version latest = crew.Get("/v1/status").body.at("revision");
   const json fresh = set(ZoneStatus(absl::Now(), {7, 5, 9}));
+  // Writes of the status are no change of the configuration.
+  CHECK(fresh.at("revision") == latest);
   CHECK(fresh.at("unreachable").empty());
   CHECK(fresh.at("in_force_everywhere") == 5);
   // Another firm's or an unknown backend server is not shown.
