--- /dev/null
+++ b/src/fake_platform/answers.h
@@ -0,0 +1,23 @@
+#ifndef GCW_SRC_FAKE_PLATFORM_ANSWERS_H_
+#define GCW_SRC_FAKE_PLATFORM_ANSWERS_H_
+
+#include <nlohmann/json.hpp>
+#include <vector>
+
+#include "gcw/base/result_code.h"
+#include "gcw/platform/platform_client.h"
+
+namespace gcw::fake_platform {
+
+// The bodies of answers as docs/WIRE.md states them. Thread-safe.
+nlohmann::json ToJson(const platform::Listing& listing);
+nlohmann::json ToJson(const platform::Object& object);
+nlohmann::json ToJson(const platform::WatchAnswer& answer);
+nlohmann::json ToJson(const std::vector<platform::Vm>& vms);
+
+// The HTTP status of an error of the store. Thread-safe.
+int StatusOf(ResultCode code);
+
+}  // namespace gcw::fake_platform
+
+#endif  // GCW_SRC_FAKE_PLATFORM_ANSWERS_H_
--- a/tests/api/races_test.cc
+++ b/tests/api/races_test.cc
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
+#include <random>
+#include <set>
 #include <thread>
 #include <vector>
 
@@ -115,6 +117,85 @@
   CHECK(built.snapshot->services.size() == kRounds);
 }
 
+constexpr int kStressServices = 3;
+constexpr int kStressAddresses = 4;
+
+std::string StressAddress(int i) {
+  return fmt::format("10.0.8.{}:80", i + 1);
+}
+
+// Gives services random sets of addresses, on whatever version is current.
+void MoveAddresses(Operator op, std::uint64_t seed, int moves) {
+  std::mt19937_64 random(seed);
+  for (int i = 0; i < moves; ++i) {
+    json addresses = json::array();
+    for (int j = 0; j < kStressAddresses; ++j) {
+      if (random() % 3 == 0) {
+        addresses.push_back(StressAddress(j));
+      }
+    }
+    const std::string path =
+        fmt::format("/v1/services/s{}", random() % kStressServices);
+    const Reply reply = op.Patch(path, {{"addresses", addresses}});
+    CHECK((reply.status == 200 || reply.status == 409));
+  }
+}
+
+// Follows every version of every service: the claim under which each address
+// is held must be unique to its holder at any time.
+void CheckNoAddressIsHeldTwice(
+    const std::vector<platform::WatchEvent>& events) {
+  std::map<std::string, json> services;
+  for (const platform::WatchEvent& event : events) {
+    const json value = json::parse(event.object.value);
+    services[event.object.key] = value.at("spec").at("addresses");
+    std::set<std::string> held;
+    for (const auto& [key, addresses] : services) {
+      for (const json& address : addresses) {
+        INFO(key << " at version " << event.object.version);
+        CHECK(held.insert(address.get<std::string>()).second);
+      }
+    }
+  }
+}
+
+TEST_CASE("addresses that move between services are never held twice") {
+  ApiFixture fixture;
+  Operator crew = fixture.MakeOperator(kValtellinaToken);
+  for (int i = 0; i < kStressServices; ++i) {
+    json spec = ApiFixture::ServiceSpec(fmt::format("s{}", i), "valtellina",
+                                        "10.0.0.1:80");
+    spec["addresses"] = json::array();
+    REQUIRE(crew.Post("/v1/services", spec).status == 201);
+  }
+  const Version start = fixture.platform->revision();
+  fixture.platform->SetLostAnswers(0.1);
+  std::vector<std::thread> operators;
+  for (std::uint64_t i = 0; i < 4; ++i) {
+    operators.emplace_back([&, i] {
+      MoveAddresses(fixture.MakeOperator(kValtellinaToken), i + 1, 60);
+    });
+  }
+  for (std::thread& op : operators) {
+    op.join();
+  }
+  const auto log = fixture.platform->EventsAfter("config/service/", start);
+  REQUIRE(log.ok());
+  CHECK(log.value().events.size() > 20);
+  CheckNoAddressIsHeldTwice(log.value().events);
+  // Each address in use has its claim.
+  for (const platform::Object& object :
+       fixture.platform->List("config/service/").objects) {
+    for (const json& address :
+         json::parse(object.value).at("spec").at("addresses")) {
+      const auto claim =
+          fixture.platform->Get("claim/" + address.get<std::string>());
+      REQUIRE(claim.ok());
+      CHECK(json::parse(claim.value().value).at("owner") == object.key);
+    }
+  }
+}
+
 std::string ClaimValue(const std::string& owner, absl::Time at) {
   return json(
              {{"op", "x"}, {"owner", owner}, {"at_ms", absl::ToUnixMillis(at)}})
