--- a/src/lab/lab_run.cc
+++ b/src/lab/lab_run.cc
@@ -375,6 +375,10 @@
     add("requests.cut_by_planned_stop", requests.cut_by_planned_stop);
     add("requests.attempts", requests.attempts);
     add("requests.sheds", requests.sheds);
+    const double sent = static_cast<double>(requests.sent);
+    totals->push_back(
+        {"requests.attempts_per_request",
+         sent > 0 ? static_cast<double>(requests.attempts) / sent : 0});
   }
 
   void AddServiceTotals(std::vector<Total>* totals) const {
