platform task: a call that hangs in a silent platform is cut by the next one

Cause: the relay gives a silent watch up after 2.8 s and asks anew, but the new call waited behind the old one, which the HTTP client held for up to 5 s. Ruled out: the relay's schedule, which had asked in time. Conclusion: the sink of the platform task cuts the call under way; watches wait 1 s, so that none hangs for long.

--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -16,6 +16,10 @@
 
 constexpr Logger kLog("cluster");
 constexpr absl::Duration kTick = absl::Milliseconds(50);
+// A change accepted between two silent spells of the platform should be in
+// force within 3 s, so no watch may hang for long.
+constexpr absl::Duration kWatchWait = absl::Seconds(1);
+constexpr absl::Duration kLongestBackoff = absl::Seconds(2);
 constexpr std::size_t kMailboxCapacity = 20'000;
 constexpr std::size_t kMaxBatches = 8;
 
--- a/src/balancer/platform_task.cc
+++ b/src/balancer/platform_task.cc
@@ -25,6 +25,26 @@
   return object;
 }
 
+// Takes calls for the platform task. A new call means that the one under way
+// was given up, so that one is cut: it would hold up the new one for as long as
+// the platform stays silent.
+class CallSink : public kernel::Sink<PlatformMessage> {
+ public:
+  // `client` must outlive the sink.
+  CallSink(platform::HttpPlatformClient& client,
+           std::shared_ptr<kernel::Sink<PlatformMessage>> mailbox)
+      : client_(client), mailbox_(std::move(mailbox)) {}
+
+  bool Send(PlatformMessage message) override {
+    client_.Stop();
+    return mailbox_->Send(std::move(message));
+  }
+
+ private:
+  platform::HttpPlatformClient& client_;
+  const std::shared_ptr<kernel::Sink<PlatformMessage>> mailbox_;
+};
+
 }  // namespace
 
 class PlatformTask::Impl {
@@ -44,9 +64,12 @@
     if (!attached.ok()) {
       return attached;
     }
-    return kernel_.Register<PlatformMessage>(kPlatformService, mailbox_);
+    return kernel_.Register<PlatformMessage>(
+        kPlatformService, std::make_shared<CallSink>(*client_, mailbox_));
   }
 
+  ~Impl() { kernel_.Unregister(kPlatformService); }
+
   // Thread-safe.
   void CutCall() { client_->Stop(); }
 
