--- a/src/relay/versioned_relay.cc
+++ b/src/relay/versioned_relay.cc
@@ -15,9 +15,12 @@
 // A request that brought nothing after this time may be repeated.
 constexpr absl::Duration kRequestPatience = absl::Milliseconds(500);
 // A daemon without any state asks one neighbour after another.
-// A neighbour that should hear of a change by itself is told of it after this
-// time, twice of it at most, unless it has shown that it knows.
-constexpr absl::Duration kAnnounceDelay = absl::Milliseconds(100);
+// A neighbour that should hear of a change by itself is sent it after this time
+// unless it has shown that it knows.
+constexpr absl::Duration kPushDelay = absl::Milliseconds(250);
+// A daemon that hears from a peer of a revision waits this long for its own
+// watch, or a push, to bring it before it asks.
+constexpr absl::Duration kRequestDelay = absl::Milliseconds(150);
 constexpr absl::Duration kBootstrapInterval = absl::Milliseconds(150);
 
 std::size_t SizeOf(const Object& object) {
@@ -51,7 +54,9 @@
   // What it said it holds, or what it was sent since. Sends are not
   // acknowledged: its next digest corrects this.
   std::optional<Version> revision;
-  absl::Time announce_at = absl::InfiniteFuture();
+  // When to send it the changes after `push_since`, if it still needs them.
+  absl::Time push_at = absl::InfiniteFuture();
+  Version push_since = 0;
   std::vector<Update> parts;  // Of an update that is not whole yet.
 };
 
@@ -89,7 +94,8 @@
                         const std::string& source,
                         absl::Time now,
                         Actions& actions);
-  void Announce(absl::Time now, Actions& actions);
+  void PushLate(absl::Time now, Actions& actions);
+  void RequestLate(absl::Time now, Actions& actions);
   void CallPlatform(absl::Time now, Actions& actions);
   void FinishMerge(Merge merge,
                    Version before,
@@ -107,6 +113,9 @@
   std::size_t digest_turn = 0;
   absl::Time next_digest = absl::InfinitePast();
   absl::Time request_until = absl::InfinitePast();
+  // A request that is made only if nothing else brings the change.
+  absl::Time request_at = absl::InfiniteFuture();
+  std::string request_peer;
   std::uint64_t stale_answers = 0;
   std::uint64_t gaps = 0;
   std::uint64_t mismatches = 0;
@@ -117,10 +126,24 @@
   if (now >= next_digest) {
     SendDigest(now, actions);
   }
-  Announce(now, actions);
+  PushLate(now, actions);
+  RequestLate(now, actions);
   CallPlatform(now, actions);
 }
 
+void VersionedRelay::State::RequestLate(absl::Time now, Actions& actions) {
+  if (now < request_at) {
+    return;
+  }
+  request_at = absl::InfiniteFuture();
+  const auto peer = peers.find(request_peer);
+  if (peer != peers.end() &&
+      peer->second.revision.value_or(0) > store.revision() &&
+      now >= request_until) {
+    SendRequest(request_peer, now, actions);
+  }
+}
+
 void VersionedRelay::State::CallPlatform(absl::Time now, Actions& actions) {
   CallSchedule::Wish wish;
   wish.wanted = roles.watcher || !store.known();
@@ -168,30 +191,34 @@
                                              const std::string& source,
                                              absl::Time now,
                                              Actions& actions) {
-  std::uniform_real_distribution<double> spread(1.0, 2.0);
   for (const std::string& name : roles.neighbours) {
     PeerState& peer = peers[name];
     const Version since = peer.revision.value_or(before);
-    if (name == source || since >= store.revision()) {
+    if (!roles.informed.contains(name)) {
+      if (name != source && since < store.revision()) {
+        SendChanges(name, since, actions);
+      }
       continue;
     }
-    if (!roles.informed.contains(name)) {
-      SendChanges(name, since, actions);
-    } else if (peer.announce_at == absl::InfiniteFuture()) {
-      peer.announce_at = now + kAnnounceDelay * spread(random);
+    // Shows that this daemon knows, so that it is not sent the change.
+    actions.messages.push_back({name, digest()});
+    if (since < store.revision() && peer.push_at == absl::InfiniteFuture()) {
+      peer.push_at = now + kPushDelay;
+      peer.push_since = since;
     }
   }
 }
 
-void VersionedRelay::State::Announce(absl::Time now, Actions& actions) {
+void VersionedRelay::State::PushLate(absl::Time now, Actions& actions) {
   for (const std::string& name : roles.neighbours) {
     PeerState& peer = peers[name];
-    if (now < peer.announce_at) {
+    if (now < peer.push_at) {
       continue;
     }
-    peer.announce_at = absl::InfiniteFuture();
-    if (peer.revision.value_or(0) < store.revision()) {
-      actions.messages.push_back({name, digest()});
+    peer.push_at = absl::InfiniteFuture();
+    const Version since = peer.revision.value_or(peer.push_since);
+    if (since < store.revision()) {
+      SendChanges(name, since, actions);
     }
   }
 }
@@ -202,7 +229,10 @@
                                     Actions& actions) {
   peers[peer].revision = theirs.revision;
   if (theirs.revision > store.revision()) {
-    if (now >= request_until) {
+    if (store.known()) {
+      request_at = std::min(request_at, now + kRequestDelay);
+      request_peer = peer;
+    } else if (now >= request_until) {
       SendRequest(peer, now, actions);
     }
     return;
