membership, auth: links that turn slow part nobody for long

Now messages of a suspect keep it alive, fresh first-hand evidence outweighs a reported death, and a message of a dead member makes it a suspect.

Late messages were also refused as replays: all channels shared one sequence, so relayed packets pushed membership and control out of the window. Each channel has its own now; a test holds it.

--- a/include/gcw/auth/signer.h
+++ b/include/gcw/auth/signer.h
@@ -56,7 +56,8 @@
 };
 
 // Signs and verifies messages between daemons that share a key. All methods are
-// thread-safe; sequence numbers of one signer only grow, also across threads.
+// thread-safe; sequence numbers of one signer only grow on each channel, also
+// across threads.
 class Signer {
  public:
   // Signs with `current` as the member `sender`; verifies with `current` and
--- a/src/auth/replay_window.cc
+++ b/src/auth/replay_window.cc
@@ -93,7 +93,7 @@
   }
   if (!it->second.Accept(message.sequence)) {
     ++state_->refused;
-    return Replayed("this sequence number has arrived before");
+    return Replayed("this sequence number has arrived or is too old");
   }
   it->second.last_heard = now;
   return OkStatus();
--- a/src/auth/signer.cc
+++ b/src/auth/signer.cc
@@ -17,6 +17,7 @@
 constexpr std::size_t kHashBytes = 32;
 constexpr std::size_t kTimestampBytes = 6;
 constexpr std::size_t kIdBytes = 8;
+constexpr std::size_t kChannels = 8;
 
 using Tag = std::array<std::uint8_t, kHashBytes>;
 
@@ -79,7 +80,9 @@
   SenderId sender = 0;
   SigningKey current;
   std::optional<SigningKey> other;
-  std::atomic<std::uint64_t> next_sequence{0};
+  // One for each channel: a busy one must not push another's messages out of
+  // their receivers' windows.
+  std::array<std::atomic<std::uint64_t>, kChannels> next_sequence{};
 
   const SigningKey* FindKey(std::uint8_t id) const {
     if (current.id == id) {
@@ -113,8 +116,10 @@
   state->other = std::move(other);
   // A daemon signs far fewer than a million messages a second, so counting from
   // the microsecond of its start never reaches what a later start begins with.
-  state->next_sequence = static_cast<std::uint64_t>(
-      std::max<std::int64_t>(absl::ToUnixMicros(start), 1));
+  for (std::atomic<std::uint64_t>& next : state->next_sequence) {
+    next = static_cast<std::uint64_t>(
+        std::max<std::int64_t>(absl::ToUnixMicros(start), 1));
+  }
   return std::shared_ptr<Signer>(new Signer(std::move(state)));
 }
 
@@ -124,7 +129,9 @@
 std::vector<std::uint8_t> Signer::Sign(Channel channel,
                                        std::span<const std::uint8_t> payload,
                                        absl::Time now) {
-  const std::uint64_t sequence = state_->next_sequence.fetch_add(1);
+  const std::uint64_t sequence =
+      state_->next_sequence[static_cast<std::size_t>(channel) % kChannels]
+          .fetch_add(1);
   const auto sent = static_cast<std::uint64_t>(
       std::max<std::int64_t>(absl::ToUnixMillis(now), 0));
   std::vector<std::uint8_t> message;
--- a/src/membership/member_table.cc
+++ b/src/membership/member_table.cc
@@ -124,6 +124,19 @@
   it->second.revision = std::max(it->second.revision, revision);
 }
 
+MemberTable::Outcome MemberTable::Revive(std::string_view name,
+                                         absl::Time now) {
+  const auto it = members_.find(name);
+  if (it == members_.end() || it->second.state != MemberState::kDead) {
+    return {};
+  }
+  Member& member = it->second;
+  member.state = MemberState::kSuspect;
+  member.since = now;
+  Count(member, 1);
+  return {true, MemberEvent{EventType::kJoined, member}};
+}
+
 void MemberTable::RestartSuspicions(absl::Time now) {
   for (auto& [name, member] : members_) {
     if (member.state == MemberState::kSuspect) {
--- a/src/membership/member_table.h
+++ b/src/membership/member_table.h
@@ -37,6 +37,9 @@
              std::uint64_t revision,
              absl::Time now);
 
+  // Takes a member that is held for dead as a suspect again: it was heard from.
+  Outcome Revive(std::string_view name, absl::Time now);
+
   // Starts the suspicion of every suspect anew.
   void RestartSuspicions(absl::Time now);
 
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -160,6 +160,8 @@
 
   // Statements.
   bool Apply(const Gossip& gossip, absl::Time now, Actions& actions);
+  Gossip Doubt(const Gossip& gossip, absl::Time now) const;
+  void Revive(const Gossip& sender, absl::Time now, Actions& actions);
   void Spread(const Gossip& gossip, absl::Time now, Actions& actions);
   void Refute(const Gossip& gossip);
   void RaiseIncarnation(Incarnation at_least);
@@ -304,7 +306,7 @@
   }
   std::vector<Gossip> deaths;
   for (const Member* member : table.InState(MemberState::kSuspect)) {
-    if (now - member->since >= suspicion_time()) {
+    if (now - std::max(member->since, member->last_heard) >= suspicion_time()) {
       deaths.push_back(ToGossip(*member));
       deaths.back().state = MemberState::kDead;
     }
@@ -432,6 +434,7 @@
     page_had_news |= changed && page;
   }
   Spread(message.sender, now, actions);
+  Revive(message.sender, now, actions);
   table.Heard(message.sender.name, message.sender.incarnation, message.revision,
               now);
   if (!message.payload.empty()) {
@@ -458,7 +461,7 @@
       OnSyncReply(message);
       break;
   }
-  // A sender that is held for dead learns it from the ping's gossip.
+  // A sender that is held for dead, or suspected, learns it from the gossip.
   const Member* sender = table.Find(message.sender.name);
   if (sender != nullptr && sender->state == MemberState::kDead &&
       message.sender.state == MemberState::kAlive) {
@@ -538,6 +541,37 @@
   Send(to.sender.address, to.sender.name, NewMessage(type, to.nonce), actions);
 }
 
+// A member that was heard from a moment ago is not dead because somebody says
+// so, but it may have to hear that, in order to refute it.
+Gossip Membership::State::Doubt(const Gossip& gossip, absl::Time now) const {
+  const Member* member = table.Find(gossip.name);
+  Gossip doubted = gossip;
+  if (member != nullptr && member->live() &&
+      gossip.state == MemberState::kDead &&
+      gossip.incarnation == member->incarnation &&
+      now - member->last_heard < suspicion_time()) {
+    doubted.state = MemberState::kSuspect;
+  }
+  return doubted;
+}
+
+// A message of a member that is held for dead, and has not refuted that yet,
+// still shows that it runs. Over slow links a refutation takes long.
+void Membership::State::Revive(const Gossip& sender,
+                               absl::Time now,
+                               Actions& actions) {
+  const Member* member = table.Find(sender.name);
+  if (member == nullptr || member->state != MemberState::kDead ||
+      sender.state != MemberState::kAlive ||
+      sender.incarnation != member->incarnation) {
+    return;
+  }
+  MemberTable::Outcome outcome = table.Revive(sender.name, now);
+  if (outcome.event) {
+    actions.events.push_back(std::move(*outcome.event));
+  }
+}
+
 // Takes a statement into the table; whether it changed anything there.
 bool Membership::State::Apply(const Gossip& gossip,
                               absl::Time now,
@@ -546,7 +580,7 @@
     Refute(gossip);
     return false;
   }
-  MemberTable::Outcome outcome = table.Merge(gossip, now);
+  MemberTable::Outcome outcome = table.Merge(Doubt(gossip, now), now);
   if (outcome.event) {
     actions.events.push_back(std::move(*outcome.event));
   }
--- a/tests/auth/signer_test.cc
+++ b/tests/auth/signer_test.cc
@@ -114,6 +114,20 @@
   CHECK(window.refused() == 4);
 }
 
+TEST_CASE("a busy channel does not push out messages of another") {
+  auto a = MakeSigner("a", Key(1, 'x'));
+  ReplayWindow window;
+  const auto late = a->Sign(Channel::kMembership, Bytes("late"), kStart);
+  for (int i = 0; i < 5000; ++i) {
+    (void)a->Sign(Channel::kRelay, Bytes("m"), kStart);
+  }
+  const auto next = a->Sign(Channel::kMembership, Bytes("next"), kStart);
+  for (const auto& message : {next, late}) {
+    auto verified = a->Verify(Channel::kMembership, message);
+    CHECK(window.Accept(verified.value(), kStart).ok());
+  }
+}
+
 TEST_CASE("a number that shares its bit with an older one is accepted") {
   auto a = MakeSigner("a", Key(1, 'x'));
   ReplayWindow window;
--- a/tests/membership/membership_test.cc
+++ b/tests/membership/membership_test.cc
@@ -156,6 +156,29 @@
   }
 }
 
+TEST_CASE("links that turn slow part nobody for long") {
+  for (std::uint64_t seed : kSeeds) {
+    Network network(seed);
+    network.AddAll(4, 3);
+    network.Run(absl::Seconds(5));
+    network.faults.min_delay = absl::Milliseconds(1500);
+    network.faults.max_delay = absl::Milliseconds(3000);
+    // The silence of the first seconds looks like death; after it messages
+    // arrive all the time, if late.
+    network.Run(absl::Seconds(5));
+    network.ClearCounters();
+    for (int step = 0; step < 200; ++step) {
+      network.Run(absl::Milliseconds(100));
+      for (std::size_t i = 0; i < network.size(); ++i) {
+        REQUIRE(network.node(i).membership->live_count() == 3);
+      }
+    }
+    network.faults = {};
+    network.Run(absl::Seconds(5));
+    CHECK(network.Agreed());
+  }
+}
+
 TEST_CASE("a graceful leave is known at once and lasts") {
   for (std::uint64_t seed : kSeeds) {
     Network network(seed);
