--- a/src/control/transport_loop.cc
+++ b/src/control/transport_loop.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <cmath>
 #include <string>
 #include <utility>
@@ -217,9 +218,12 @@
   const auth::VerifiedMessage& good = verified.value();
   inbound.verified = true;
   if (Status status = window_.Accept(good, absl::Now()); !status.ok()) {
-    ++counters_.refused;
-    kLog.Warning("refused a message of {}: {}", ToString(inbound.address),
-                 status.error().message);
+    const std::uint64_t refused = ++counters_.refused;
+    // One line for each power of two, so that a flood does not fill the log.
+    if (std::has_single_bit(refused)) {
+      kLog.Warning("refused a message of {}: {} ({} so far)",
+                   ToString(inbound.address), status.error().message, refused);
+    }
     return true;
   }
   ++counters_.messages_received;
