--- a/include/gcw/routing/routing_policy.h
+++ b/include/gcw/routing/routing_policy.h
@@ -133,7 +133,7 @@
   virtual void OnTick(absl::Time now) = 0;
 
   // Moves out the control messages that wait to be sent. To be called after
-  // each OnTick and OnMessage.
+  // each OnTick, OnMessage and ApplySnapshot.
   virtual std::vector<OutgoingMessage> TakeMessages() = 0;
 
   // Whether this daemon, when leaving, has handed over all that only it knew.
--- a/src/routing/control_message.cc
+++ b/src/routing/control_message.cc
@@ -140,7 +140,8 @@
 std::vector<std::uint8_t> Encode(const ControlMessage& message) {
   Json json = Json::array({message.session, message.revision, message.heard,
                            message.view, message.complete, message.sync_request,
-                           message.sequence});
+                           message.sequence, message.sync_all, message.clock,
+                           message.echo});
   if (message.has_content()) {
     json.push_back(PackContent(message));
   }
@@ -158,8 +159,11 @@
     message.complete = json.at(4).get<bool>();
     message.sync_request = json.at(5).get<std::uint32_t>();
     message.sequence = json.at(6).get<std::uint32_t>();
-    if (json.size() > 7) {
-      UnpackContent(json.at(7), message);
+    message.sync_all = json.at(7).get<bool>();
+    message.clock = json.at(8).get<std::uint32_t>();
+    message.echo = json.at(9).get<std::uint32_t>();
+    if (json.size() > 10) {
+      UnpackContent(json.at(10), message);
     }
     return message;
   } catch (const std::exception&) {
--- a/src/routing/control_message.h
+++ b/src/routing/control_message.h
@@ -45,7 +45,13 @@
   config::Version heard = 0;       // Highest that the sender heard of.
   std::uint32_t view = 0;          // Of the members, see Holders::view.
   bool complete = false;           // The sender waits for no records.
-  std::uint32_t sync_request = 0;  // Not 0: send all that I should hold.
+  std::uint32_t sync_request = 0;  // Not 0: send what I should hold.
+  bool sync_all = false;           // Not only what waits, but all of it.
+  // The sender's clock, and the highest one of the peer's that it has seen, in
+  // milliseconds of the clock of each. What comes back tells how old the
+  // peer's knowledge may be, however long messages take.
+  std::uint32_t clock = 0;
+  std::uint32_t echo = 0;
   // Number of the last message with content that the sender sent to this peer,
   // this one included. A gap shows that one was lost.
   std::uint32_t sequence = 0;
--- a/src/routing/exchange.cc
+++ b/src/routing/exchange.cc
@@ -10,6 +10,10 @@
 
 // Content of one message, about, in bytes.
 constexpr std::size_t kMaxContent = 1000;
+// Items that are sent without waiting for a full message.
+constexpr std::size_t kFewItems = 8;
+// Budget that must be there for a message of many items, in bytes.
+constexpr double kBulkBytes = 800;
 // Bytes that a stream adds to each message.
 constexpr double kFrameBytes = 9;
 // A peer that was not heard for this long no longer holds up a sync.
@@ -22,6 +26,9 @@
 Exchange::Exchange(const RouterOptions& options) : options_(options) {}
 
 void Exchange::Apply(std::span<const Member> members, absl::Time now) {
+  if (origin_ == absl::InfinitePast()) {
+    origin_ = now - absl::Milliseconds(1);
+  }
   std::vector<std::unique_ptr<Peer>> next;
   for (const Member& member : members) {
     if (member.name == options_.self) {
@@ -36,6 +43,8 @@
       next.push_back(std::make_unique<Peer>());
       next.back()->name = member.name;
       next.back()->owes_sync = sync_request_ != 0;
+      next.back()->session_out =
+          static_cast<std::uint64_t>(absl::ToUnixMicros(now)) + ++sessions_;
     }
     next.back()->state = member.state;
   }
@@ -47,17 +56,24 @@
   NoteDone(now);
 }
 
-void Exchange::RequestSync(absl::Time now) {
+void Exchange::RequestSync(bool all, absl::Time now) {
+  sync_all_ = all || (sync_all_ && syncing());
   sync_request_ = ++last_sync_;
   sync_started_ = now;
   sync_again_ = false;
   for (const auto& peer : peers_) {
     peer->owes_sync = true;
-    peer->next_hello = now;
   }
+  HelloSoon(now);
   NoteDone(now);
 }
 
+void Exchange::HelloSoon(absl::Time now) {
+  for (const auto& peer : peers_) {
+    peer->next_hello = std::min(peer->next_hello, now);
+  }
+}
+
 std::optional<ControlMessage> Exchange::Receive(
     std::string_view from,
     std::span<const std::uint8_t> bytes,
@@ -73,12 +89,19 @@
     return std::nullopt;
   }
   peer->last_heard = now;
+  // An echo from before this daemon started anew tells nothing.
+  if (message->echo != 0 && message->echo <= ClockAt(now)) {
+    peer->answered =
+        std::max(peer->answered, origin_ + absl::Milliseconds(message->echo));
+  }
   NoteSequence(*peer, *message);
   peer->revision = std::max(peer->revision, message->revision);
   peer->heard = std::max({peer->heard, message->revision, message->heard});
   peer->view = message->view;
   peer->complete = message->complete;
   peer->wanted_sync = message->sync_request;
+  peer->wants_all = message->sync_all;
+  peer->clock = std::max(peer->clock, message->clock);
   Hear(message->revision);
   Hear(message->heard);
   if (message->sync_done != 0 && message->sync_done == sync_request_) {
@@ -96,8 +119,10 @@
     sync_again_ |= message.sequence > (message.has_content() ? 1U : 0U);
     peer.sequence_in = message.sequence;
     peer.served_sync = 0;
+    peer.needs_all = true;
     peer.revision = 0;
     peer.heard = 0;
+    peer.clock = 0;
     return;
   }
   const std::uint32_t expected =
@@ -122,12 +147,17 @@
   }
 }
 
-std::string Exchange::TakeSyncRequest() {
+std::string Exchange::TakeSyncRequest(std::uint32_t view) {
   for (const auto& peer : peers_) {
-    if (peer->wanted_sync != 0 && peer->wanted_sync != peer->served_sync) {
-      peer->served_sync = peer->wanted_sync;
+    if (peer->wanted_sync == 0 || peer->wanted_sync == peer->served_sync ||
+        peer->view != view) {
+      continue;
+    }
+    peer->served_sync = peer->wanted_sync;
+    if (peer->wants_all || peer->needs_all) {
       return peer->name;
     }
+    FinishServing(peer->name);
   }
   return {};
 }
@@ -135,6 +165,7 @@
 void Exchange::FinishServing(std::string_view peer) {
   Peer* found = Find(peer);
   if (found != nullptr) {
+    found->needs_all = false;
     found->waiting.push_back({Item::Kind::kDone, found->served_sync, 0});
   }
 }
@@ -165,8 +196,8 @@
                      ItemSource& source,
                      absl::Time now,
                      std::vector<OutgoingMessage>& out) {
-  if (session_ == 0) {
-    session_ = static_cast<std::uint64_t>(absl::ToUnixMicros(now));
+  if (origin_ == absl::InfinitePast()) {
+    origin_ = now - absl::Milliseconds(1);
   }
   const double rate = options_.control_bytes_per_second;
   if (last_flush_ != absl::InfinitePast()) {
@@ -176,7 +207,7 @@
   last_flush_ = now;
   NoteDone(now);
   if (sync_again_ && now - sync_started_ >= kSyncInterval) {
-    RequestSync(now);
+    RequestSync(true, now);
   }
   // A peer that is due for a hello goes first, then those with content, in
   // turn.
@@ -188,8 +219,11 @@
   std::size_t idle = 0;
   while (tokens_ > 0 && idle < peers_.size()) {
     Peer& peer = *peers_[next_peer_++ % peers_.size()];
-    idle = peer.waiting.empty() ? idle + 1 : 0;
-    if (!peer.waiting.empty()) {
+    // Much goes in full messages, a little at once.
+    const bool much = peer.waiting.size() > kFewItems;
+    const bool due = !peer.waiting.empty() && (!much || tokens_ >= kBulkBytes);
+    idle = due ? 0 : idle + 1;
+    if (due) {
       Compose(peer, own, source, now, out);
     }
   }
@@ -201,15 +235,19 @@
                        absl::Time now,
                        std::vector<OutgoingMessage>& out) {
   ControlMessage message;
-  message.session = session_;
+  message.session = peer.session_out;
   message.revision = own.revision;
   message.heard = heard_;
   message.view = own.view;
   message.complete = own.complete;
   message.sync_request = sync_request_;
+  message.sync_all = sync_all_;
+  message.clock = ClockAt(now);
+  message.echo = peer.clock;
   std::size_t content = 0;
-  while (!peer.waiting.empty() && content < kMaxContent &&
-         static_cast<double>(content) < tokens_) {
+  const bool much = peer.waiting.size() > kFewItems;
+  const std::size_t limit = !much || tokens_ >= kBulkBytes ? kMaxContent : 0;
+  while (!peer.waiting.empty() && content < limit) {
     const Item item = peer.waiting.front();
     peer.waiting.pop_front();
     if (item.kind == Item::Kind::kRecord) {
@@ -237,6 +275,10 @@
   out.push_back(std::move(encoded));
 }
 
+std::uint32_t Exchange::ClockAt(absl::Time now) const {
+  return static_cast<std::uint32_t>(absl::ToInt64Milliseconds(now - origin_));
+}
+
 void Exchange::Hear(config::Version revision) {
   heard_ = std::max(heard_, revision);
 }
@@ -253,7 +295,7 @@
   std::vector<absl::Time> heard;
   heard.reserve(peers_.size());
   for (const auto& peer : peers_) {
-    heard.push_back(peer->last_heard);
+    heard.push_back(peer->answered);
   }
   if (heard.empty()) {
     return absl::InfiniteFuture();
@@ -270,6 +312,11 @@
          now - found->last_heard <= options_.freshness_bound;
 }
 
+bool Exchange::Complete(std::string_view peer) const {
+  const Peer* found = Find(peer);
+  return found != nullptr && found->complete;
+}
+
 config::Version Exchange::RevisionOf(std::string_view peer) const {
   const Peer* found = Find(peer);
   return found == nullptr ? 0 : found->revision;
--- a/src/routing/exchange.h
+++ b/src/routing/exchange.h
@@ -56,8 +56,11 @@
   // Replaces the peers; `members` may contain this daemon.
   void Apply(std::span<const Member> members, absl::Time now);
 
-  // Asks all peers for what this daemon should hold.
-  void RequestSync(absl::Time now);
+  // Asks all peers for what this daemon should hold: `all` of it, or only what
+  // waits for it.
+  void RequestSync(bool all, absl::Time now);
+  // Makes every peer due to hear from this daemon.
+  void HelloSoon(absl::Time now);
   bool syncing() const { return sync_request_ != 0; }
 
   // Takes a message in. Returns it if it is well-formed and from a peer.
@@ -65,9 +68,11 @@
                                         std::span<const std::uint8_t> bytes,
                                         absl::Time now);
 
-  // A peer that asked for records and must be served now, or an empty name.
-  // The caller enqueues what is due, then calls FinishServing.
-  std::string TakeSyncRequest();
+  // A peer that asked for all records and must be served now, or an empty
+  // name. Only one with the same view of the members is served, since its
+  // duties follow from that. The caller enqueues what is due, then calls
+  // FinishServing.
+  std::string TakeSyncRequest(std::uint32_t view);
   void FinishServing(std::string_view peer);
 
   void Enqueue(std::string_view peer, const Item& item);
@@ -86,10 +91,13 @@
   config::Version heard() const { return heard_; }
   // The highest revision that every peer is known to have heard of.
   config::Version heard_by_all(config::Version own) const;
-  // Until when at least half of the peers count as heard within the bound.
+  // Until when at least half of the peers are known to have heard this daemon,
+  // and told it what they knew, within the bound.
   absl::Time FreshUntil() const;
   // Whether `peer` was heard within the bound.
   bool Heard(std::string_view peer, absl::Time now) const;
+  // Whether `peer` last said that it waits for no records.
+  bool Complete(std::string_view peer) const;
   // The revision that `peer` last said it has; 0 if it never did.
   config::Version RevisionOf(std::string_view peer) const;
   // Whether nothing waits for anybody and every peer has the view `view` and
@@ -108,7 +116,11 @@
     absl::flat_hash_set<FlowKey> waiting_records;
     absl::Time next_hello = absl::InfinitePast();
     std::uint32_t sequence_out = 0;
+    std::uint64_t session_out = 0;
     // What was heard of it.
+    std::uint32_t clock = 0;
+    // When this daemon sent what the peer last answered to.
+    absl::Time answered = absl::InfinitePast();
     absl::Time last_heard = absl::InfinitePast();
     std::uint64_t session = 0;
     std::uint32_t sequence_in = 0;
@@ -119,6 +131,9 @@
     // Sync that it asked for, and the last one served.
     std::uint32_t wanted_sync = 0;
     std::uint32_t served_sync = 0;
+    bool wants_all = false;
+    // What waited for it may have been thrown away.
+    bool needs_all = true;
     // Whether this daemon still waits for its answer.
     bool owes_sync = false;
   };
@@ -127,6 +142,7 @@
   const Peer* Find(std::string_view name) const;
   void NoteSequence(Peer& peer, const ControlMessage& message);
   void NoteDone(absl::Time now);
+  std::uint32_t ClockAt(absl::Time now) const;
   void Compose(Peer& peer,
                const OwnState& own,
                ItemSource& source,
@@ -136,10 +152,12 @@
   const RouterOptions options_;
   std::vector<std::unique_ptr<Peer>> peers_;
   absl::flat_hash_map<std::string, Peer*> by_name_;
-  std::uint64_t session_ = 0;
+  absl::Time origin_ = absl::InfinitePast();
+  std::uint64_t sessions_ = 0;
   config::Version heard_ = 0;
   std::uint32_t last_sync_ = 0;
   std::uint32_t sync_request_ = 0;
+  bool sync_all_ = false;
   bool sync_again_ = false;
   absl::Time sync_started_ = absl::InfinitePast();
   absl::Time last_flush_ = absl::InfinitePast();
--- a/src/routing/holders.cc
+++ b/src/routing/holders.cc
@@ -10,11 +10,22 @@
 namespace {
 
 constexpr unsigned kVisitedBits = 16;
+// Ranks kept free for members that leave.
+constexpr std::size_t kMaxStaying = Holders::kMaxRanks - 2;
 
 }  // namespace
 
 Holders::Holders(std::string self, std::string zone)
-    : name_(std::move(self)), zone_(std::move(zone)), ranks_(kParts) {
+    : name_(std::move(self)),
+      zone_(std::move(zone)),
+      ranks_(kParts),
+      former_(kParts) {
+  for (Pair& pair : former_) {
+    pair.fill(kNoMember);
+  }
+  for (Ranks& ranks : ranks_) {
+    ranks.fill(kNoMember);
+  }
   Apply({});
 }
 
@@ -34,7 +45,7 @@
                      [&](const Member& m) { return m.name > name_; });
     sorted.insert(place, std::move(self));
   }
-  members_ = std::move(sorted);
+  const std::vector<Member> old = std::exchange(members_, std::move(sorted));
   self_ = Find(name_);
   hashes_.clear();
   std::uint64_t view = 0;
@@ -45,6 +56,7 @@
     }
   }
   AssignBits();
+  KeepFormer(old);
   for (std::uint32_t part = 0; part < kParts; ++part) {
     Rank(part);
   }
@@ -66,6 +78,19 @@
   return static_cast<std::uint16_t>(found - members_.begin());
 }
 
+void Holders::KeepFormer(std::span<const Member> old) {
+  std::vector<std::uint16_t> moved;
+  for (const Member& member : old) {
+    moved.push_back(Find(member.name));
+  }
+  for (std::uint32_t part = 0; part < kParts; ++part) {
+    for (std::size_t i = 0; i < kHolders; ++i) {
+      const std::uint16_t before = ranks_[part][i];
+      former_[part][i] = before == kNoMember ? kNoMember : moved[before];
+    }
+  }
+}
+
 void Holders::AssignBits() {
   // Names choose bits, so that a member that joins moves few of the others.
   std::uint16_t used = 0;
@@ -87,18 +112,20 @@
   };
   std::vector<Candidate> candidates;
   candidates.reserve(members_.size());
+  std::vector<Candidate> leaving;
   for (std::size_t i = 0; i < members_.size(); ++i) {
-    if (members_[i].state != MemberState::kLeaving) {
-      candidates.push_back(
-          {MixHash(hashes_[i], part), static_cast<std::uint16_t>(i)});
-    }
+    const bool stays = members_[i].state != MemberState::kLeaving;
+    (stays ? candidates : leaving)
+        .push_back({MixHash(hashes_[i], part), static_cast<std::uint16_t>(i)});
   }
+  const auto better = [](const Candidate& a, const Candidate& b) {
+    return a.score > b.score;
+  };
+  std::sort(candidates.begin(), candidates.end(), better);
+  std::sort(leaving.begin(), leaving.end(), better);
   if (candidates.empty()) {
-    candidates.push_back({0, self_});
+    std::swap(candidates, leaving);
   }
-  std::sort(
-      candidates.begin(), candidates.end(),
-      [](const Candidate& a, const Candidate& b) { return a.score > b.score; });
   // The second holder is the best in another zone.
   const std::string& zone = members_[candidates.front().index].zone;
   const auto second = std::find_if(
@@ -109,9 +136,14 @@
   }
   Ranks& ranks = ranks_[part];
   ranks.fill(kNoMember);
-  for (std::size_t i = 0; i < std::min(kMaxRanks, candidates.size()); ++i) {
+  const std::size_t staying = std::min(kMaxStaying, candidates.size());
+  for (std::size_t i = 0; i < staying; ++i) {
     ranks[i] = candidates[i].index;
   }
+  const std::size_t last = std::min(kMaxRanks - staying, leaving.size());
+  for (std::size_t i = 0; i < last; ++i) {
+    ranks[staying + i] = leaving[i].index;
+  }
 }
 
 }  // namespace gcw::routing
--- a/src/routing/holders.h
+++ b/src/routing/holders.h
@@ -33,10 +33,16 @@
   static std::uint32_t PartOf(FlowKey key) { return TopBits(key, kPartBits); }
 
   // Indices of members by rank for `part`; kNoMember ends the list. Leaving
-  // members rank nowhere unless all leave.
+  // members rank last: they may know flows that the others do not.
   const Ranks& RanksOf(std::uint32_t part) const { return ranks_[part]; }
   static constexpr std::uint16_t kNoMember = 0xffff;
 
+  // The two holders of `part` before the last change of duties that are still
+  // members; kNoMember for the others. Daemons learn of a change at different
+  // times, so for a while these are told of new records as well.
+  using Pair = std::array<std::uint16_t, kHolders>;
+  const Pair& FormerOf(std::uint32_t part) const { return former_[part]; }
+
   // Whether member `index` is one of the two holders of `part`.
   bool Holds(std::uint16_t index, std::uint32_t part) const;
 
@@ -54,6 +60,7 @@
 
  private:
   void AssignBits();
+  void KeepFormer(std::span<const Member> old);
   void Rank(std::uint32_t part);
 
   std::string name_;
@@ -62,6 +69,7 @@
   std::vector<std::uint64_t> hashes_;
   std::vector<std::uint16_t> bits_;
   std::vector<Ranks> ranks_;
+  std::vector<Pair> former_;
   std::uint16_t self_ = 0;
   std::uint64_t view_ = 0;
 };
--- a/src/routing/server_registry.cc
+++ b/src/routing/server_registry.cc
@@ -21,7 +21,7 @@
       present.insert(ServerIdOf(server));
     }
   }
-  bool ended = false;
+  bool changed = false;
   for (ServerLife& life : lives_) {
     if (!life.alive || present.contains(life.id)) {
       continue;
@@ -31,7 +31,7 @@
     by_id_.erase(life.id);
     by_address_.erase(life.address);
     by_name_.erase(life.name);
-    ended = true;
+    changed = true;
   }
   for (const auto& [name, server] : snapshot.servers) {
     const ServerId id = ServerIdOf(server);
@@ -48,6 +48,7 @@
       life.created = server.created;
       life.alive = true;
       lives_.push_back(std::move(life));
+      changed = true;
     }
     ServerLife& life = lives_[found->second];
     life.takes_new = server.state == config::ServerState::kIn;
@@ -55,7 +56,7 @@
     by_address_[life.address] = found->second;
     by_name_[life.name] = found->second;
   }
-  return ended;
+  return changed;
 }
 
 ServerIndex ServerRegistry::Find(ServerId id) const {
--- a/src/routing/server_registry.h
+++ b/src/routing/server_registry.h
@@ -44,7 +44,8 @@
 // as long as the registry lives. Not thread-safe.
 class ServerRegistry {
  public:
-  // Brings lives in step with `snapshot`. Returns whether any life ended.
+  // Brings lives in step with `snapshot`. Returns whether any life
+  // began or ended.
   bool Apply(const config::Snapshot& snapshot);
 
   // The current life of `id`, or kNoServer.
--- a/src/routing/service_tables.cc
+++ b/src/routing/service_tables.cc
@@ -329,6 +329,7 @@
   // force.
   const ServerIndex in_force = InForce().At(key);
   result.current = registry.alive(in_force) ? in_force : newest;
+  result.waits = pending() && !registry.alive(in_force);
   return result;
 }
 
--- a/src/routing/service_tables.h
+++ b/src/routing/service_tables.h
@@ -24,6 +24,10 @@
   ServerIndex current = kNoServer;
   // Whether every table that still counts agrees, so that no record exists.
   bool settled = true;
+  // The server in force takes no packet any more and its successor is not in
+  // force yet. A new flow would be lost at daemons that have not heard of the
+  // change, so it waits until they have.
+  bool waits = false;
 };
 
 // The tables of one service: the one in force, those announced and not yet in
--- a/src/routing/table_router.cc
+++ b/src/routing/table_router.cc
@@ -11,6 +11,8 @@
 
 // Relays of one packet at most; after that the daemon at hand decides.
 constexpr std::uint8_t kMaxHops = 5;
+// Daemons learn of a change of members at most this far apart.
+constexpr absl::Duration kViewBound = absl::Seconds(5);
 // A flow seen this lately at a daemon that is no holder still is the one that
 // its entry names.
 constexpr Tick kTrustedIdle = 30 * kTicksPerSecond;
@@ -100,7 +102,8 @@
   if (visit.closing) {
     entry.set(FlowEntry::kClosed);
   }
-  const std::uint16_t other = mirror ? OtherHolder(visit) : Holders::kNoMember;
+  const std::uint16_t other =
+      mirror ? OtherHolder(visit, server) : Holders::kNoMember;
   if (other != Holders::kNoMember) {
     entry.last_packet = visit.tick;
     entry.last_mirrored = visit.tick;
@@ -111,20 +114,40 @@
 }
 
 Decision TableRouter::RouteWithoutEntry(const Visit& visit) {
-  const bool up_to_date = UpToDate(visit.now);
-  if (visit.bucket.settled && up_to_date) {
+  const bool fresh = Fresh(visit.now);
+  if (visit.bucket.settled && fresh && !Behind()) {
     return visit.opening ? Place(visit) : ForwardToBase(visit);
   }
-  const bool holder = holders_.Holds(holders_.self(), visit.part);
-  if (!holder || !up_to_date || lacking_.test(visit.part)) {
+  // A holder whose configuration is behind still knows all records; only for a
+  // new flow another daemon may choose better.
+  const bool knows = holders_.Holds(holders_.self(), visit.part) && fresh &&
+                     !lacking_.test(visit.part) &&
+                     visit.now - view_changed_ > kViewBound;
+  if (visit.opening && knows && Behind()) {
+    const std::uint16_t ahead = MemberAhead(visit);
+    if (ahead != Holders::kNoMember) {
+      return Relay(visit, ahead, 0);
+    }
+  }
+  if (!knows) {
+    if (visit.opening && fresh && AskedToPlace(visit)) {
+      return Place(visit);
+    }
     const std::uint16_t next = NextMember(visit);
     if (next != Holders::kNoMember) {
       return Relay(visit, next, 0);
     }
   }
+  if (!joined_ && holders_.members().size() > 1) {
+    // Others know better, and the caller will send the packet again.
+    return Drop(ResultCode::kNoServer);
+  }
   if (!visit.opening) {
     return ForwardToBase(visit);
   }
+  if (visit.bucket.waits) {
+    return Drop(ResultCode::kNoServer);
+  }
   // One daemon places the new flows of a part, so that a repeated first packet
   // finds its choice.
   const std::uint16_t first = holders_.RanksOf(visit.part)[0];
@@ -140,9 +163,10 @@
   ServerIndex server = registry_.Find(visit.header.placement);
   const bool kept = entry != nullptr && registry_.alive(entry->server) &&
                     !Reopens(visit, *entry) && entry->has(FlowEntry::kRecord);
-  if (kept && entry->server != server && visit.opening) {
-    // Both holders placed the flow while they did not hear each other. What is
-    // here first stays, and the other one is told.
+  if (kept && entry->server != server &&
+      (visit.opening || entry->has(FlowEntry::kConfirmed))) {
+    // Two daemons placed the flow while they did not hear each other. What was
+    // here first stays, and the others are told.
     server = entry->server;
     exchange_.EnqueueAll({Item::Kind::kRecord, visit.key, 0});
   }
@@ -167,6 +191,11 @@
     record->set(FlowEntry::kClosed);
   }
   record->last_mirrored = visit.tick;
+  const std::uint16_t other = OtherHolder(visit, server);
+  if (other != Holders::kNoMember) {
+    record->last_packet = visit.tick;
+    return Relay(visit, other, registry_.at(server).id);
+  }
   NoteSent(*record, visit.packet, visit.tick);
   return Forward(visit, server, false);
 }
@@ -187,7 +216,7 @@
   ++life.placed;
   if (record) {
     ++counts_.exceptions;
-    const std::uint16_t other = OtherHolder(visit);
+    const std::uint16_t other = OtherHolder(visit, server);
     if (other != Holders::kNoMember &&
         exchange_.RevisionOf(holders_.members()[other].name) >= life.created) {
       entry->last_mirrored = visit.tick;
@@ -199,12 +228,7 @@
       return decision;
     }
     // The other holder is not heard, or does not know the server yet.
-    for (const std::uint16_t member : holders_.RanksOf(visit.part)) {
-      if (member != Holders::kNoMember && holders_.Holds(member, visit.part)) {
-        exchange_.Enqueue(holders_.members()[member].name,
-                          {Item::Kind::kRecord, visit.key, 0});
-      }
-    }
+    TellHolders({Item::Kind::kRecord, visit.key, 0});
   }
   if (entry != nullptr) {
     NoteSent(*entry, visit.packet, visit.tick);
@@ -255,8 +279,12 @@
   decision.header.revision = std::max(revision_, visit.header.revision);
   decision.header.service = visit.service.id();
   decision.header.placement = placement;
-  decision.header.visited = visit.header.visited;
-  if (visit.header.hops > 0 || flows_.Find(visit.key) == nullptr) {
+  const bool first = visit.header.hops == 0;
+  const bool has_entry = flows_.Find(visit.key) != nullptr;
+  const bool was_placed = visit.header.placement != 0;
+  decision.header.visited =
+      placement != 0 && !was_placed ? 0 : visit.header.visited;
+  if (placement != 0 || !first || !has_entry) {
     // A first daemon with an entry of doubtful age may be asked again.
     decision.header.visited |= holders_.bit(holders_.self());
   }
@@ -286,7 +314,7 @@
              !entry.has(FlowEntry::kRecord) && !visit.bucket.settled &&
              holders_.RanksOf(visit.part)[0] != holders_.self());
   }
-  if (visit.bucket.settled && UpToDate(visit.now)) {
+  if (visit.bucket.settled && Fresh(visit.now) && !Behind()) {
     return true;
   }
   return !visit.opening && !entry.has(FlowEntry::kClosed) &&
@@ -301,18 +329,44 @@
          visit.tick - entry.last_packet > kRetransmit;
 }
 
-bool TableRouter::UpToDate(absl::Time now) const {
-  if (!joined_ || exchange_.heard() > revision_) {
-    return false;
+bool TableRouter::Fresh(absl::Time now) const {
+  return joined_ && (now <= trusted_until_ ||
+                     now - noted_fresh_ <= options_.freshness_bound);
+}
+
+bool TableRouter::Behind() const {
+  return exchange_.heard() > revision_;
+}
+
+bool TableRouter::AskedToPlace(const Visit& visit) const {
+  const std::uint16_t first = holders_.RanksOf(visit.part)[0];
+  return visit.header.hops > 0 && visit.header.revision < revision_ &&
+         !Behind() && !visit.bucket.waits && first != holders_.self() &&
+         (visit.header.visited & holders_.bit(first)) != 0;
+}
+
+std::uint16_t TableRouter::MemberAhead(const Visit& visit) const {
+  if (visit.header.hops >= kMaxHops) {
+    return Holders::kNoMember;
   }
-  return now <= trusted_until_ ||
-         now - noted_fresh_ <= options_.freshness_bound;
+  for (const std::uint16_t member : holders_.RanksOf(visit.part)) {
+    if (member == Holders::kNoMember || member == holders_.self() ||
+        !Usable(member, visit.now)) {
+      continue;
+    }
+    const std::string& name = holders_.members()[member].name;
+    if (exchange_.Complete(name) && exchange_.RevisionOf(name) > revision_) {
+      return member;
+    }
+  }
+  return Holders::kNoMember;
 }
 
 std::uint16_t TableRouter::NextMember(const Visit& visit) const {
   if (visit.header.hops >= kMaxHops) {
     return Holders::kNoMember;
   }
+  std::uint16_t incomplete = Holders::kNoMember;
   std::uint16_t unheard = Holders::kNoMember;
   for (const std::uint16_t member : holders_.RanksOf(visit.part)) {
     if (member == Holders::kNoMember) {
@@ -322,25 +376,51 @@
         (visit.header.visited & holders_.bit(member)) != 0) {
       continue;
     }
-    if (Usable(member, visit.now)) {
-      return member;
-    }
-    if (unheard == Holders::kNoMember &&
-        holders_.members()[member].state == MemberState::kAlive) {
+    const Member& other = holders_.members()[member];
+    if (other.state != MemberState::kSuspect &&
+        exchange_.Heard(other.name, visit.now)) {
+      if (exchange_.Complete(other.name)) {
+        return member;
+      }
+      if (incomplete == Holders::kNoMember) {
+        incomplete = member;
+      }
+    } else if (unheard == Holders::kNoMember &&
+               other.state == MemberState::kAlive) {
       unheard = member;
     }
   }
-  return unheard;
+  return incomplete != Holders::kNoMember ? incomplete : unheard;
 }
 
-std::uint16_t TableRouter::OtherHolder(const Visit& visit) const {
-  if (visit.header.hops >= kMaxHops || visit.header.placement != 0) {
+std::uint16_t TableRouter::OtherHolder(const Visit& visit,
+                                       ServerIndex server) const {
+  // A placement begins its way anew: only holders that got it are passed by.
+  const bool placed = visit.header.placement != 0;
+  const std::uint16_t visited = placed ? visit.header.visited : 0;
+  if (visit.header.hops >= kMaxHops + 2 * Holders::kHolders) {
     return Holders::kNoMember;
   }
+  const auto can_take = [&](std::uint16_t member) {
+    if (member == Holders::kNoMember || member == holders_.self() ||
+        (visited & holders_.bit(member)) != 0 || !Usable(member, visit.now)) {
+      return false;
+    }
+    const std::string& name = holders_.members()[member].name;
+    return exchange_.RevisionOf(name) >= registry_.at(server).created;
+  };
+  // Former holders go first: one that has not heard of the change sends the
+  // record on to the other of them.
+  if (visit.now - view_changed_ <= kViewBound) {
+    for (const std::uint16_t member : holders_.FormerOf(visit.part)) {
+      if (can_take(member)) {
+        return member;
+      }
+    }
+  }
   const Holders::Ranks& ranks = holders_.RanksOf(visit.part);
   for (std::size_t i = 0; i < Holders::kHolders; ++i) {
-    if (ranks[i] != Holders::kNoMember && ranks[i] != holders_.self() &&
-        Usable(ranks[i], visit.now)) {
+    if (can_take(ranks[i])) {
       return ranks[i];
     }
   }
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -77,12 +77,20 @@
   bool Trusts(const Visit& visit, const FlowEntry& entry) const;
   // Whether the packet opens a new flow with the addresses of an old one.
   bool Reopens(const Visit& visit, const FlowEntry& entry) const;
-  // Whether this daemon may rely on its own tables.
-  bool UpToDate(absl::Time now) const;
+  // Whether this daemon heard enough of the others lately.
+  bool Fresh(absl::Time now) const;
+  // Whether others have a newer configuration.
+  bool Behind() const;
+  // Whether the first holder passed the packet on because this daemon's
+  // configuration is newer.
+  bool AskedToPlace(const Visit& visit) const;
+  // A member with a newer configuration, or kNoMember.
+  std::uint16_t MemberAhead(const Visit& visit) const;
   // The next member that may know more of the flow, or kNoMember.
   std::uint16_t NextMember(const Visit& visit) const;
-  // The member that keeps the record beside this one, or kNoMember.
-  std::uint16_t OtherHolder(const Visit& visit) const;
+  // The next holder that must get the record of the flow on `server` and can
+  // take it, or kNoMember.
+  std::uint16_t OtherHolder(const Visit& visit, ServerIndex server) const;
   bool Usable(std::uint16_t member, absl::Time now) const;
   bool NeedsMirror(const Visit& visit, const FlowEntry& entry) const;
 
@@ -94,6 +102,8 @@
 
   void ResolveAll(std::span<ServiceTables* const> services, absl::Time now);
   void RecordMovedFlows();
+  // Tells the holders of the flow `item.id` by control messages.
+  void TellHolders(const Item& item);
   void Announce(const ServiceTables& service);
   void TakeContent(const ControlMessage& message, absl::Time now);
   void TakeRecords(const RecordGroup& group);
@@ -101,6 +111,8 @@
   void ServeSync(std::string_view peer);
   std::size_t Append(const Item& item, ControlMessage& message) override;
   void UpdateTrust();
+  void Flush(absl::Time now);
+  void Activate(absl::Time now);
   Tick TickOf(absl::Time now);
 
   const RouterOptions options_;
@@ -119,6 +131,7 @@
   bool joined_ = false;
   absl::Time trusted_until_ = absl::InfinitePast();
   absl::Time noted_fresh_ = absl::InfinitePast();
+  absl::Time view_changed_ = absl::InfinitePast();
   absl::Time last_tick_ = absl::InfinitePast();
   std::int64_t origin_ms_ = 0;
   Tick tick_ = 1;
--- a/src/routing/table_router_control.cc
+++ b/src/routing/table_router_control.cc
@@ -20,6 +20,9 @@
 // A half-open flow may be forgotten this soon under pressure.
 constexpr Tick kPressedHalfOpen = 5 * kTicksPerSecond;
 
+// A record may be corrected by a peer for this long.
+constexpr Tick kCorrectable = 5 * kTicksPerSecond;
+
 Tick ToTicks(absl::Duration duration) {
   return static_cast<Tick>(absl::ToDoubleSeconds(duration) * kTicksPerSecond);
 }
@@ -33,19 +36,21 @@
   TickOf(now);
   snapshot_ = std::move(snapshot);
   revision_ = snapshot_->revision;
-  const bool ended = registry_.Apply(*snapshot_);
+  const bool lives_changed = registry_.Apply(*snapshot_);
   std::vector<ServiceTables*> changed =
       directory_.Apply(*snapshot_, registry_, now + options_.activation_bound);
   for (const ServiceTables* service : changed) {
     Announce(*service);
   }
-  if (ended) {
+  if (lives_changed) {
     changed.clear();
     for (const auto& service : directory_.services()) {
       changed.push_back(service.get());
     }
   }
   ResolveAll(changed, now);
+  exchange_.HelloSoon(now);
+  Flush(now);
 }
 
 void TableRouter::ApplyMembers(std::span<const Member> members,
@@ -61,6 +66,7 @@
   if (!changed && joined_) {
     return;
   }
+  view_changed_ = now;
   bool lacks = false;
   for (std::uint32_t part = 0; part < Holders::kParts; ++part) {
     const bool holds = holders_.Holds(holders_.self(), part);
@@ -70,7 +76,7 @@
     }
   }
   if (lacks || !joined_) {
-    exchange_.RequestSync(now);
+    exchange_.RequestSync(true, now);
   }
   UpdateTrust();
 }
@@ -148,28 +154,43 @@
                             std::span<const std::uint8_t> bytes,
                             absl::Time now) {
   TickOf(now);
+  const config::Version heard_before = exchange_.heard();
   const std::optional<ControlMessage> message =
       exchange_.Receive(from, bytes, now);
   if (!message) {
     return;
   }
   TakeContent(*message, now);
-  for (std::string peer = exchange_.TakeSyncRequest(); !peer.empty();
-       peer = exchange_.TakeSyncRequest()) {
+  Activate(now);
+  const auto view = static_cast<std::uint32_t>(holders_.view());
+  for (std::string peer = exchange_.TakeSyncRequest(view); !peer.empty();
+       peer = exchange_.TakeSyncRequest(view)) {
     ServeSync(peer);
   }
+  if (exchange_.heard() > heard_before) {
+    // The sooner all know of a change, the sooner it comes into force.
+    exchange_.HelloSoon(now);
+    Flush(now);
+  }
   UpdateTrust();
 }
 
 void TableRouter::OnTick(absl::Time now) {
   TickOf(now);
-  if (now - last_tick_ > options_.freshness_bound &&
-      last_tick_ != absl::InfinitePast()) {
-    // This process was paused: records may have been placed without it.
+  if (joined_ && !Fresh(now) && !exchange_.syncing()) {
+    // Others may have placed flows without this daemon.
     lacking_.set();
-    exchange_.RequestSync(now);
+    exchange_.RequestSync(false, now);
   }
   last_tick_ = now;
+  Activate(now);
+  Sweep(kSweepSteps,
+        100ULL * flows_.size() > kPressedPercent * flows_.max_flows());
+  Flush(now);
+  UpdateTrust();
+}
+
+void TableRouter::Activate(absl::Time now) {
   const config::Version heard = exchange_.heard_by_all(revision_);
   std::vector<ServiceTables*> changed;
   for (const auto& service : directory_.services()) {
@@ -188,14 +209,14 @@
     }
   }
   ResolveAll(changed, now);
-  Sweep(kSweepSteps,
-        100ULL * flows_.size() > kPressedPercent * flows_.max_flows());
+}
+
+void TableRouter::Flush(absl::Time now) {
   OwnState own;
   own.revision = revision_;
   own.view = static_cast<std::uint32_t>(holders_.view());
   own.complete = !exchange_.syncing();
   exchange_.Flush(own, *this, now, outgoing_);
-  UpdateTrust();
 }
 
 std::vector<OutgoingMessage> TableRouter::TakeMessages() {
@@ -282,13 +303,15 @@
     }
     entry.set(FlowEntry::kRecord);
     ++records_;
-    const std::uint32_t part = Holders::PartOf(entry.key);
-    for (const std::uint16_t member : holders_.RanksOf(part)) {
-      if (member != Holders::kNoMember && member != holders_.self() &&
-          holders_.Holds(member, part)) {
-        exchange_.Enqueue(holders_.members()[member].name,
-                          {Item::Kind::kRecord, entry.key, 0});
-      }
+    TellHolders({Item::Kind::kRecord, entry.key, 0});
+  }
+}
+
+void TableRouter::TellHolders(const Item& item) {
+  const Holders::Ranks& ranks = holders_.RanksOf(Holders::PartOf(item.id));
+  for (std::size_t i = 0; i < Holders::kHolders; ++i) {
+    if (ranks[i] != Holders::kNoMember && ranks[i] != holders_.self()) {
+      exchange_.Enqueue(holders_.members()[ranks[i]].name, item);
     }
   }
 }
@@ -344,7 +367,10 @@
     const bool known = !fresh && entry->has(FlowEntry::kRecord) &&
                        entry->has(FlowEntry::kConfirmed) &&
                        registry_.alive(entry->server);
-    if (known) {
+    // A record of another server corrects one that was made just now.
+    const bool wins = known && entry->server != server &&
+                      tick_ - entry->last_mirrored < kCorrectable;
+    if (known && !wins) {
       continue;
     }
     if (!fresh) {
@@ -465,7 +491,7 @@
   stats.control_bytes = exchange_.bytes_sent();
   stats.control_messages = exchange_.messages_sent();
   stats.bad_messages = exchange_.bad_messages();
-  stats.fresh = UpToDate(last_tick_);
+  stats.fresh = Fresh(last_tick_) && !Behind();
   stats.complete = joined_ && lacking_.none();
   return stats;
 }
--- /dev/null
+++ b/tests/routing/property_test.cc
@@ -0,0 +1,175 @@
+#include <fmt/format.h>
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "tests/routing/model.h"
+
+namespace gcw::routing {
+namespace {
+
+using testing::Config;
+using testing::MakeDesk;
+using testing::Model;
+using testing::ModelOptions;
+using testing::ModelReport;
+
+// Drains each server in turn and brings it back.
+void RollingDrain(Model& model, int servers, double start, double step) {
+  for (int i = 0; i < servers; ++i) {
+    const std::string name = fmt::format("s{}", i);
+    model.At(start + step * i, [&model, name] {
+      model.config().next.servers[name].state = config::ServerState::kDraining;
+      model.Publish();
+    });
+    model.At(start + step * (i + 1.5), [&model, name] {
+      model.config().next.servers[name].state = config::ServerState::kIn;
+      model.Publish();
+    });
+  }
+}
+
+ModelReport RunRollingDrain(const std::string& policy, std::uint64_t seed) {
+  ModelOptions options;
+  options.policy = policy;
+  options.seed = seed;
+  Model model(options, MakeDesk(14));
+  RollingDrain(model, 14, 5, 4);
+  model.RunUntil(70);
+  return model.report();
+}
+
+TEST_CASE("a rolling drain breaks no flow") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    const ModelReport report = RunRollingDrain("tables", seed);
+    INFO("seed " << seed << ": " << report.first_failure);
+    CHECK(report.established > 10'000);
+    CHECK(report.broken == 0);
+    CHECK(report.misdelivered == 0);
+    CHECK(report.new_to_leaving_late == 0);
+    CHECK(report.never_established == 0);
+  }
+}
+
+TEST_CASE("the baselines break flows in a rolling drain") {
+  const ModelReport hash = RunRollingDrain("hash", 1);
+  CHECK(hash.broken > hash.established / 50);
+  const ModelReport local = RunRollingDrain("local", 1);
+  CHECK(local.broken > local.established / 50);
+}
+
+void SetServer(Model& model, double at, int server, config::ServerState state) {
+  model.At(at, [&model, server, state] {
+    model.config().next.servers[fmt::format("s{}", server)].state = state;
+    model.Publish();
+  });
+}
+
+void CheckWhole(const ModelReport& report, std::uint64_t seed) {
+  INFO("seed " << seed << ": " << report.first_failure);
+  CHECK(report.established > 1000);
+  CHECK(report.broken == 0);
+  CHECK(report.misdelivered == 0);
+  CHECK(report.new_to_leaving_late == 0);
+  CHECK(report.to_out_late == 0);
+  CHECK(report.never_established == 0);
+}
+
+TEST_CASE("updates that arrive up to 5 s apart break no flow") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    ModelOptions options;
+    options.seed = seed;
+    options.config_delay = 5;
+    options.packet_duplicates = 0.02;
+    Model model(options, MakeDesk(14));
+    RollingDrain(model, 6, 5, 3);
+    model.RunUntil(50);
+    ModelReport report = model.report();
+    CheckWhole(report, seed);
+  }
+}
+
+TEST_CASE("a daemon killed, alone or while a change settles, breaks no flow") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    for (const double kill_at : {9.0, 10.2, 10.9, 12.0}) {
+      ModelOptions options;
+      options.seed = seed;
+      Model model(options, MakeDesk(14));
+      SetServer(model, 5, 3, config::ServerState::kDraining);
+      SetServer(model, 10, 7, config::ServerState::kDraining);
+      const int victim = static_cast<int>(seed % 4);
+      model.At(kill_at, [&model, victim] { model.Kill(victim); });
+      model.At(25, [&model, victim] { model.Start(victim); });
+      SetServer(model, 27, 9, config::ServerState::kDraining);
+      model.RunUntil(45);
+      INFO("killed at " << kill_at);
+      CheckWhole(model.report(), seed);
+    }
+  }
+}
+
+TEST_CASE("a paused daemon that resumes breaks no flow") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    ModelOptions options;
+    options.seed = seed;
+    Model model(options, MakeDesk(14));
+    SetServer(model, 5, 3, config::ServerState::kDraining);
+    model.At(6, [&model] { model.Pause(1, 4); });
+    SetServer(model, 7, 8, config::ServerState::kDraining);
+    model.At(15, [&model] { model.Pause(2, 0.8); });
+    SetServer(model, 15.2, 9, config::ServerState::kDraining);
+    model.At(20, [&model] { model.Pause(3, 2.5); });
+    SetServer(model, 20.1, 3, config::ServerState::kIn);
+    model.RunUntil(40);
+    CheckWhole(model.report(), seed);
+  }
+}
+
+TEST_CASE("daemons that leave and join during a rolling drain break no flow") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    ModelOptions options;
+    options.seed = seed;
+    Model model(options, MakeDesk(14));
+    RollingDrain(model, 10, 4, 4);
+    for (int i = 0; i < 4; ++i) {
+      model.At(8 + 10 * i, [&model, i] { model.Leave(i); });
+      model.At(14 + 10 * i, [&model, i] { model.Start(i); });
+    }
+    model.RunUntil(60);
+    CheckWhole(model.report(), seed);
+  }
+}
+
+TEST_CASE("lost control messages are asked for again") {
+  for (const std::uint64_t seed : {1, 2, 3}) {
+    ModelOptions options;
+    options.seed = seed;
+    options.control_loss = 0.05;
+    Model model(options, MakeDesk(14));
+    RollingDrain(model, 6, 5, 4);
+    model.RunUntil(45);
+    CheckWhole(model.report(), seed);
+  }
+}
+
+TEST_CASE("a zone out gets no packets and its flows are given up") {
+  for (const std::uint64_t seed : {1, 2, 3, 4, 5}) {
+    ModelOptions options;
+    options.seed = seed;
+    Model model(options, MakeDesk(14));
+    model.At(10, [&model] {
+      model.config().next.zones["b"].state = config::ZoneState::kOut;
+      model.Publish();
+    });
+    model.At(25, [&model] {
+      model.config().next.zones["b"].state = config::ZoneState::kIn;
+      model.Publish();
+    });
+    model.RunUntil(60);
+    CHECK(model.report().given_up > 100);
+    CheckWhole(model.report(), seed);
+  }
+}
+
+}  // namespace
+}  // namespace gcw::routing
