--- a/src/routing/table_router.cc
+++ b/src/routing/table_router.cc
@@ -133,8 +133,11 @@
     if (visit.opening && fresh && AskedToPlace(visit)) {
       return Place(visit);
     }
+    // A new flow needs no daemon that still waits for records itself.
     const std::uint16_t next = NextMember(visit);
-    if (next != Holders::kNoMember) {
+    const bool may_place =
+        visit.opening && joined_ && fresh && visit.header.hops > 0;
+    if (next != Holders::kNoMember && !(may_place && !Completes(next))) {
       return Relay(visit, next, 0);
     }
   }
@@ -153,7 +156,7 @@
   const std::uint16_t first = holders_.RanksOf(visit.part)[0];
   if (first != holders_.self() && first != Holders::kNoMember &&
       visit.header.hops < kMaxHops && Usable(first, visit.now) &&
-      (visit.header.visited & holders_.bit(first)) == 0) {
+      Completes(first) && (visit.header.visited & holders_.bit(first)) == 0) {
     return Relay(visit, first, 0);
   }
   return Place(visit);
@@ -163,8 +166,7 @@
   ServerIndex server = registry_.Find(visit.header.placement);
   const bool kept = entry != nullptr && registry_.alive(entry->server) &&
                     !Reopens(visit, *entry) && entry->has(FlowEntry::kRecord);
-  if (kept && entry->server != server &&
-      (visit.opening || entry->has(FlowEntry::kConfirmed))) {
+  if (kept && entry->server != server) {
     // Two daemons placed the flow while they did not hear each other. What was
     // here first stays, and the others are told.
     server = entry->server;
@@ -196,6 +198,9 @@
     record->last_packet = visit.tick;
     return Relay(visit, other, registry_.at(server).id);
   }
+  if (visit.opening) {
+    TellHolders({Item::Kind::kRecord, visit.key, 0}, visit.header.visited);
+  }
   NoteSent(*record, visit.packet, visit.tick);
   return Forward(visit, server, false);
 }
@@ -228,7 +233,7 @@
       return decision;
     }
     // The other holder is not heard, or does not know the server yet.
-    TellHolders({Item::Kind::kRecord, visit.key, 0});
+    TellHolders({Item::Kind::kRecord, visit.key, 0}, 0);
   }
   if (entry != nullptr) {
     NoteSent(*entry, visit.packet, visit.tick);
@@ -276,7 +281,7 @@
   decision.service_name = visit.service.name();
   decision.member = holders_.members()[member].name;
   decision.header.hops = static_cast<std::uint8_t>(visit.header.hops + 1);
-  decision.header.revision = std::max(revision_, visit.header.revision);
+  decision.header.revision = revision_;
   decision.header.service = visit.service.id();
   decision.header.placement = placement;
   const bool first = visit.header.hops == 0;
@@ -349,17 +354,21 @@
   if (visit.header.hops >= kMaxHops) {
     return Holders::kNoMember;
   }
+  std::uint16_t best = Holders::kNoMember;
+  config::Version newest = revision_;
   for (const std::uint16_t member : holders_.RanksOf(visit.part)) {
     if (member == Holders::kNoMember || member == holders_.self() ||
-        !Usable(member, visit.now)) {
+        !Usable(member, visit.now) || !Completes(member)) {
       continue;
     }
-    const std::string& name = holders_.members()[member].name;
-    if (exchange_.Complete(name) && exchange_.RevisionOf(name) > revision_) {
-      return member;
+    const config::Version revision =
+        exchange_.RevisionOf(holders_.members()[member].name);
+    if (revision > newest) {
+      newest = revision;
+      best = member;
     }
   }
-  return Holders::kNoMember;
+  return best;
 }
 
 std::uint16_t TableRouter::NextMember(const Visit& visit) const {
@@ -379,7 +388,7 @@
     const Member& other = holders_.members()[member];
     if (other.state != MemberState::kSuspect &&
         exchange_.Heard(other.name, visit.now)) {
-      if (exchange_.Complete(other.name)) {
+      if (Completes(member)) {
         return member;
       }
       if (incomplete == Holders::kNoMember) {
@@ -432,6 +441,10 @@
   return other.state == MemberState::kAlive && exchange_.Heard(other.name, now);
 }
 
+bool TableRouter::Completes(std::uint16_t member) const {
+  return exchange_.Complete(holders_.members()[member].name);
+}
+
 bool TableRouter::NeedsMirror(const Visit& visit,
                               const FlowEntry& entry) const {
   if (!entry.has(FlowEntry::kRecord)) {
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -84,7 +84,8 @@
   // Whether the first holder passed the packet on because this daemon's
   // configuration is newer.
   bool AskedToPlace(const Visit& visit) const;
-  // A member with a newer configuration, or kNoMember.
+  // The member with the newest configuration, if newer than this daemon's, or
+  // kNoMember.
   std::uint16_t MemberAhead(const Visit& visit) const;
   // The next member that may know more of the flow, or kNoMember.
   std::uint16_t NextMember(const Visit& visit) const;
@@ -92,6 +93,8 @@
   // take it, or kNoMember.
   std::uint16_t OtherHolder(const Visit& visit, ServerIndex server) const;
   bool Usable(std::uint16_t member, absl::Time now) const;
+  // Whether `member` waits for no records.
+  bool Completes(std::uint16_t member) const;
   bool NeedsMirror(const Visit& visit, const FlowEntry& entry) const;
 
   // The entry of the flow, made anew on `server`; null if there is no room.
@@ -102,8 +105,9 @@
 
   void ResolveAll(std::span<ServiceTables* const> services, absl::Time now);
   void RecordMovedFlows();
-  // Tells the holders of the flow `item.id` by control messages.
-  void TellHolders(const Item& item);
+  // Tells the holders of the flow `item.id` that are not in `visited` by
+  // control messages.
+  void TellHolders(const Item& item, std::uint16_t visited);
   void Announce(const ServiceTables& service);
   void TakeContent(const ControlMessage& message, absl::Time now);
   void TakeRecords(const RecordGroup& group);
--- a/src/routing/table_router_control.cc
+++ b/src/routing/table_router_control.cc
@@ -303,14 +303,15 @@
     }
     entry.set(FlowEntry::kRecord);
     ++records_;
-    TellHolders({Item::Kind::kRecord, entry.key, 0});
+    TellHolders({Item::Kind::kRecord, entry.key, 0}, 0);
   }
 }
 
-void TableRouter::TellHolders(const Item& item) {
+void TableRouter::TellHolders(const Item& item, std::uint16_t visited) {
   const Holders::Ranks& ranks = holders_.RanksOf(Holders::PartOf(item.id));
   for (std::size_t i = 0; i < Holders::kHolders; ++i) {
-    if (ranks[i] != Holders::kNoMember && ranks[i] != holders_.self()) {
+    if (ranks[i] != Holders::kNoMember && ranks[i] != holders_.self() &&
+        (visited & holders_.bit(ranks[i])) == 0) {
       exchange_.Enqueue(holders_.members()[ranks[i]].name, item);
     }
   }
--- a/tests/routing/model.cc
+++ b/tests/routing/model.cc
@@ -318,17 +318,6 @@
                 const std::shared_ptr<Flow>& flow,
                 const FlowPacket& packet,
                 const Decision& decision) {
-  if (getenv("TRACE") && flow->id == (unsigned)atoi(getenv("TRACE")))
-    fmt::print(stderr,
-               "{:.4f} b{} {} action {} to {}/{} hops {} placement {:x} "
-               "visited {:x} new {} exc {}\n",
-               now_, daemon,
-               packet.flags.syn   ? "SYN"
-               : packet.flags.fin ? "FIN"
-                                  : "data",
-               int(decision.action), IpToString(decision.server.ip),
-               decision.member, decision.header.hops, decision.header.placement,
-               decision.header.visited, decision.new_flow, decision.exception);
   if (decision.action == Action::kReset) {
     GiveUp(flow, daemon);
     return;
@@ -392,6 +381,11 @@
     const auto leaving = leaving_since_.find(server->name);
     if (leaving != leaving_since_.end() && now_ - leaving->second > kLate) {
       ++report_.new_to_leaving_late;
+      if (report_.first_failure.empty()) {
+        report_.first_failure =
+            fmt::format("{:.3f} new flow {} at leaving {} by b{}", now_,
+                        flow->id, server->name, daemon);
+      }
     }
     flow->reached = true;
     flow->server = address;
