--- /dev/null
+++ b/bench/routing_decision.cc
@@ -0,0 +1,142 @@
+// Nanoseconds for one routing decision, and for building tables.
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <random>
+#include <vector>
+
+#include "src/routing/table.h"
+#include "tests/routing/fixtures.h"
+
+namespace gcw::routing {
+namespace {
+
+using testing::At;
+using testing::MakePacket;
+
+std::unique_ptr<RoutingPolicy> MakeRouter(std::uint32_t max_flows) {
+  RouterOptions options;
+  options.self = std::string("b0");
+  options.zone = std::string("a");
+  options.max_flows = max_flows;
+  return RoutingPolicy::Make(options).value();
+}
+
+// A router that holds `flows` flows. If `unsettled`, a server drains.
+std::unique_ptr<RoutingPolicy> MakeLoaded(std::uint32_t flows, bool unsettled) {
+  auto router = MakeRouter(2 * flows);
+  testing::Config config = testing::MakeDesk(14);
+  router->ApplySnapshot(config.Take(), At(0));
+  router->ApplyMembers({}, At(0));
+  router->OnTick(At(0.05));
+  for (std::uint32_t flow = 0; flow < flows; ++flow) {
+    router->OnPacket(MakePacket(flow, true), At(0.1));
+  }
+  if (unsettled) {
+    for (int i = 0; i < 14; i += 2) {
+      config.next.servers[fmt::format("s{}", i)].state =
+          config::ServerState::kDraining;
+    }
+    router->ApplySnapshot(config.Take(), At(0.2));
+    router->OnTick(At(3));
+  }
+  return router;
+}
+
+std::vector<FlowPacket> MakePackets(std::uint32_t first, std::uint32_t count) {
+  std::vector<FlowPacket> packets;
+  for (std::uint32_t i = 0; i < count; ++i) {
+    packets.push_back(MakePacket(first + i, false));
+  }
+  std::shuffle(packets.begin(), packets.end(), std::mt19937(1));
+  return packets;
+}
+
+void BM_Hit(benchmark::State& state) {
+  const auto flows = static_cast<std::uint32_t>(state.range(0));
+  const auto router = MakeLoaded(flows, false);
+  const std::vector<FlowPacket> packets = MakePackets(0, flows);
+  std::size_t next = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(router->OnPacket(packets[next], At(0.2)));
+    next = next + 1 == packets.size() ? 0 : next + 1;
+  }
+  state.counters["bytes_per_flow"] =
+      static_cast<double>(router->Stats().flow_bytes) / flows;
+}
+BENCHMARK(BM_Hit)->Arg(10'000)->Arg(100'000)->Arg(1'000'000);
+
+// The closing flag keeps a miss from becoming an entry.
+void RunMisses(benchmark::State& state, bool unsettled) {
+  const auto flows = static_cast<std::uint32_t>(state.range(0));
+  const auto router = MakeLoaded(flows, unsettled);
+  std::vector<FlowPacket> packets = MakePackets(flows, 100'000);
+  for (FlowPacket& packet : packets) {
+    packet.flags.fin = true;
+  }
+  std::size_t next = 0;
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(router->OnPacket(packets[next], At(9)));
+    next = next + 1 == packets.size() ? 0 : next + 1;
+  }
+  const RouterStats stats = router->Stats();
+  state.counters["unsettled_share"] =
+      static_cast<double>(stats.unsettled_buckets) /
+      static_cast<double>(stats.buckets);
+}
+
+void BM_MissSettled(benchmark::State& state) {
+  RunMisses(state, false);
+}
+BENCHMARK(BM_MissSettled)->Arg(10'000)->Arg(100'000)->Arg(1'000'000);
+
+void BM_MissUnsettled(benchmark::State& state) {
+  RunMisses(state, true);
+}
+BENCHMARK(BM_MissUnsettled)->Arg(10'000)->Arg(100'000)->Arg(1'000'000);
+
+void BM_BuildTable(benchmark::State& state) {
+  std::vector<Share> shares;
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    shares.push_back({StableHash(fmt::format("s{}", i)) | 1, 100});
+  }
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(BuildTable(shares));
+  }
+}
+BENCHMARK(BM_BuildTable)->Arg(4)->Arg(14)->Arg(200);
+
+// 6,500 servers in 1,900 services, as one daemon starts.
+void BM_LargeStart(benchmark::State& state) {
+  constexpr int kServices = 1900;
+  constexpr int kServers = 6500;
+  testing::Config config;
+  for (int i = 0; i < kServices; ++i) {
+    config.AddService(fmt::format("service{}", i),
+                      Endpoint{testing::kServiceIp + 1U + i, 80});
+  }
+  for (int i = 0; i < kServers; ++i) {
+    const std::string name = fmt::format("s{}", i);
+    config.AddServer(name, std::string(1, static_cast<char>('a' + i % 3)),
+                     0x0a000100U + static_cast<std::uint32_t>(i));
+    config.next.services[fmt::format("service{}", i % kServices)]
+        .servers.push_back({name, 100});
+  }
+  const config::SnapshotPtr snapshot = config.Take();
+  for (auto _ : state) {
+    const auto router = MakeRouter(1000);
+    router->ApplySnapshot(snapshot, At(0));
+    state.counters["table_bytes"] =
+        static_cast<double>(router->Stats().table_bytes);
+  }
+}
+BENCHMARK(BM_LargeStart)->Unit(benchmark::kMillisecond);
+
+}  // namespace
+}  // namespace gcw::routing
+
+BENCHMARK_MAIN();
--- a/src/routing/table_router_control.cc
+++ b/src/routing/table_router_control.cc
@@ -332,7 +332,13 @@
   std::vector<ServiceTables*> changed;
   for (const TableNotice& notice : message.tables) {
     ServiceTables* service = directory_.FindById(notice.service);
-    if (service != nullptr && service->Merge(notice.spec, registry_)) {
+    if (service == nullptr || service->table_count() == 0) {
+      continue;
+    }
+    // A newer table of a peer comes into force here as well, although this
+    // daemon's own configuration may be seconds behind.
+    if (service->Announce(notice.spec, registry_,
+                          now + options_.activation_bound)) {
       changed.push_back(service);
     }
   }
