--- /dev/null
+++ b/src/relay/neighbours.cc
@@ -0,0 +1,91 @@
+#include "src/relay/neighbours.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <utility>
+
+#include "gcw/base/hash.h"
+
+namespace gcw::relay {
+namespace {
+
+constexpr std::uint64_t kWatcherSeed = 0x77617463;
+constexpr std::uint64_t kNeighbourSeed = 0x6e656967;
+
+// The watchers of the zone of `options` among `peers` and this daemon.
+std::set<std::string, std::less<>> WatchersOfZone(const Options& options,
+                                                  std::span<const Peer> peers) {
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.emplace_back(StableHash(options.name, kWatcherSeed), options.name);
+  for (const Peer& peer : peers) {
+    if (peer.zone == options.zone) {
+      ranked.emplace_back(StableHash(peer.name, kWatcherSeed), peer.name);
+    }
+  }
+  std::sort(ranked.rbegin(), ranked.rend());
+  std::set<std::string, std::less<>> watchers;
+  for (const auto& [rank, name] : ranked) {
+    if (watchers.size() < options.watchers_per_zone) {
+      watchers.insert(name);
+    }
+  }
+  return watchers;
+}
+
+struct Candidate {
+  const Peer* peer = nullptr;
+  std::uint64_t rank = 0;
+};
+
+std::vector<Candidate> Ranked(const Options& options,
+                              std::span<const Peer> peers) {
+  const std::uint64_t own = StableHash(options.name, kNeighbourSeed);
+  std::vector<Candidate> ranked;
+  ranked.reserve(peers.size());
+  for (const Peer& peer : peers) {
+    ranked.push_back({&peer, MixHash(own, StableHash(peer.name))});
+  }
+  std::sort(
+      ranked.begin(), ranked.end(),
+      [](const Candidate& a, const Candidate& b) { return a.rank > b.rank; });
+  return ranked;
+}
+
+}  // namespace
+
+Roles AssignRoles(const Options& options, std::span<const Peer> peers) {
+  Roles roles;
+  const auto watchers = WatchersOfZone(options, peers);
+  roles.watcher = watchers.contains(options.name);
+  std::map<std::string_view, std::size_t> taken;
+  std::vector<std::string> spare;
+  for (const Candidate& candidate : Ranked(options, peers)) {
+    const Peer& peer = *candidate.peer;
+    const std::size_t limit = peer.zone == options.zone
+                                  ? options.zone_fanout
+                                  : options.cross_zone_fanout;
+    if (taken[peer.zone] < limit) {
+      ++taken[peer.zone];
+      roles.neighbours.push_back(peer.name);
+    } else {
+      spare.push_back(peer.name);
+    }
+  }
+  // Where the own zone is small, others take the free places.
+  for (const std::string& name : spare) {
+    if (roles.neighbours.size() >= options.zone_fanout) {
+      break;
+    }
+    roles.neighbours.push_back(name);
+  }
+  std::sort(roles.neighbours.begin(), roles.neighbours.end());
+  for (const Peer& peer : peers) {
+    if (peer.zone != options.zone || watchers.contains(peer.name)) {
+      roles.informed.insert(peer.name);
+    }
+  }
+  return roles;
+}
+
+}  // namespace gcw::relay
