--- a/src/routing/service_tables.cc
+++ b/src/routing/service_tables.cc
@@ -330,6 +330,7 @@
   const ServerIndex in_force = InForce().At(key);
   result.current = registry.alive(in_force) ? in_force : newest;
   result.waits = pending() && !registry.alive(in_force);
+  result.settled &= !result.waits;
   return result;
 }
 
