--- a/src/dispatch/owner.cc
+++ b/src/dispatch/owner.cc
@@ -14,8 +14,9 @@
 constexpr absl::Duration kWaitForHome = absl::Milliseconds(20);
 // Less than this before the deadline a request is not handed out any more.
 constexpr absl::Duration kLeastTime = absl::Milliseconds(2);
-// An answer that comes this much late is still sent to the caller.
-constexpr absl::Duration kLateGrace = absl::Milliseconds(20);
+// So much after the deadline the word of a home is still awaited: a late truth
+// is better than "unknown".
+constexpr absl::Duration kLateGrace = absl::Milliseconds(150);
 constexpr std::size_t kMaxCopies = 16;
 constexpr std::uint32_t kMaxHandOvers = 50;
 // Hand-overs that follow each other at once.
