--- a/src/dispatch/context.cc
+++ b/src/dispatch/context.cc
@@ -1,6 +1,7 @@
 #include "src/dispatch/context.h"
 
 #include "gcw/base/hash.h"
+#include "src/dispatch/wanted.h"
 
 namespace gcw::dispatch {
 
@@ -25,10 +26,7 @@
 }
 
 bool Context::IsWanted(const config::BackendServer& server) const {
-  const auto zone = snapshot->zones.find(server.zone);
-  const bool zone_in = zone == snapshot->zones.end() ||
-                       zone->second.state == config::ZoneState::kIn;
-  return zone_in && server.state == config::ServerState::kIn;
+  return dispatch::IsWanted(*snapshot, server);
 }
 
 }  // namespace gcw::dispatch
--- a/src/dispatch/home.cc
+++ b/src/dispatch/home.cc
@@ -235,9 +235,9 @@
       break;
   }
   ServerState* server = pool_.Find(held->server);
-  const ServerState::Change change =
-      server == nullptr ? ServerState::Change::kNone
-                        : server->OnAnswer(sign, now - held->sent, now);
+  const ServerState::Change change = server == nullptr
+                                         ? ServerState::Change::kNone
+                                         : server->OnAnswer(sign, now);
   const absl::Time sent = held->sent;
   OnWhole(handle, now);
   if (server != nullptr) {
--- a/src/dispatch/home_directory.cc
+++ b/src/dispatch/home_directory.cc
@@ -2,19 +2,9 @@
 
 #include <algorithm>
 
-namespace gcw::dispatch {
-namespace {
-
-bool IsWanted(const config::Snapshot& snapshot,
-              const config::BackendServer& server) {
-  const auto zone = snapshot.zones.find(server.zone);
-  const bool zone_in = zone == snapshot.zones.end() ||
-                       zone->second.state == config::ZoneState::kIn;
-  return zone_in && server.state == config::ServerState::kIn;
-}
-
-}  // namespace
+#include "src/dispatch/wanted.h"
 
+namespace gcw::dispatch {
 double HomeDirectory::Home::free() const {
   const double hinted_free = hinted ? hint.free : configured;
   return std::max(0.0, hinted_free - handed);
--- a/src/dispatch/server_state.cc
+++ b/src/dispatch/server_state.cc
@@ -154,7 +154,6 @@
 }
 
 ServerState::Change ServerState::OnAnswer(const AnswerPart& part,
-                                          absl::Duration,
                                           absl::Time now) {
   if (NoteIncarnation(part.incarnation, now) == Change::kRestarted) {
     return Change::kRestarted;
--- a/src/dispatch/server_state.h
+++ b/src/dispatch/server_state.h
@@ -49,9 +49,7 @@
   // The attempt was given up; the server may need until `at` to free its slot.
   void OnSlotFreeAt(absl::Time at);
 
-  Change OnAnswer(const AnswerPart& part,
-                  absl::Duration elapsed,
-                  absl::Time now);
+  Change OnAnswer(const AnswerPart& part, absl::Time now);
   Change OnShed(std::uint64_t incarnation, absl::Time now);
   // An attempt that was sent at `sent` ended at its deadline.
   Change OnSilence(absl::Time sent);
--- /dev/null
+++ b/src/dispatch/wanted.h
@@ -0,0 +1,19 @@
+#ifndef GCW_DISPATCH_WANTED_H_
+#define GCW_DISPATCH_WANTED_H_
+
+#include "gcw/config/snapshot.h"
+
+namespace gcw::dispatch {
+
+// Whether operators want new work on `server`. Thread-safe.
+inline bool IsWanted(const config::Snapshot& snapshot,
+                     const config::BackendServer& server) {
+  const auto zone = snapshot.zones.find(server.zone);
+  const bool zone_in = zone == snapshot.zones.end() ||
+                       zone->second.state == config::ZoneState::kIn;
+  return zone_in && server.state == config::ServerState::kIn;
+}
+
+}  // namespace gcw::dispatch
+
+#endif  // GCW_DISPATCH_WANTED_H_
