--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -82,6 +82,8 @@
     relay::Options options;
     options.name = settings_.name;
     options.zone = settings_.zone;
+    options.watch_wait = kWatchWait;
+    options.backoff_max = kLongestBackoff;
     auto made =
         relay::VersionedRelay::Make(options, kernel::MonotonicNow(), seed_ + 1);
     if (!made.ok()) {
--- a/src/balancer/platform_task.cc
+++ b/src/balancer/platform_task.cc
@@ -37,7 +37,7 @@
 
   bool Send(PlatformMessage message) override {
     client_.Stop();
-    return mailbox_->Send(std::move(message));
+    return mailbox_->Send(message);
   }
 
  private:
