balancer: a daemon waits with its graceful stop until the others are certain

Ruled out: lost votes of the leaving daemon; it answered. Conclusion: the gate is a pure class; it also lets one daemon leave at a time, and waits at most half of the shutdown limit.

--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -84,11 +84,8 @@
   }
 
   bool Shutdown() {
-    // The others hear of it first, so that they send nothing new while this
-    // daemon still takes what is on its way.
+    // The cluster task tells the other tasks when the time has come.
     Tell<ClusterMessage>(kClusterService, BeginShutdown{});
-    Tell<DispatchMessage>(kDispatchService, BeginShutdown{});
-    Tell<PacketMessage>(kPacketService, BeginShutdown{});
     const bool complete = WaitUntilDone();
     Tell<ClusterMessage>(kClusterService, FinishShutdown{});
     absl::SleepFor(kFarewell);
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -8,8 +8,10 @@
 #include "gcw/auth/replay_window.h"
 #include "gcw/base/log.h"
 #include "gcw/config/snapshot_builder.h"
+#include "gcw/dispatch/options.h"
 #include "gcw/kernel/mailbox.h"
 #include "gcw/kernel/udp_socket.h"
+#include "src/balancer/leave_gate.h"
 
 namespace gcw::balancer {
 namespace {
@@ -22,6 +24,10 @@
 constexpr absl::Duration kLongestBackoff = absl::Seconds(2);
 constexpr std::size_t kMailboxCapacity = 20'000;
 constexpr std::size_t kMaxBatches = 8;
+// A daemon is certain of repeats after their lifetime; the rest is the time
+// until it has heard of the configuration and of its peers.
+const absl::Duration kSettle =
+    dispatch::DispatchOptions{}.repeat_lifetime + absl::Seconds(1.5);
 
 membership::Options MembershipOptions(const Settings& settings) {
   membership::Options options;
@@ -55,7 +61,8 @@
       : settings_(settings),
         signer_(std::move(signer)),
         seed_(seed),
-        kernel_(kernel) {}
+        kernel_(kernel),
+        leave_gate_(kSettle, settings.shutdown_limit / 2) {}
 
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step :
@@ -211,7 +218,9 @@
     MembersChanged changed;
     std::vector<relay::Peer> peers;
     names_.clear();
-    for (membership::Member& member : membership_->members()) {
+    std::vector<membership::Member> others = membership_->members();
+    leave_gate_.OnMembers(others, kernel::MonotonicNow());
+    for (membership::Member& member : others) {
       names_[auth::SenderIdOf(member.name)] = member.name;
       if (!member.live()) {
         continue;
@@ -288,6 +297,9 @@
     }
     Perform(membership_->OnTick(now));
     Perform(relay_->OnTick(now));
+    if (!leaving_ && leave_gate_.MayLeave(now)) {
+      BeginLeave();
+    }
     socket_->Flush();
   }
 
@@ -360,11 +372,21 @@
   void OnMessage(PlatformVms& vms) { membership_->SetPlatformSeeds(vms.seeds); }
 
   void OnMessage(BeginShutdown& /*shutdown*/) {
+    kLog.Info("told to leave");
+    leave_gate_.Request(kernel::MonotonicNow());
+    OnTick();
+  }
+
+  // The other daemons hear of it first, so that they send nothing new while
+  // this one still takes what is on its way.
+  void BeginLeave() {
     leaving_ = true;
     kLog.Info("leaving");
     membership_->BeginLeave();
-    OnTick();
+    Perform(membership_->OnTick(kernel::MonotonicNow()));
     ShareMembers();
+    Tell<DispatchMessage>(kDispatchService, BeginShutdown{});
+    Tell<PacketMessage>(kPacketService, BeginShutdown{});
   }
 
   void OnMessage(FinishShutdown& /*shutdown*/) {
@@ -422,6 +444,7 @@
   std::vector<config::ObjectProblem> problems_;
   absl::flat_hash_map<auth::SenderId, std::string> names_;
   std::uint64_t refused_ = 0;
+  LeaveGate leave_gate_;
   bool leaving_ = false;
   bool shared_ = false;
   // Last, so that its thread ends before what its handler uses.
