--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -26,8 +26,7 @@
 constexpr std::size_t kMaxBatches = 8;
 // A daemon is certain of repeats after their lifetime; the rest is the time
 // until it has heard of the configuration and of its peers.
-const absl::Duration kSettle =
-    dispatch::DispatchOptions{}.repeat_lifetime + absl::Seconds(1.5);
+constexpr absl::Duration kSettleMargin = absl::Milliseconds(1500);
 
 membership::Options MembershipOptions(const Settings& settings) {
   membership::Options options;
@@ -62,7 +61,8 @@
         signer_(std::move(signer)),
         seed_(seed),
         kernel_(kernel),
-        leave_gate_(kSettle, settings.shutdown_limit / 2) {}
+        leave_gate_(dispatch::DispatchOptions{}.repeat_lifetime + kSettleMargin,
+                    settings.shutdown_limit / 2) {}
 
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step :
--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -259,6 +259,9 @@
       ++malformed_;
       return;
     }
+    if (MayHavePaused(*view)) {
+      return;
+    }
     Perform(*view,
             policy_->OnRelayed(FlowPacketOf(*view), FromWire(*header), now_));
   }
