routing: what was sent while a server was out of reach resets no flow

Ruled out: holders and records; the resets were logged as flow_given_up by the daemon of the zone that had been cut off.

--- a/src/routing/server_registry.h
+++ b/src/routing/server_registry.h
@@ -32,6 +32,8 @@
   std::uint32_t connections = 0;
   // Ticks of the last packet from the server to any caller.
   std::uint32_t last_reply = 0;
+  // The first reply after a time in which the server answered nobody here.
+  std::uint32_t talking_since = 0;
   // Part of its share of new flows, from 0 to 1, by local knowledge.
   double hint = 1.0;
   // When it came to take new flows beside others, in ticks; 0: no ramp.
--- a/src/routing/silence.h
+++ b/src/routing/silence.h
@@ -10,7 +10,13 @@
 
 // Notes that `packet` goes to the server of `entry`. Packets that need no
 // answer, such as bare acknowledgements, do not count as unanswered.
-void NoteSent(FlowEntry& entry, const FlowPacket& packet, Tick tick);
+void NoteSent(FlowEntry& entry,
+              const ServerLife& life,
+              const FlowPacket& packet,
+              Tick tick);
+
+// The server sent a reply, of whichever flow.
+void NoteReply(ServerLife& life, Tick tick);
 
 // Notes that the server of `entry` sent a packet to its caller.
 void NoteAnswered(FlowEntry& entry, ServerLife& life, Tick tick);
--- a/src/routing/table_router.cc
+++ b/src/routing/table_router.cc
@@ -109,7 +109,7 @@
     entry.last_mirrored = visit.tick;
     return Relay(visit, other, registry_.at(server).id);
   }
-  NoteSent(entry, visit.packet, visit.tick);
+  NoteSent(entry, registry_.at(server), visit.packet, visit.tick);
   return Forward(visit, server, false);
 }
 
@@ -201,7 +201,7 @@
   if (visit.opening) {
     TellHolders({Item::Kind::kRecord, visit.key, 0}, visit.header.visited);
   }
-  NoteSent(*record, visit.packet, visit.tick);
+  NoteSent(*record, registry_.at(server), visit.packet, visit.tick);
   return Forward(visit, server, false);
 }
 
@@ -236,7 +236,7 @@
     TellHolders({Item::Kind::kRecord, visit.key, 0}, 0);
   }
   if (entry != nullptr) {
-    NoteSent(*entry, visit.packet, visit.tick);
+    NoteSent(*entry, registry_.at(server), visit.packet, visit.tick);
   }
   Decision decision = Forward(visit, server, true);
   decision.exception = record;
@@ -252,7 +252,7 @@
     FlowEntry* entry = Keep(visit, server, false);
     if (entry != nullptr) {
       entry->set(FlowEntry::kConfirmed);
-      NoteSent(*entry, visit.packet, visit.tick);
+      NoteSent(*entry, registry_.at(server), visit.packet, visit.tick);
     }
   }
   return Forward(visit, server, false);
--- a/src/routing/table_router_control.cc
+++ b/src/routing/table_router_control.cc
@@ -127,7 +127,7 @@
   const FlowKey key = FlowKeyOf(reply.source, reply.service_address);
   FlowEntry* entry = flows_.Find(key);
   if (entry == nullptr) {
-    life.last_reply = tick;
+    NoteReply(life, tick);
     return {true, ResultCode::kOk};
   }
   if (entry->server != index || entry->service != address->service->index()) {
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -83,6 +83,35 @@
   CHECK(alone.router->Stats().silent_resets == 0);
 }
 
+TEST_CASE(
+    "packets sent while a server was out of reach reset no flow after it") {
+  Alone alone(1);
+  const Decision first = alone.router->OnPacket(MakePacket(1, true), At(1));
+  alone.router->OnPacket(MakePacket(2, true), At(1));
+  const FlowPacket one = MakePacket(1, false);
+  const FlowPacket two = MakePacket(2, false);
+  const auto exchange = [&](const FlowPacket& packet, double now) {
+    const Decision decision = alone.router->OnPacket(packet, At(now));
+    alone.router->OnReply(first.server, alone.Reply(packet), At(now + 0.01));
+    return decision.action;
+  };
+  for (double now = 1; now < 3; now += 0.5) {
+    REQUIRE(exchange(one, now) == Action::kForward);
+    REQUIRE(exchange(two, now) == Action::kForward);
+  }
+  // Cut off: both flows go on sending, and nothing comes back.
+  for (double now = 3; now < 9; now += 0.5) {
+    REQUIRE(alone.router->OnPacket(one, At(now)).action == Action::kForward);
+    REQUIRE(alone.router->OnPacket(two, At(now)).action == Action::kForward);
+  }
+  // Healed: the second flow is heard first, the first one a while later.
+  for (double now = 9; now < 14; now += 0.5) {
+    REQUIRE(exchange(two, now) == Action::kForward);
+  }
+  CHECK(exchange(one, 14) == Action::kForward);
+  CHECK(alone.router->Stats().silent_resets == 0);
+}
+
 TEST_CASE("a server answers only for its own service and its own flows") {
   Alone alone(2);
   alone.config.AddService("archive", Endpoint{testing::kServiceIp + 1, 80})
