balancer: one Tell for the tasks that send by service name

Cause: the cluster and the dispatch task each had the same template. Behaviour is unchanged. Conclusion: src/balancer/tell.h serves both. Left: opening a socket and serving it in batches stands in the packet and the dispatch task.

--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -12,6 +12,7 @@
 #include "gcw/kernel/mailbox.h"
 #include "gcw/kernel/udp_socket.h"
 #include "src/balancer/leave_gate.h"
+#include "src/balancer/tell.h"
 
 namespace gcw::balancer {
 namespace {
@@ -231,9 +232,10 @@
     changed.members.push_back(membership_->self());
     changed.self_leaving = leaving_;
     relay_->SetPeers(peers, kernel::MonotonicNow());
-    Tell<PacketMessage>(kPacketService, changed);
-    Tell<DispatchMessage>(kDispatchService, changed);
-    Tell<StatusWriterMessage>(kStatusWriterService, std::move(changed));
+    Tell<PacketMessage>(kernel_, kLog, kPacketService, changed);
+    Tell<DispatchMessage>(kernel_, kLog, kDispatchService, changed);
+    Tell<StatusWriterMessage>(kernel_, kLog, kStatusWriterService,
+                              std::move(changed));
   }
 
   // Configuration.
@@ -244,7 +246,7 @@
              control::Delivery::kQueued);
     }
     if (actions.call.has_value()) {
-      Tell<PlatformMessage>(kPlatformService, *actions.call);
+      Tell<PlatformMessage>(kernel_, kLog, kPlatformService, *actions.call);
     }
     if (actions.changed) {
       ShareConfig();
@@ -268,8 +270,10 @@
     }
     kLog.Info("revision {} in force", relay_->revision());
     membership_->SetRevision(relay_->revision());
-    Tell<PacketMessage>(kPacketService, ConfigChanged{built.snapshot});
-    Tell<DispatchMessage>(kDispatchService, ConfigChanged{built.snapshot});
+    Tell<PacketMessage>(kernel_, kLog, kPacketService,
+                        ConfigChanged{built.snapshot});
+    Tell<DispatchMessage>(kernel_, kLog, kDispatchService,
+                          ConfigChanged{built.snapshot});
   }
 
   void SendTo(const std::string& name,
@@ -314,16 +318,16 @@
         OnRelayMessage(name->second, message.payload);
         return;
       case control::MessageType::kFlowRecords:
-        Tell<PacketMessage>(kPacketService,
+        Tell<PacketMessage>(kernel_, kLog, kPacketService,
                             PeerBytes{name->second, message.payload});
         return;
       case control::MessageType::kHints:
       case control::MessageType::kDispatch:
-        Tell<DispatchMessage>(kDispatchService,
+        Tell<DispatchMessage>(kernel_, kLog, kDispatchService,
                               PeerBytes{name->second, message.payload});
         return;
       case control::MessageType::kStatus:
-        Tell<StatusWriterMessage>(kStatusWriterService,
+        Tell<StatusWriterMessage>(kernel_, kLog, kStatusWriterService,
                                   PeerBytes{name->second, message.payload});
         return;
     }
@@ -360,7 +364,7 @@
   // nothing newer was missed when the platform gave it.
   void NoteFreshness(relay::Version revision) {
     if (revision >= relay_->revision()) {
-      Tell<PacketMessage>(kPacketService, Fresh{});
+      Tell<PacketMessage>(kernel_, kLog, kPacketService, Fresh{});
     }
   }
 
@@ -385,8 +389,8 @@
     membership_->BeginLeave();
     Perform(membership_->OnTick(kernel::MonotonicNow()));
     ShareMembers();
-    Tell<DispatchMessage>(kDispatchService, BeginShutdown{});
-    Tell<PacketMessage>(kPacketService, BeginShutdown{});
+    Tell<DispatchMessage>(kernel_, kLog, kDispatchService, BeginShutdown{});
+    Tell<PacketMessage>(kernel_, kLog, kPacketService, BeginShutdown{});
   }
 
   void OnMessage(FinishShutdown& /*shutdown*/) {
@@ -423,14 +427,6 @@
          {"control_bytes_sent", control.bytes_sent + socket_->bytes_sent()}});
   }
 
-  template <typename T, typename M>
-  void Tell(std::string_view service, M message) {
-    const auto sink = kernel_.Find<T>(service);
-    if (!sink.ok() || !sink.value()->Send(T(std::move(message)))) {
-      kLog.Warning("service {} does not take messages", service);
-    }
-  }
-
   const Settings settings_;
   const std::shared_ptr<auth::Signer> signer_;
   const std::uint64_t seed_;
--- a/src/balancer/dispatch_task.cc
+++ b/src/balancer/dispatch_task.cc
@@ -12,6 +12,7 @@
 #include "gcw/kernel/mailbox.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
+#include "src/balancer/tell.h"
 
 namespace gcw::balancer {
 namespace {
@@ -237,7 +238,7 @@
       ++oversized_;
       return;
     }
-    Tell<PacketMessage>(kPacketService,
+    Tell<PacketMessage>(kernel_, kLog, kPacketService,
                         SendToFabric{wire::BuildUdpPacket(
                             send.service_address, send.caller, payload)});
   }
@@ -246,7 +247,7 @@
     auto bytes = dispatch::EncodePeer(send.message);
     if (send.channel == dispatch::Channel::kControl) {
       Tell<ClusterMessage>(
-          kClusterService,
+          kernel_, kLog, kClusterService,
           SendControl{send.member, control::MessageType::kDispatch,
                       std::move(bytes)});
       return;
@@ -287,7 +288,7 @@
       return;
     }
     shared_hints_ = !changed.hints.empty();
-    Tell<PacketMessage>(kPacketService, std::move(changed));
+    Tell<PacketMessage>(kernel_, kLog, kPacketService, std::move(changed));
   }
 
   void OnMessage(ConfigChanged& changed) {
@@ -356,14 +357,6 @@
     request.reply->Put("dispatch", std::move(status));
   }
 
-  template <typename T, typename M>
-  void Tell(std::string_view service, M message) {
-    const auto sink = kernel_.Find<T>(service);
-    if (!sink.ok() || !sink.value()->Send(T(std::move(message)))) {
-      kLog.Warning("service {} does not take messages", service);
-    }
-  }
-
   const Settings settings_;
   const std::shared_ptr<auth::Signer> signer_;
   const std::uint64_t seed_;
