logs: lines over their rate cost nothing; lines for a reader that is gone are lost

Cause: the event writer made the JSON of each line before it asked whether the log admits it, so a suppressed line cost as much as a written one. Lines that a reader who has closed its end never took were counted as written.

Ruled out: asking inside the tasks (each would have to know levels and names). Heading and fields of an event are now made apart; the heading is three constants.

Test: lines for a reader that is gone are lost, not written (fails before: 0 lost, 1 written).

--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -37,6 +37,10 @@
   }
 }
 
+std::uint64_t LinesIn(std::string_view text) {
+  return static_cast<std::uint64_t>(std::count(text.begin(), text.end(), '\n'));
+}
+
 // Lines of one kind of event that may still be written.
 struct Budget {
   double tokens = 0;
@@ -174,7 +178,7 @@
 
   // Writes `batch`; waits for the reader, but not for ever at the end.
   void Put(std::string_view batch, bool ending) {
-    std::uint64_t lines = std::count(batch.begin(), batch.end(), '\n');
+    const std::uint64_t lines = LinesIn(batch);
     while (!batch.empty()) {
       pollfd ready{options_.descriptor, POLLOUT, 0};
       if (ending && poll(&ready, 1, kLastWriteMs) <= 0) {
@@ -187,12 +191,14 @@
         continue;
       }
       if (done <= 0) {
-        break;  // The reader is gone; its lines are counted as written.
+        break;  // The reader is gone.
       }
       batch.remove_prefix(static_cast<std::size_t>(done));
     }
+    const std::uint64_t lost = LinesIn(batch);
     absl::MutexLock lock(&mutex_);
-    stats_.written += lines;
+    stats_.written += lines - lost;
+    stats_.overflowed += lost;
   }
 
   const EventLogOptions options_;
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -30,179 +30,185 @@
   return absl::ToInt64Milliseconds(duration);
 }
 
-struct Describe {
-  LogLine operator()(const direct::FlowOpened& e) const {
-    return {LogLevel::kInfo,
-            kRouting,
-            "flow_opened",
-            {{"flow", FlowId(e.flow)},
-             {"reason", ReasonName(e.reason)},
-             {"server", e.server},
-             {"server_zone", e.server_zone},
-             {"repeat", e.repeat},
-             {"server_flows", e.server_flows},
-             {"candidates", e.candidates},
-             {"configuration", e.configuration},
-             {"servers_age_ms", Ms(e.servers_age)}}};
-  }
-  LogLine operator()(const direct::FlowRefused& e) const {
-    return {LogLevel::kWarning,
-            kRouting,
-            "flow_refused",
-            {{"flow", FlowId(e.flow)},
-             {"reason", ReasonName(e.reason)},
-             {"server", e.server},
-             {"cookie", e.cookie},
-             {"evidence_age_ms", Ms(e.evidence_age)},
-             {"leaving", e.passed_over.leaving},
-             {"zone_out", e.passed_over.zone_out},
-             {"lost", e.passed_over.lost},
-             {"limited", e.passed_over.limited},
-             {"configuration", e.configuration},
-             {"servers_age_ms", Ms(e.servers_age)}}};
-  }
-  LogLine operator()(const direct::FlowStalled& e) const {
-    return {LogLevel::kWarning,
-            kRouting,
-            "flow_stalled",
-            {{"flow", FlowId(e.flow)},
-             {"server", e.server},
-             {"waiting_ms", Ms(e.waiting)},
-             {"server_silence_ms", Ms(e.server_silence)}}};
-  }
-  LogLine operator()(const direct::ConfigurationApplied& e) const {
-    return {LogLevel::kInfo,
-            kState,
-            "configuration_applied",
-            {{"configuration", e.configuration},
-             {"revision", e.revision},
-             {"routes", e.routes},
-             {"services", e.services}}};
-  }
-  LogLine operator()(const direct::ServerChanged& e) const {
-    return {LogLevel::kInfo,
-            kState,
-            "server_changed",
-            {{"server", e.server},
-             {"service", e.service},
-             {"zone", e.zone},
-             {"presence", PresenceName(e.presence)},
-             {"draining", e.draining},
-             {"cold_for_ms", Ms(e.cold_for)},
-             {"revision", e.revision}}};
-  }
-  LogLine operator()(const direct::ServerReachChanged& e) const {
-    return {LogLevel::kWarning,
-            kState,
-            "server_reach_changed",
-            {{"server", e.server},
-             {"zone", e.zone},
-             {"reach", ReachName(e.reach)},
-             {"silence_ms", Ms(e.silence)},
-             {"failed_probes", e.failed_probes}}};
-  }
-  LogLine operator()(const direct::ZoneChanged& e) const {
-    return {LogLevel::kInfo,
-            kState,
-            "zone_changed",
-            {{"zone", e.zone}, {"out", e.out}, {"revision", e.revision}}};
-  }
-  LogLine operator()(const direct::FeedChanged& e) const {
-    return {e.connected ? LogLevel::kInfo : LogLevel::kWarning,
-            kState,
-            "feed_changed",
-            {{"feed", e.feed},
-             {"connected", e.connected},
-             {"code", e.code},
-             {"away_ms", Ms(e.away)}}};
-  }
-  LogLine operator()(const direct::StaleStateIgnored& e) const {
-    return {LogLevel::kWarning,
-            kState,
-            "stale_state_ignored",
-            {{"feed", e.feed}, {"offered", e.offered}, {"held", e.held}}};
-  }
-  LogLine operator()(const ProcessStarted& e) const {
-    return {LogLevel::kInfo,
-            kProcess,
-            "process_started",
-            {{"name", e.name}, {"zone", e.zone}, {"packets", e.packets}}};
-  }
-  LogLine operator()(const ProcessStopping& e) const {
+// Level, part and name of each event: cheap, so that lines over their rate cost
+// little.
+struct HeadingOf {
+  LogHeading operator()(const direct::FlowOpened&) const {
+    return {LogLevel::kInfo, kRouting, "flow_opened"};
+  }
+  LogHeading operator()(const direct::FlowRefused&) const {
+    return {LogLevel::kWarning, kRouting, "flow_refused"};
+  }
+  LogHeading operator()(const direct::FlowStalled&) const {
+    return {LogLevel::kWarning, kRouting, "flow_stalled"};
+  }
+  LogHeading operator()(const direct::ConfigurationApplied&) const {
+    return {LogLevel::kInfo, kState, "configuration_applied"};
+  }
+  LogHeading operator()(const direct::ServerChanged&) const {
+    return {LogLevel::kInfo, kState, "server_changed"};
+  }
+  LogHeading operator()(const direct::ServerReachChanged&) const {
+    return {LogLevel::kWarning, kState, "server_reach_changed"};
+  }
+  LogHeading operator()(const direct::ZoneChanged&) const {
+    return {LogLevel::kInfo, kState, "zone_changed"};
+  }
+  LogHeading operator()(const direct::FeedChanged& e) const {
+    return {e.connected ? LogLevel::kInfo : LogLevel::kWarning, kState,
+            "feed_changed"};
+  }
+  LogHeading operator()(const direct::StaleStateIgnored&) const {
+    return {LogLevel::kWarning, kState, "stale_state_ignored"};
+  }
+  LogHeading operator()(const ProcessStarted&) const {
+    return {LogLevel::kInfo, kProcess, "process_started"};
+  }
+  LogHeading operator()(const ProcessStopping&) const {
+    return {LogLevel::kInfo, kProcess, "process_stopping"};
+  }
+  LogHeading operator()(const ProcessStopped&) const {
+    return {LogLevel::kInfo, kProcess, "process_stopped"};
+  }
+  LogHeading operator()(const SettingsReloaded& e) const {
+    return {e.accepted ? LogLevel::kInfo : LogLevel::kError, kProcess,
+            "settings_reloaded"};
+  }
+  LogHeading operator()(const ObjectUnreadable&) const {
+    return {LogLevel::kWarning, kState, "object_unreadable"};
+  }
+  LogHeading operator()(const ReadyChanged&) const {
+    return {LogLevel::kInfo, kProcess, "ready_changed"};
+  }
+  LogHeading operator()(const MemberChanged&) const {
+    return {LogLevel::kInfo, kFleet, "member_changed"};
+  }
+  LogHeading operator()(const WatcherNotServed&) const {
+    return {LogLevel::kWarning, kFleet, "watcher_not_served"};
+  }
+  LogHeading operator()(const MessageRefused&) const {
+    return {LogLevel::kWarning, kFleet, "message_refused"};
+  }
+  LogHeading operator()(const PauseNoticed&) const {
+    return {LogLevel::kWarning, kProcess, "pause_noticed"};
+  }
+};
+
+struct FieldsOf {
+  ordered_json operator()(const direct::FlowOpened& e) const {
+    return {{"flow", FlowId(e.flow)},
+            {"reason", ReasonName(e.reason)},
+            {"server", e.server},
+            {"server_zone", e.server_zone},
+            {"repeat", e.repeat},
+            {"server_flows", e.server_flows},
+            {"candidates", e.candidates},
+            {"configuration", e.configuration},
+            {"servers_age_ms", Ms(e.servers_age)}};
+  }
+  ordered_json operator()(const direct::FlowRefused& e) const {
+    return {{"flow", FlowId(e.flow)},
+            {"reason", ReasonName(e.reason)},
+            {"server", e.server},
+            {"cookie", e.cookie},
+            {"evidence_age_ms", Ms(e.evidence_age)},
+            {"leaving", e.passed_over.leaving},
+            {"zone_out", e.passed_over.zone_out},
+            {"lost", e.passed_over.lost},
+            {"limited", e.passed_over.limited},
+            {"configuration", e.configuration},
+            {"servers_age_ms", Ms(e.servers_age)}};
+  }
+  ordered_json operator()(const direct::FlowStalled& e) const {
+    return {{"flow", FlowId(e.flow)},
+            {"server", e.server},
+            {"waiting_ms", Ms(e.waiting)},
+            {"server_silence_ms", Ms(e.server_silence)}};
+  }
+  ordered_json operator()(const direct::ConfigurationApplied& e) const {
+    return {{"configuration", e.configuration},
+            {"revision", e.revision},
+            {"routes", e.routes},
+            {"services", e.services}};
+  }
+  ordered_json operator()(const direct::ServerChanged& e) const {
+    return {{"server", e.server},     {"service", e.service},
+            {"zone", e.zone},         {"presence", PresenceName(e.presence)},
+            {"draining", e.draining}, {"cold_for_ms", Ms(e.cold_for)},
+            {"revision", e.revision}};
+  }
+  ordered_json operator()(const direct::ServerReachChanged& e) const {
+    return {{"server", e.server},
+            {"zone", e.zone},
+            {"reach", ReachName(e.reach)},
+            {"silence_ms", Ms(e.silence)},
+            {"failed_probes", e.failed_probes}};
+  }
+  ordered_json operator()(const direct::ZoneChanged& e) const {
+    return {{"zone", e.zone}, {"out", e.out}, {"revision", e.revision}};
+  }
+  ordered_json operator()(const direct::FeedChanged& e) const {
+    return {{"feed", e.feed},
+            {"connected", e.connected},
+            {"code", e.code},
+            {"away_ms", Ms(e.away)}};
+  }
+  ordered_json operator()(const direct::StaleStateIgnored& e) const {
+    return {{"feed", e.feed}, {"offered", e.offered}, {"held", e.held}};
+  }
+  ordered_json operator()(const ProcessStarted& e) const {
+    return {{"name", e.name}, {"zone", e.zone}, {"packets", e.packets}};
+  }
+  ordered_json operator()(const ProcessStopping& e) const {
+    return {{"signal", e.signal}};
+  }
+  ordered_json operator()(const ProcessStopped& e) const {
+    return {{"after_ms", Ms(e.after)},
+            {"quiet_ms", Ms(e.quiet_for)},
+            {"open_flows", e.open_flows}};
+  }
+  ordered_json operator()(const SettingsReloaded& e) const {
+    return {{"accepted", e.accepted},
+            {"error", e.error},
+            {"needs_restart", e.needs_restart}};
+  }
+  ordered_json operator()(const ObjectUnreadable& e) const {
+    return {{"key", e.key}, {"revision", e.revision}, {"error", e.error}};
+  }
+  ordered_json operator()(const ReadyChanged& e) const {
+    return {{"ready", e.ready}, {"synced", e.synced}, {"leaving", e.leaving}};
+  }
+  ordered_json operator()(const MemberChanged& e) const {
+    return {{"member", e.member}, {"zone", e.zone}, {"change", e.change}};
+  }
+  ordered_json operator()(const WatcherNotServed& e) const {
+    return {{"member", e.member}};
+  }
+  ordered_json operator()(const MessageRefused& e) const {
     return {
-        LogLevel::kInfo, kProcess, "process_stopping", {{"signal", e.signal}}};
-  }
-  LogLine operator()(const ProcessStopped& e) const {
-    return {LogLevel::kInfo,
-            kProcess,
-            "process_stopped",
-            {{"after_ms", Ms(e.after)},
-             {"quiet_ms", Ms(e.quiet_for)},
-             {"open_flows", e.open_flows}}};
-  }
-  LogLine operator()(const SettingsReloaded& e) const {
-    return {e.accepted ? LogLevel::kInfo : LogLevel::kError,
-            kProcess,
-            "settings_reloaded",
-            {{"accepted", e.accepted},
-             {"error", e.error},
-             {"needs_restart", e.needs_restart}}};
-  }
-  LogLine operator()(const ObjectUnreadable& e) const {
-    return {LogLevel::kWarning,
-            kState,
-            "object_unreadable",
-            {{"key", e.key}, {"revision", e.revision}, {"error", e.error}}};
-  }
-  LogLine operator()(const ReadyChanged& e) const {
-    return {LogLevel::kInfo,
-            kProcess,
-            "ready_changed",
-            {{"ready", e.ready}, {"synced", e.synced}, {"leaving", e.leaving}}};
-  }
-  LogLine operator()(const MemberChanged& e) const {
-    return {LogLevel::kInfo,
-            kFleet,
-            "member_changed",
-            {{"member", e.member}, {"zone", e.zone}, {"change", e.change}}};
-  }
-  LogLine operator()(const WatcherNotServed& e) const {
-    return {LogLevel::kWarning,
-            kFleet,
-            "watcher_not_served",
-            {{"member", e.member}}};
-  }
-  LogLine operator()(const MessageRefused& e) const {
-    return {LogLevel::kWarning,
-            kFleet,
-            "message_refused",
-            {{"from", ToString(e.from)},
-             {"error", e.error},
-             {"refused", e.refused}}};
-  }
-  LogLine operator()(const PauseNoticed& e) const {
-    return {LogLevel::kWarning,
-            kProcess,
-            "pause_noticed",
-            {{"lasted_ms", Ms(e.lasted)}}};
+        {"from", ToString(e.from)}, {"error", e.error}, {"refused", e.refused}};
+  }
+  ordered_json operator()(const PauseNoticed& e) const {
+    return {{"lasted_ms", Ms(e.lasted)}};
   }
 };
 
 template <typename E>
 void WriteLine(EventLog& log, const E& event) {
-  const LogLine line = ToLine(event);
-  if (log.Admit(line.level, line.event)) {
-    log.Write(line.level, line.part, line.event, line.fields);
+  const LogHeading heading = std::visit(HeadingOf{}, event);
+  if (log.Admit(heading.level, heading.event)) {
+    log.Write(heading.level, heading.part, heading.event,
+              std::visit(FieldsOf{}, event));
   }
 }
 
 }  // namespace
 
 LogLine ToLine(const direct::Event& event) {
-  return std::visit(Describe{}, event);
+  return {std::visit(HeadingOf{}, event), std::visit(FieldsOf{}, event)};
 }
 LogLine ToLine(const ProcessEvent& event) {
-  return std::visit(Describe{}, event);
+  return {std::visit(HeadingOf{}, event), std::visit(FieldsOf{}, event)};
 }
 
 void EventWriter::Write(const direct::Event& event) {
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -85,11 +85,16 @@
                                   WatcherNotServed,
                                   MessageRefused>;
 
-// One line of the log: what EventLog::Write takes.
-struct LogLine {
+// What all lines of one event begin with.
+struct LogHeading {
   LogLevel level = LogLevel::kInfo;
   std::string_view part;
   std::string_view event;
+};
+
+// One line of the log: what EventLog::Write takes.
+struct LogLine {
+  LogHeading heading;
   nlohmann::ordered_json fields;
 };
 
@@ -98,7 +103,8 @@
 LogLine ToLine(const direct::Event& event);
 LogLine ToLine(const ProcessEvent& event);
 
-// Writes typed events into a log. Thread-safe.
+// Writes typed events into a log. The fields of a line are made only if the log
+// admits it. Thread-safe.
 class EventWriter {
  public:
   // `log` must outlive the writer.
--- a/tests/base/event_log_test.cc
+++ b/tests/base/event_log_test.cc
@@ -1,5 +1,6 @@
 #include "gcw/base/event_log.h"
 
+#include <signal.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
@@ -7,6 +8,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "absl/time/clock.h"
@@ -112,5 +114,25 @@
   reader.join();
 }
 
+TEST_CASE("lines for a reader that is gone are lost, not written") {
+  Pipe pipe;
+  close(std::exchange(pipe.ends[0], -1));
+  // The programs ignore this signal; see their main().
+  const auto before = signal(SIGPIPE, SIG_IGN);
+  auto log = EventLog::Make(
+      {.descriptor = pipe.ends[1], .gather = absl::Milliseconds(1)});
+  REQUIRE(log.ok());
+  REQUIRE(log.value()->Admit(LogLevel::kInfo, "event"));
+  log.value()->Write(LogLevel::kInfo, "p", "event", {{"i", 1}});
+  const absl::Time limit = absl::Now() + absl::Seconds(10);
+  while (log.value()->stats().overflowed == 0 && absl::Now() < limit) {
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  CHECK(log.value()->stats().overflowed == 1);
+  CHECK(log.value()->stats().written == 0);
+  log.value().reset();
+  signal(SIGPIPE, before);
+}
+
 }  // namespace
 }  // namespace gcw
--- a/tests/direct_balancer/event_test.cc
+++ b/tests/direct_balancer/event_test.cc
@@ -16,7 +16,8 @@
 
 // The row of docs/LOGS.md that a line must have.
 std::string RowOf(const LogLine& line) {
-  std::string row = fmt::format("| `{}` | {} | ", line.event, line.part);
+  std::string row =
+      fmt::format("| `{}` | {} | ", line.heading.event, line.heading.part);
   bool first = true;
   for (const auto& [field, value] : line.fields.items()) {
     row += fmt::format("{}`{}`", first ? "" : ", ", field);
