direct: a fleet keeps the limit of a cold server in any second

Cause: each daemon gave a cold server its part of the rate, but at least one flow, in fixed seconds. 26 daemons gave 26 flows at once to a server that bears 4 or 10 a second (tolerated: 11 and 20), 100 daemons 100; a daemon that had just started believed to be alone. The metric gcw_daemons said 1 always.

Ruled out: waiting between flows with a drawn first wait (right on average, 6 where 5 are tolerated at 100 daemons and the least rate). Parts are dealt out whole instead: by the rank of a daemon among the names and by the server, so that parts differ by one at most and add up. Nothing goes to cold servers in the first second, until the fleet is known.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -65,6 +65,14 @@
 enum class Feed : std::uint8_t { kConfiguration, kServers, kZones };
 inline constexpr std::size_t kFeeds = 3;
 
+// A daemon's place in its fleet: the same list, seen from each of its members.
+struct FleetPlace {
+  std::uint32_t daemons = 1;  // That are known, this one included.
+  std::uint32_t rank = 0;     // Of this one, in the order of their names.
+
+  bool operator==(const FleetPlace&) const = default;
+};
+
 // A backend server as one entry of the store describes it.
 struct ServerReport {
   Version revision = 0;
@@ -129,8 +137,9 @@
   // The availability zones whose servers get no new flows.
   void ApplyZonesOut(std::span<const std::string> zones, Version revision);
 
-  // Daemons that share the limits of cold servers. Precondition: `daemons` > 0.
-  void SetFleetSize(std::uint32_t daemons);
+  // The daemons that share the limits of cold servers. After the first call
+  // the fleet counts as known a second later. Precondition: `place` is valid.
+  void SetFleet(const FleetPlace& place, absl::Time now);
 
   // What is held of one kind of state was the store's at `confirmed`, as its
   // answer or a daemon that relays it says.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -107,7 +107,9 @@
     zones_out_ = out;
   }
 
-  void SetFleetSize(std::uint32_t daemons) { placer_.set_fleet_size(daemons); }
+  void SetFleet(const FleetPlace& place, absl::Time now) {
+    placer_.SetFleet(place, now);
+  }
 
   void OnFeedConfirmed(Feed feed, absl::Time confirmed) {
     absl::Time& known = feed_state(feed).confirmed;
@@ -168,6 +170,7 @@
     }
     last_sweep_ = now;
     loss_.DecayDemand();
+    placer_.Expire(now);
     flows_.Expire(configuration_.flow_idle_timeout, options_.max_flow_age, now);
     servers_.OnTick(options_.max_flow_age, feed_state(Feed::kServers).confirmed,
                     now);
@@ -203,7 +206,7 @@
 
   RouterStats Stats(absl::Time now) const {
     RouterStats stats;
-    stats.daemons = daemons_;
+    stats.daemons = placer_.fleet().daemons;
     for (std::size_t i = 0; i < kFeeds; ++i) {
       stats.feed_ages[i] = now - feeds_[i].confirmed;
     }
@@ -567,7 +570,6 @@
   absl::flat_hash_map<FlowCookie, absl::Time> unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
-  std::uint32_t daemons_ = 1;
   std::vector<WaitSample> waits_;
 };
 
@@ -596,8 +598,8 @@
                                    absl::Time now) {
   impl_->ApplyServerList(reports, revision, now);
 }
-void DirectRouter::SetFleetSize(std::uint32_t daemons) {
-  impl_->SetFleetSize(daemons);
+void DirectRouter::SetFleet(const FleetPlace& place, absl::Time now) {
+  impl_->SetFleet(place, now);
 }
 void DirectRouter::ApplyZonesOut(std::span<const std::string> zones,
                                  Version revision) {
--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -54,7 +54,7 @@
                      const Service& service,
                      const std::set<std::string, std::less<>>& zones_out,
                      absl::Time now,
-                     PassedOver& passed_over) const {
+                     PassedOver& passed_over) {
   if (entry.server.service != service.name) {
     return false;
   }
@@ -75,7 +75,8 @@
   const bool full =
       service.max_flows != 0 && entry.open_flows >= service.max_flows;
   const bool cold =
-      now < entry.cold_until && !ColdShareLeft(entry, service, now);
+      now < entry.cold_until &&
+      !cold_.MayTake(entry.cookie, service.cold_flows_per_second, now);
   if (full || cold) {
     ++passed_over.limited;
     return false;
@@ -83,25 +84,6 @@
   return true;
 }
 
-bool Placer::ColdShareLeft(const ServerEntry& entry,
-                           const Service& service,
-                           absl::Time now) const {
-  const double share = service.cold_flows_per_second / fleet_size_;
-  const auto it = cold_.find(entry.cookie);
-  if (it == cold_.end() || now - it->second.start >= absl::Seconds(1)) {
-    return true;  // One a second can never be split further.
-  }
-  return it->second.flows + 1 <= share;
-}
-
-void Placer::CountCold(const ServerEntry& entry, absl::Time now) {
-  ColdWindow& window = cold_[entry.cookie];
-  if (now - window.start >= absl::Seconds(1)) {
-    window = {now, 0};
-  }
-  ++window.flows;
-}
-
 Placement Placer::Choose(const ServerTable& servers,
                          const Service& service,
                          const std::set<std::string, std::less<>>& zones_out,
@@ -139,7 +121,7 @@
     }
   }
   if (placement.server != nullptr && now < placement.server->cold_until) {
-    CountCold(*placement.server, now);
+    cold_.Count(placement.server->cookie, now);
   }
   return placement;
 }
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -7,8 +7,8 @@
 #include <string>
 #include <string_view>
 
-#include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "src/direct/cold_limiter.h"
 #include "src/direct/server_table.h"
 
 namespace gcw::direct {
@@ -46,33 +46,28 @@
                    absl::Time now);
 
   // Daemons that share the limits of cold servers. Precondition: > 0.
-  void set_fleet_size(std::uint32_t daemons) { fleet_size_ = daemons; }
+  void SetFleet(const FleetPlace& place, absl::Time now) {
+    cold_.SetFleet(place, now);
+  }
+  const FleetPlace& fleet() const { return cold_.fleet(); }
+
+  // Forgets what is over; to be called each second or so.
+  void Expire(absl::Time now) { cold_.Expire(now); }
 
   // Draws one of the services of `route` by weight. Precondition: it has some.
   std::string_view DrawService(const Route& route);
 
  private:
-  // New flows to one cold server in the second that began at `start`.
-  struct ColdWindow {
-    absl::Time start = absl::InfinitePast();
-    std::uint32_t flows = 0;
-  };
-
   // Whether `entry` may take a flow; counts why not.
   bool MayTake(const ServerEntry& entry,
                const Service& service,
                const std::set<std::string, std::less<>>& zones_out,
                absl::Time now,
-               PassedOver& passed_over) const;
-  bool ColdShareLeft(const ServerEntry& entry,
-                     const Service& service,
-                     absl::Time now) const;
-  void CountCold(const ServerEntry& entry, absl::Time now);
+               PassedOver& passed_over);
 
   const PlacerOptions options_;
-  std::uint32_t fleet_size_ = 1;
   std::mt19937_64 random_;
-  absl::flat_hash_map<FlowCookie, ColdWindow> cold_;
+  ColdLimiter cold_;
 };
 
 }  // namespace gcw::direct
--- a/src/direct_balancer/messages.h
+++ b/src/direct_balancer/messages.h
@@ -44,9 +44,8 @@
   ResultCode code = ResultCode::kPlatformUnavailable;
 };
 
-// How many daemons there are, this one included.
 struct FleetChanged {
-  std::uint32_t daemons = 1;
+  direct::FleetPlace place;
 };
 
 // What the packet task takes.
--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -209,8 +209,8 @@
       router_->OnFeedConfirmed(m.feed, m.confirmed);
     }
   }
-  void Take(const FleetChanged& m, absl::Time /*now*/) {
-    router_->SetFleetSize(m.daemons);
+  void Take(const FleetChanged& m, absl::Time now) {
+    router_->SetFleet(m.place, now);
   }
   void Take(const FeedFailed& m, absl::Time now) {
     router_->OnStoreFailure(m.feed, m.code, now);
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -113,6 +113,7 @@
       }
     }
     loop.AddTimer(kTick, [this] { OnTick(); });
+    ShareFleet();
     // The first lists need not wait for a timer.
     OnTick();
     return OkStatus();
@@ -235,10 +236,21 @@
       log_.Write(MemberChanged{event.member.name, event.member.zone,
                                std::string(membership::ToString(event.type))});
     }
-    Send(FleetChanged{static_cast<std::uint32_t>(link_->live_count() + 1)});
+    ShareFleet();
     SharePeers();
   }
 
+  void ShareFleet() {
+    direct::FleetPlace place;
+    for (const membership::Member& member : link_->members()) {
+      if (member.live()) {
+        ++place.daemons;
+        place.rank += member.name < settings_.name ? 1 : 0;
+      }
+    }
+    Send(FleetChanged{place});
+  }
+
   void SharePeers() {
     const absl::Time now = kernel::MonotonicNow();
     std::vector<relay::Peer> peers;
