daemon: one place for what the daemons' programs have in common

Command line, exit codes, signals, reading the settings file and the HTTP endpoint stood in three programs and two libraries. The status server of gcw-balancer lacked the fix that its copy had (a server that is stopped before it runs); it is gone, and gcw-balancer serves its status by the same endpoint.

--- a/src/api/api_server.cc
+++ b/src/api/api_server.cc
@@ -19,7 +19,7 @@
 #include "src/api/message.h"
 #include "src/api/resource_service.h"
 #include "src/api/watch_stream.h"
-#include "src/platform/connection_threads.h"
+#include "src/daemon/connection_threads.h"
 
 namespace gcw::api {
 namespace {
@@ -164,7 +164,7 @@
 
   bool Start() {
     server_.new_task_queue = [] {
-      return new platform::ConnectionThreads(kMaxConnections);
+      return new daemon::ConnectionThreads(kMaxConnections);
     };
     server_.set_keep_alive_max_count(kCallsPerConnection);
     server_.set_keep_alive_timeout(kKeepAliveSeconds);
@@ -172,12 +172,12 @@
     server_.set_payload_max_length(kMaxBodyBytes);
     server_.set_tcp_nodelay(true);
     AddRoutes();
-    const int port = platform::BindServer(&server_, settings_.listen);
+    const int port = daemon::BindServer(&server_, settings_.listen);
     if (port == 0) {
       return false;
     }
     endpoint_ = {settings_.listen.ip, static_cast<std::uint16_t>(port)};
-    thread_ = platform::ServeOnThread(&server_);
+    thread_ = daemon::ServeOnThread(&server_);
     kLog.Info("Listening on {}.", ToString(endpoint_));
     return true;
   }
--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -10,10 +10,11 @@
 #include "gcw/kernel/kernel.h"
 #include "src/balancer/cluster_task.h"
 #include "src/balancer/dispatch_task.h"
+#include "src/balancer/gather_status.h"
 #include "src/balancer/packet_task.h"
 #include "src/balancer/platform_task.h"
-#include "src/balancer/status_server.h"
 #include "src/balancer/status_writer_task.h"
+#include "src/daemon/http_endpoint.h"
 
 namespace gcw::balancer {
 namespace {
@@ -24,6 +25,7 @@
 constexpr absl::Duration kFarewell = absl::Milliseconds(500);
 // The fabric has stopped sending to a daemon that hears nothing this long.
 constexpr int kQuietMilliseconds = 1000;
+constexpr std::size_t kStatusThreads = 2;
 
 // Keys are numbered by their content, so that all daemons agree.
 auth::SigningKey KeyOf(const std::string& secret) {
@@ -79,12 +81,7 @@
         return started;
       }
     }
-    auto server = StatusServer::Make(settings_, kernel_);
-    if (!server.ok()) {
-      return server.error();
-    }
-    status_server_ = std::move(server).value();
-    return OkStatus();
+    return ServeStatus();
   }
 
   bool Shutdown() {
@@ -99,6 +96,22 @@
   nlohmann::json Status() { return GatherStatus(settings_, kernel_); }
 
  private:
+  gcw::Status ServeStatus() {
+    daemon::HttpEndpointOptions options;
+    options.listen = {settings_.bind, settings_.ports.status};
+    options.path = "/status";
+    options.content_type = "application/json";
+    options.threads = kStatusThreads;
+    auto endpoint = daemon::HttpEndpoint::Make(options, [this] {
+      return daemon::HttpAnswer{200, Status().dump()};
+    });
+    if (!endpoint.ok()) {
+      return endpoint.error();
+    }
+    status_endpoint_ = std::move(endpoint).value();
+    return OkStatus();
+  }
+
   static bool MayStop(const nlohmann::json& status) {
     if (!ReadFlag(status, "dispatch", "drained") ||
         !ReadFlag(status, "routing", "handed_over")) {
@@ -134,7 +147,7 @@
   PlatformTask platform_;
   StatusWriterTask status_writer_;
   ClusterTask cluster_;
-  std::unique_ptr<StatusServer> status_server_;
+  std::unique_ptr<daemon::HttpEndpoint> status_endpoint_;
 };
 
 Result<std::unique_ptr<Balancer>> Balancer::Make(const Settings& settings) {
--- a/src/balancer/settings.cc
+++ b/src/balancer/settings.cc
@@ -4,12 +4,11 @@
 
 #include <array>
 #include <charconv>
-#include <fstream>
 #include <set>
-#include <sstream>
 #include <utility>
 
 #include "gcw/config/object_reader.h"
+#include "src/daemon/settings_file.h"
 
 namespace gcw::balancer {
 namespace {
@@ -183,15 +182,12 @@
   return settings;
 }
 
-Result<std::string> ReadSettingsFile(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return Error{ResultCode::kSettingsUnreadable, "",
-                 fmt::format("cannot read '{}'", path)};
+std::variant<Settings, SettingsErrors> ReadSettings(const std::string& path) {
+  const auto text = daemon::ReadSettingsFile(path);
+  if (!text.ok()) {
+    return SettingsErrors{text.error()};
   }
-  return text.str();
+  return ParseSettings(text.value());
 }
 
 }  // namespace gcw::balancer
--- a/src/balancer/settings.h
+++ b/src/balancer/settings.h
@@ -62,8 +62,9 @@
 // reported with its path. Thread-safe.
 std::variant<Settings, SettingsErrors> ParseSettings(std::string_view text);
 
-// Reads the file `path`. Fails with kSettingsUnreadable. Thread-safe.
-Result<std::string> ReadSettingsFile(const std::string& path);
+// Reads the file `path` as ParseSettings does; one that cannot be read is one
+// error kSettingsUnreadable. Thread-safe.
+std::variant<Settings, SettingsErrors> ReadSettings(const std::string& path);
 
 }  // namespace gcw::balancer
 
--- a/src/balancer/status_writer_task.cc
+++ b/src/balancer/status_writer_task.cc
@@ -8,7 +8,7 @@
 #include "gcw/kernel/mailbox.h"
 #include "gcw/lease/lease.h"
 #include "gcw/platform/http_platform_client.h"
-#include "src/balancer/status_server.h"
+#include "src/balancer/gather_status.h"
 #include "src/balancer/zone_status.h"
 
 namespace gcw::balancer {
--- a/src/platform/connection_threads.cc
+++ b/src/daemon/connection_threads.cc
@@ -1,4 +1,4 @@
-#include "src/platform/connection_threads.h"
+#include "src/daemon/connection_threads.h"
 
 #include <sys/socket.h>
 
@@ -7,7 +7,7 @@
 
 #include "absl/time/clock.h"
 
-namespace gcw::platform {
+namespace gcw::daemon {
 namespace {
 
 constexpr int kListenQueue = 512;
@@ -94,4 +94,4 @@
   return thread;
 }
 
-}  // namespace gcw::platform
+}  // namespace gcw::daemon
--- a/src/platform/connection_threads.h
+++ b/src/daemon/connection_threads.h
@@ -1,5 +1,5 @@
-#ifndef GCW_SRC_PLATFORM_CONNECTION_THREADS_H_
-#define GCW_SRC_PLATFORM_CONNECTION_THREADS_H_
+#ifndef GCW_DAEMON_CONNECTION_THREADS_H_
+#define GCW_DAEMON_CONNECTION_THREADS_H_
 
 #include <httplib.h>
 
@@ -12,7 +12,7 @@
 #include "absl/synchronization/mutex.h"
 #include "gcw/base/endpoint.h"
 
-namespace gcw::platform {
+namespace gcw::daemon {
 
 // Runs each connection of an HTTP server on a thread. Grows while all threads
 // are busy, since a waiting watch holds its thread, up to a bound; beyond it
@@ -47,6 +47,6 @@
 // pass over a server that does not yet. Precondition: BindServer succeeded.
 std::thread ServeOnThread(httplib::Server* server);
 
-}  // namespace gcw::platform
+}  // namespace gcw::daemon
 
-#endif  // GCW_SRC_PLATFORM_CONNECTION_THREADS_H_
+#endif  // GCW_DAEMON_CONNECTION_THREADS_H_
--- /dev/null
+++ b/src/daemon/program.cc
@@ -0,0 +1,61 @@
+#include "src/daemon/program.h"
+
+#include <fmt/format.h>
+#include <pthread.h>
+
+#include <CLI/CLI.hpp>
+#include <cassert>
+#include <cstdio>
+
+namespace gcw::daemon {
+
+std::variant<Arguments, Exit> ReadArguments(int argc,
+                                            const char* const* argv,
+                                            const About& about) {
+  CLI::App app(about.purpose);
+  Arguments arguments;
+  app.add_option("--settings", arguments.settings, "settings file, JSON")
+      ->required();
+  app.add_flag("--check", arguments.check, "check the settings and exit");
+  app.set_version_flag("--version", about.version);
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& error) {
+    const bool asked_for = app.exit(error) == 0;
+    return Exit{ExitCode(asked_for ? ResultCode::kOk : ResultCode::kUsage)};
+  }
+  return arguments;
+}
+
+int ExitCode(ResultCode code) {
+  return static_cast<int>(code);
+}
+
+int PrintError(std::string_view program, const Error& error) {
+  fmt::print(stderr, "{}: {}\n", program, ToString(error));
+  return ExitCode(error.code);
+}
+
+int PrintSettingsErrors(std::string_view program,
+                        std::span<const Error> errors) {
+  assert(!errors.empty());
+  for (const Error& error : errors) {
+    PrintError(program, error);
+  }
+  const bool unreadable =
+      errors.front().code == ResultCode::kSettingsUnreadable;
+  return ExitCode(unreadable ? ResultCode::kSettingsUnreadable
+                             : ResultCode::kSettingsInvalid);
+}
+
+sigset_t BlockSignals(std::initializer_list<int> signals) {
+  sigset_t blocked;
+  sigemptyset(&blocked);
+  for (const int signal : signals) {
+    sigaddset(&blocked, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &blocked, nullptr);
+  return blocked;
+}
+
+}  // namespace gcw::daemon
--- a/src/direct_balancer/daemon.cc
+++ b/src/direct_balancer/daemon.cc
@@ -13,8 +13,8 @@
 #include "gcw/kernel/event_loop.h"
 #include "gcw/kernel/kernel.h"
 #include "platform/ready.h"
+#include "src/daemon/http_endpoint.h"
 #include "src/direct_balancer/event_writer.h"
-#include "src/direct_balancer/http_endpoint.h"
 #include "src/direct_balancer/metrics.h"
 #include "src/direct_balancer/packet_task.h"
 #include "src/direct_balancer/shared_state.h"
@@ -122,8 +122,9 @@
 
  private:
   Status OpenEndpoints() {
-    auto ready = HttpEndpoint::Make(
-        settings_.ready, adapter::kReadyPath, [this]() -> HttpAnswer {
+    auto ready = daemon::HttpEndpoint::Make(
+        {.listen = settings_.ready, .path = adapter::kReadyPath},
+        [this]() -> daemon::HttpAnswer {
           const bool ready = shared_.ready.load(std::memory_order_relaxed) &&
                              !shared_.leaving.load(std::memory_order_relaxed);
           return {ready ? kOk : kUnavailable, ""};
@@ -135,8 +136,9 @@
     if (settings_.metrics.port == 0) {
       return OkStatus();
     }
-    auto metrics = HttpEndpoint::Make(
-        settings_.metrics, kMetricsPath, [this]() -> HttpAnswer {
+    auto metrics = daemon::HttpEndpoint::Make(
+        {.listen = settings_.metrics, .path = kMetricsPath},
+        [this]() -> daemon::HttpAnswer {
           return {kOk, metrics_.Render(log_->stats())};
         });
     if (!metrics.ok()) {
@@ -161,8 +163,8 @@
   std::unique_ptr<EventWriter> writer_;
   std::unique_ptr<PacketTask> packets_;
   std::unique_ptr<StateTask> state_;
-  std::unique_ptr<HttpEndpoint> ready_;
-  std::unique_ptr<HttpEndpoint> metrics_endpoint_;
+  std::unique_ptr<daemon::HttpEndpoint> ready_;
+  std::unique_ptr<daemon::HttpEndpoint> metrics_endpoint_;
 };
 
 Result<std::unique_ptr<Daemon>> Daemon::Make(const Settings& settings,
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -2,10 +2,8 @@
 
 #include <fmt/format.h>
 
-#include <fstream>
-#include <sstream>
-
 #include "gcw/config/object_reader.h"
+#include "src/daemon/settings_file.h"
 
 namespace gcw::direct_balancer {
 namespace {
@@ -82,14 +80,11 @@
 }
 
 std::variant<Settings, SettingsErrors> ReadSettings(const std::string& path) {
-  std::ifstream file(path);
-  std::stringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return SettingsErrors{{ResultCode::kSettingsUnreadable, "",
-                           fmt::format("cannot read '{}'", path)}};
+  const auto text = daemon::ReadSettingsFile(path);
+  if (!text.ok()) {
+    return SettingsErrors{text.error()};
   }
-  return ParseSettings(text.str());
+  return ParseSettings(text.value());
 }
 
 std::vector<std::string_view> FixedFieldsThatDiffer(const Settings& now,
--- a/src/fake_platform/fake_platform.cc
+++ b/src/fake_platform/fake_platform.cc
@@ -15,8 +15,8 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "src/daemon/connection_threads.h"
 #include "src/fake_platform/answers.h"
-#include "src/platform/connection_threads.h"
 
 namespace gcw::fake_platform {
 namespace {
@@ -77,19 +77,19 @@
 
   bool Start() {
     server_.new_task_queue = [] {
-      return new platform::ConnectionThreads(kMaxConnections);
+      return new daemon::ConnectionThreads(kMaxConnections);
     };
     server_.set_keep_alive_max_count(kCallsPerConnection);
     server_.set_keep_alive_timeout(kKeepAliveSeconds);
     server_.set_payload_max_length(2 * kMaxStoredBytes);
     server_.set_tcp_nodelay(true);
     AddRoutes();
-    const int port = platform::BindServer(&server_, options_.listen);
+    const int port = daemon::BindServer(&server_, options_.listen);
     if (port == 0) {
       return false;
     }
     endpoint_ = {options_.listen.ip, static_cast<std::uint16_t>(port)};
-    thread_ = platform::ServeOnThread(&server_);
+    thread_ = daemon::ServeOnThread(&server_);
     return true;
   }
 
--- a/tests/balancer/settings_test.cc
+++ b/tests/balancer/settings_test.cc
@@ -96,9 +96,11 @@
 }
 
 TEST_CASE("a settings file that is absent is an error") {
-  const auto text = ReadSettingsFile("no/such/file.json");
-  REQUIRE_FALSE(text.ok());
-  CHECK(text.error().code == ResultCode::kSettingsUnreadable);
+  const auto read = ReadSettings("no/such/file.json");
+  const auto* errors = std::get_if<SettingsErrors>(&read);
+  REQUIRE(errors != nullptr);
+  REQUIRE(errors->size() == 1);
+  CHECK(errors->front().code == ResultCode::kSettingsUnreadable);
 }
 
 }  // namespace
--- a/tools/gcw-balancer/main.cc
+++ b/tools/gcw-balancer/main.cc
@@ -1,44 +1,27 @@
-#include <fmt/format.h>
-
-#include <CLI/CLI.hpp>
 #include <csignal>
-#include <string>
 #include <variant>
 
 #include "gcw/base/log.h"
 #include "src/balancer/balancer.h"
 #include "src/balancer/settings.h"
+#include "src/daemon/program.h"
 
 namespace {
 
-constexpr char kVersion[] = "gcw-balancer 0.1.0";
-
-int ExitCode(gcw::ResultCode code) {
-  return static_cast<int>(code);
-}
+using gcw::balancer::Settings;
+using gcw::balancer::SettingsErrors;
 
-void Print(const gcw::Error& error) {
-  fmt::print(stderr, "gcw-balancer: {}\n", gcw::ToString(error));
-}
+constexpr char kName[] = "gcw-balancer";
+constexpr gcw::daemon::About kAbout{
+    "Routes flows and requests to backend servers.", "gcw-balancer 0.1.0"};
 
-sigset_t StopSignals() {
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  return signals;
-}
-
-int Serve(const gcw::balancer::Settings& settings) {
-  // Blocked before any thread starts, so that only this one takes them.
-  const sigset_t signals = StopSignals();
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+int Serve(const Settings& settings) {
+  const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
   std::signal(SIGPIPE, SIG_IGN);
   gcw::SetLogLevel(settings.log_level);
   const auto balancer = gcw::balancer::Balancer::Make(settings);
   if (!balancer.ok()) {
-    Print(balancer.error());
-    return ExitCode(balancer.error().code);
+    return gcw::daemon::PrintError(kName, balancer.error());
   }
   int signal = 0;
   sigwait(&signals, &signal);
@@ -49,33 +32,17 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("Routes flows and requests to backend servers.");
-  std::string path;
-  bool check = false;
-  app.add_option("--settings", path, "settings file, JSON")->required();
-  app.add_flag("--check", check, "check the settings and exit");
-  app.set_version_flag("--version", kVersion);
-  try {
-    app.parse(argc, argv);
-  } catch (const CLI::ParseError& error) {
-    const int code = app.exit(error);
-    return code == 0 ? 0 : ExitCode(gcw::ResultCode::kUsage);
-  }
-  const gcw::Result<std::string> text = gcw::balancer::ReadSettingsFile(path);
-  if (!text.ok()) {
-    Print(text.error());
-    return ExitCode(text.error().code);
+  const auto read = gcw::daemon::ReadArguments(argc, argv, kAbout);
+  if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
+    return exit->code;
   }
-  const auto parsed = gcw::balancer::ParseSettings(text.value());
-  if (const auto* errors =
-          std::get_if<gcw::balancer::SettingsErrors>(&parsed)) {
-    for (const gcw::Error& error : *errors) {
-      Print(error);
-    }
-    return ExitCode(gcw::ResultCode::kSettingsInvalid);
+  const auto& arguments = std::get<gcw::daemon::Arguments>(read);
+  const auto settings = gcw::balancer::ReadSettings(arguments.settings);
+  if (const auto* errors = std::get_if<SettingsErrors>(&settings)) {
+    return gcw::daemon::PrintSettingsErrors(kName, *errors);
   }
-  if (check) {
+  if (arguments.check) {
     return 0;
   }
-  return Serve(std::get<gcw::balancer::Settings>(parsed));
+  return Serve(std::get<Settings>(settings));
 }
