--- a/bench/balancer_packet_path.cc
+++ b/bench/balancer_packet_path.cc
@@ -69,7 +69,7 @@
   snapshot->servers["s1"] = server;
   config::Service service;
   service.name = "dispatch";
-  service.firm = "firm";
+  service.organisation = "organisation";
   service.addresses = {kService};
   service.servers = {{"s1", 100}};
   service.version = 1;
--- a/bench/config_snapshot.cc
+++ b/bench/config_snapshot.cc
@@ -18,13 +18,13 @@
 
 ObjectRecord MakeRecord(const Resource& resource, Version version) {
   return {KeyOf(IdOf(resource)), version, version,
-          EncodeStored("firm/op", resource)};
+          EncodeStored("organisation/op", resource)};
 }
 
 std::vector<ObjectRecord> MakeRecords(int services, int servers) {
   Version version = 0;
   std::vector<ObjectRecord> records = {
-      MakeRecord(Firm{"firm", ""}, ++version),
+      MakeRecord(Organisation{"organisation", ""}, ++version),
       MakeRecord(AvailabilityZone{"zone"}, ++version)};
   for (int i = 0; i < servers; ++i) {
     BackendServer server;
@@ -36,7 +36,7 @@
   for (int i = 0; i < services; ++i) {
     Service service;
     service.name = fmt::format("service-{}", i);
-    service.firm = "firm";
+    service.organisation = "organisation";
     service.addresses = {{kFirstServiceIp + static_cast<std::uint32_t>(i), 80}};
     for (int j = 0; j < kServersPerService; ++j) {
       const int server = (i * kServersPerService + j) % servers;
--- a/bench/dispatch_request.cc
+++ b/bench/dispatch_request.cc
@@ -19,7 +19,7 @@
   snapshot->zones["a"] = {"a", config::ZoneState::kIn, 1};
   config::Service service;
   service.name = "main";
-  service.firm = "firm";
+  service.organisation = "organisation";
   service.addresses = {kService};
   for (int i = 0; i < kServers; ++i) {
     config::BackendServer server;
@@ -37,7 +37,7 @@
 Request MakeRequest(std::uint64_t number) {
   Request request;
   request.id = fmt::format("request-{}", number);
-  request.firm = "firm";
+  request.organisation = "organisation";
   request.service = "main";
   request.deadline = absl::Seconds(1);
   request.worth = 1;
--- a/include/gcw/config/codec.h
+++ b/include/gcw/config/codec.h
@@ -14,14 +14,15 @@
 
 namespace gcw::config {
 
-enum class ResourceKind { kFirm, kService, kServer, kZone };
+enum class ResourceKind { kOrganisation, kService, kServer, kZone };
 
 // A resource of any kind.
-using Resource = std::variant<Firm, Service, BackendServer, AvailabilityZone>;
+using Resource =
+    std::variant<Organisation, Service, BackendServer, AvailabilityZone>;
 
 // Names a resource; also the identity of its platform object.
 struct ResourceId {
-  ResourceKind kind = ResourceKind::kFirm;
+  ResourceKind kind = ResourceKind::kOrganisation;
   std::string name;
 
   // The linter takes the zero of a rewritten comparison for a null pointer.
@@ -37,7 +38,7 @@
 inline constexpr std::size_t kMaxServiceServers = 1000;
 inline constexpr std::uint32_t kMaxWeight = 1000;
 
-// The word of the kind in keys: "firm", "service", "server", "zone".
+// The word of the kind in keys: "organisation", "service", "server", "zone".
 // Thread-safe.
 std::string_view ToString(ResourceKind kind);
 // "config/KIND/NAME". Thread-safe.
@@ -49,8 +50,8 @@
 ResourceKind KindOf(const Resource& resource);
 const std::string& NameOf(const Resource& resource);
 ResourceId IdOf(const Resource& resource);
-// The firm that owns the resource: itself for a firm, empty for a zone and for
-// a shared backend server. Thread-safe.
+// The organisation that owns the resource: itself for an organisation, empty
+// for a zone and for a shared backend server. Thread-safe.
 std::string_view OwnerOf(const Resource& resource);
 Version VersionOf(const Resource& resource);
 
--- a/include/gcw/config/resources.h
+++ b/include/gcw/config/resources.h
@@ -32,13 +32,13 @@
 // datagrams to it are requests.
 enum class ServiceKind { kFlow, kRequest, kMixed };
 
-// A firm: the owner of services and of the token that may change them.
-struct Firm {
+// An organisation: the owner of services and of the token that may change them.
+struct Organisation {
   std::string name;
   std::string token_sha256;  // Salted hash, see auth; never the token.
   Version version = 0;
 
-  bool operator==(const Firm&) const = default;
+  bool operator==(const Organisation&) const = default;
 };
 
 // That a backend server serves a service, with its share relative to others.
@@ -58,7 +58,7 @@
 
 struct Service {
   std::string name;
-  std::string firm;
+  std::string organisation;
   ServiceKind kind = ServiceKind::kMixed;
   std::vector<Endpoint> addresses;
   std::vector<ServiceMember> servers;
@@ -70,7 +70,8 @@
 
 struct BackendServer {
   std::string name;
-  std::string firm;  // Empty: shared by all firms, changed by the pool.
+  std::string
+      organisation;  // Empty: shared by all organisations, changed by the pool.
   Endpoint address;
   std::string zone;
   std::uint32_t slots = 1;           // Requests that run at the same time.
--- a/include/gcw/config/snapshot.h
+++ b/include/gcw/config/snapshot.h
@@ -14,7 +14,7 @@
 struct Snapshot {
   // The largest platform version that this snapshot includes.
   Version revision = 0;
-  std::map<std::string, Firm, std::less<>> firms;
+  std::map<std::string, Organisation, std::less<>> organisations;
   std::map<std::string, Service, std::less<>> services;
   std::map<std::string, BackendServer, std::less<>> servers;
   std::map<std::string, AvailabilityZone, std::less<>> zones;
--- a/include/gcw/config/snapshot_builder.h
+++ b/include/gcw/config/snapshot_builder.h
@@ -41,7 +41,7 @@
 //   before it is written, so the other one is a view from before its release
 //   or a write that came too late. A service loses that address only, a
 //   backend server is left out;
-// - a service loses members that belong to another firm.
+// - a service loses members that belong to another organisation.
 //
 // Keeps decoded objects for the next call, so that only changed ones are
 // decoded. Not thread-safe; the snapshots are.
--- a/include/gcw/config/validate.h
+++ b/include/gcw/config/validate.h
@@ -20,8 +20,8 @@
 
 // Checks `change` against the rest of the configuration and names every fault:
 // kAddressClaimed, kBrokenReference, kStillReferenced, kForbidden for a backend
-// server of another firm, kTooLarge, and kInvalidField for a field that may
-// not change. Precondition: the name in `change.after` is that in
+// server of another organisation, kTooLarge, and kInvalidField for a field that
+// may not change. Precondition: the name in `change.after` is that in
 // `change.id`. Thread-safe.
 std::vector<Error> ValidateChange(const Snapshot& snapshot,
                                   const Change& change);
--- a/include/gcw/dispatch/messages.h
+++ b/include/gcw/dispatch/messages.h
@@ -24,13 +24,13 @@
 inline constexpr std::size_t kMaxPartBytes = 1100;
 // Parts of one answer at most, so that collecting an answer is bounded.
 inline constexpr std::uint32_t kMaxAnswerParts = 1024;
-// Bytes of an identifier (id, rid, firm, service, server) at most.
+// Bytes of an identifier (id, rid, organisation, service, server) at most.
 inline constexpr std::size_t kMaxIdBytes = 128;
 
 // Wire "req". `attempt` is 0 and `attempt_id` empty as it comes from a caller.
 struct Request {
   std::string id;
-  std::string firm;
+  std::string organisation;
   std::string service;
   absl::Duration deadline;  // Time left, at least 0; whole milliseconds.
   double worth = 0;
--- a/include/gcw/dispatch/options.h
+++ b/include/gcw/dispatch/options.h
@@ -36,8 +36,9 @@
   // A request in the queue is refused once less than this many mean service
   // times remain before its deadline.
   double deadline_margin = 2;
-  // Share of the slots that each firm gets in overload, whatever its worth.
-  double firm_floor = 0.2;
+  // Share of the slots that each organisation gets in overload, whatever its
+  // worth.
+  double organisation_floor = 0.2;
 
   // Servers of one service that may be ejected at the same time, as a share.
   double max_ejected_share = 0.2;
--- a/src/api/access.cc
+++ b/src/api/access.cc
@@ -11,8 +11,8 @@
 using config::ResourceKind;
 
 constexpr std::string_view kScheme = "Bearer ";
-// Checked in place of a hash that does not exist, so that an unknown firm
-// takes as long as a wrong token.
+// Checked in place of a hash that does not exist, so that an unknown
+// organisation takes as long as a wrong token.
 constexpr std::string_view kNoHash =
     "pbkdf2-sha256:1000:00000000000000000000000000000000:"
     "0000000000000000000000000000000000000000000000000000000000000000";
@@ -27,9 +27,9 @@
   if (name == kPoolName) {
     return pool_token_hash;
   }
-  const auto it = snapshot.firms.find(name);
-  return it == snapshot.firms.end() ? std::string_view()
-                                    : it->second.token_sha256;
+  const auto it = snapshot.organisations.find(name);
+  return it == snapshot.organisations.end() ? std::string_view()
+                                            : it->second.token_sha256;
 }
 
 Status CheckState(const Identity& identity, const Resource& resource) {
@@ -41,19 +41,19 @@
         return Forbidden("shared backend servers are changed by the pool only");
       }
       break;
-    case ResourceKind::kFirm:
+    case ResourceKind::kOrganisation:
     case ResourceKind::kService:
       break;
   }
-  if (config::OwnerOf(resource) != identity.firm) {
-    return Forbidden("the resource belongs to another firm");
+  if (config::OwnerOf(resource) != identity.organisation) {
+    return Forbidden("the resource belongs to another organisation");
   }
   return OkStatus();
 }
 
 }  // namespace
 
-std::string_view ClaimedFirm(std::string_view authorization) {
+std::string_view ClaimedOrganisation(std::string_view authorization) {
   if (!authorization.starts_with(kScheme)) {
     return {};
   }
@@ -70,7 +70,7 @@
     return refused;
   }
   const std::string_view token = authorization.substr(kScheme.size());
-  const std::string_view name = ClaimedFirm(authorization);
+  const std::string_view name = ClaimedOrganisation(authorization);
   const std::string_view stored = HashOf(name, snapshot, pool_token_hash);
   const bool is_known = !stored.empty();
   if (!auth::VerifyToken(token, is_known ? stored : kNoHash) || !is_known) {
@@ -84,7 +84,7 @@
     return true;
   }
   const std::string_view owner = config::OwnerOf(resource);
-  return owner.empty() || owner == identity.firm;
+  return owner.empty() || owner == identity.organisation;
 }
 
 Status CheckAccess(const Identity& identity,
@@ -94,10 +94,10 @@
     return OkStatus();
   }
   const Resource* any = before != nullptr ? before : after;
-  const bool is_firm =
-      any != nullptr && config::KindOf(*any) == ResourceKind::kFirm;
-  if (is_firm && (before == nullptr || after == nullptr)) {
-    return Forbidden("firms are created and deleted by the pool only");
+  const bool is_organisation =
+      any != nullptr && config::KindOf(*any) == ResourceKind::kOrganisation;
+  if (is_organisation && (before == nullptr || after == nullptr)) {
+    return Forbidden("organisations are created and deleted by the pool only");
   }
   for (const Resource* state : {before, after}) {
     if (state == nullptr) {
--- a/src/api/access.h
+++ b/src/api/access.h
@@ -11,29 +11,31 @@
 
 namespace gcw::api {
 
-// Tokens of the pool's operators start with this name; no firm may bear it.
+// Tokens of the pool's operators start with this name; no organisation may bear
+// it.
 inline constexpr std::string_view kPoolName = "pool";
 
-// Who makes a call: operators of one firm, or the operators of the pool that
-// the firms share.
+// Who makes a call: operators of one organisation, or the operators of the pool
+// that the organisations share.
 struct Identity {
-  std::string firm;  // Empty for the pool.
+  std::string organisation;  // Empty for the pool.
 
-  bool is_pool() const { return firm.empty(); }
+  bool is_pool() const { return organisation.empty(); }
   std::string_view name() const {
-    return is_pool() ? kPoolName : std::string_view(firm);
+    return is_pool() ? kPoolName : std::string_view(organisation);
   }
   bool operator==(const Identity&) const = default;
 };
 
-// The firm that the header "Bearer FIRM.SECRET" names, not yet verified; empty
-// if it names none. Thread-safe.
-std::string_view ClaimedFirm(std::string_view authorization);
+// The organisation that the header "Bearer ORGANISATION.SECRET" names, not yet
+// verified; empty if it names none. Thread-safe.
+std::string_view ClaimedOrganisation(std::string_view authorization);
 
-// Tells who holds the token in an Authorization header "Bearer FIRM.SECRET":
-// the hash of the whole token is kept in the firm, that of the pool in
-// `pool_token_hash`. Fails with kUnauthenticated, without saying why, so that
-// a guesser learns nothing. Thread-safe.
+// Tells who holds the token in an Authorization header "Bearer
+// ORGANISATION.SECRET": the hash of the whole token is kept in the
+// organisation, that of the pool in `pool_token_hash`. Fails with
+// kUnauthenticated, without saying why, so that a guesser learns nothing.
+// Thread-safe.
 Result<Identity> Authenticate(std::string_view authorization,
                               const config::Snapshot& snapshot,
                               std::string_view pool_token_hash);
@@ -42,10 +44,10 @@
 // availability zones. Thread-safe.
 bool MayRead(const Identity& identity, const config::Resource& resource);
 
-// Whether `identity` may bring about the change: a firm its own services and
-// backend servers and the token of its own firm, the pool everything.
-// `before` and `after` are null where there is no such state. Fails with
-// kForbidden. Thread-safe.
+// Whether `identity` may bring about the change: an organisation its own
+// services and backend servers and the token of its own organisation, the pool
+// everything. `before` and `after` are null where there is no such state. Fails
+// with kForbidden. Thread-safe.
 Status CheckAccess(const Identity& identity,
                    const config::Resource* before,
                    const config::Resource* after);
--- a/src/api/message.cc
+++ b/src/api/message.cc
@@ -32,7 +32,8 @@
       return "Read the resource again and decide whether the change still "
              "holds.";
     case ResultCode::kUnauthenticated:
-      return "Send 'Authorization: Bearer FIRM.SECRET' with the firm's token.";
+      return "Send 'Authorization: Bearer ORGANISATION.SECRET' with the "
+             "organisation's token.";
     case ResultCode::kForbidden:
       return "Ask the owner, or the operators of the pool.";
     case ResultCode::kAddressClaimed:
@@ -68,7 +69,7 @@
 }
 
 std::optional<ResourceKind> KindOfCollection(std::string_view word) {
-  for (ResourceKind kind : {ResourceKind::kFirm, ResourceKind::kService,
+  for (ResourceKind kind : {ResourceKind::kOrganisation, ResourceKind::kService,
                             ResourceKind::kServer, ResourceKind::kZone}) {
     if (word == fmt::format("{}s", config::ToString(kind))) {
       return kind;
--- a/src/api/message.h
+++ b/src/api/message.h
@@ -49,7 +49,7 @@
   enum class Kind { kCollection, kResource, kStatus };
 
   Kind kind = Kind::kCollection;
-  config::ResourceKind resource_kind = config::ResourceKind::kFirm;
+  config::ResourceKind resource_kind = config::ResourceKind::kOrganisation;
   std::string name;  // Only for kResource.
 };
 
--- a/src/api/resource_service.cc
+++ b/src/api/resource_service.cc
@@ -281,18 +281,19 @@
 }
 
 Result<Identity> ResourceService::Identify(const ApiRequest& request) {
-  std::vector<platform::Object> firms;
-  const std::string_view firm = ClaimedFirm(request.authorization);
-  if (config::IsName(firm) && firm != kPoolName) {
-    Result<platform::Object> object = client_->Get(
-        config::KeyOf({config::ResourceKind::kFirm, std::string(firm)}));
+  std::vector<platform::Object> organisations;
+  const std::string_view organisation =
+      ClaimedOrganisation(request.authorization);
+  if (config::IsName(organisation) && organisation != kPoolName) {
+    Result<platform::Object> object = client_->Get(config::KeyOf(
+        {config::ResourceKind::kOrganisation, std::string(organisation)}));
     if (object.ok()) {
-      firms.push_back(std::move(object).value());
+      organisations.push_back(std::move(object).value());
     } else if (object.error().code != ResultCode::kNotFound) {
       return object.error();
     }
   }
-  const config::BuiltSnapshot built = config::BuildSnapshot(firms, 0);
+  const config::BuiltSnapshot built = config::BuildSnapshot(organisations, 0);
   return Authenticate(request.authorization, *built.snapshot,
                       settings_->pool_token_hash);
 }
@@ -361,7 +362,8 @@
   return {200, StatusView(input, context.identity).dump(), 0};
 }
 
-// Carries the firm, so that no firm can use the id of another's operation.
+// Carries the organisation, so that no organisation can use the id of another's
+// operation.
 std::string ResourceService::MakeOperationId(const ApiRequest& request,
                                              const Identity& identity) {
   if (!request.operation_id.empty()) {
--- a/src/api/resource_service.h
+++ b/src/api/resource_service.h
@@ -43,7 +43,8 @@
   ApiResponse Dispatch(const ApiRequest& request,
                        const Target& target,
                        const CallContext& context);
-  // Reads the caller's firm and the resource only, not the whole configuration.
+  // Reads the caller's organisation and the resource only, not the whole
+  // configuration.
   ApiResponse Read(const ApiRequest& request, const Target& target);
   Result<Identity> Identify(const ApiRequest& request);
   ApiResponse List(const Target& target, const CallContext& context);
--- a/src/api/resource_write.cc
+++ b/src/api/resource_write.cc
@@ -79,11 +79,12 @@
   return spec;
 }
 
-Errors CheckFirm(const config::Firm& firm) {
-  if (firm.name == kPoolName) {
+Errors CheckOrganisation(const config::Organisation& organisation) {
+  if (organisation.name == kPoolName) {
     return One(ResultCode::kInvalidField, "name", "is reserved for the pool");
   }
-  if (!firm.token_sha256.empty() && !auth::IsTokenHash(firm.token_sha256)) {
+  if (!organisation.token_sha256.empty() &&
+      !auth::IsTokenHash(organisation.token_sha256)) {
     return One(ResultCode::kInvalidField, "token_sha256",
                "is not a token hash; make one with 'gcw hash-token'");
   }
@@ -105,8 +106,9 @@
     return One(ResultCode::kInvalidField, "name",
                "must be the name in the path");
   }
-  if (const auto* firm = std::get_if<config::Firm>(&*decoded.resource)) {
-    Errors errors = CheckFirm(*firm);
+  if (const auto* organisation =
+          std::get_if<config::Organisation>(&*decoded.resource)) {
+    Errors errors = CheckOrganisation(*organisation);
     if (!errors.empty()) {
       return errors;
     }
@@ -145,8 +147,8 @@
       return Errors{read.error()};
     }
   }
-  // Whose resource it is comes first: versions and states of another firm's
-  // resources are not told.
+  // Whose resource it is comes first: versions and states of another
+  // organisation's resources are not told.
   const Status owner =
       CheckAccess(write.identity, OrNull(plan.before), OrNull(plan.before));
   if (plan.before.has_value() && !owner.ok()) {
--- a/src/api/watch_stream.h
+++ b/src/api/watch_stream.h
@@ -51,7 +51,8 @@
   std::string pending_;
   bool ended_ = false;
   platform::Backoff backoff_;
-  // Resources that are known to be another firm's: their deletion is not told.
+  // Resources that are known to be another organisation's: their deletion is
+  // not told.
   std::set<std::string> foreign_;
 };
 
--- a/src/base/result_code.cc
+++ b/src/base/result_code.cc
@@ -40,7 +40,7 @@
     {ResultCode::kUnauthenticated, "unauthenticated",
      "The token is missing or wrong."},
     {ResultCode::kForbidden, "forbidden",
-     "The resource belongs to another firm or to the platform."},
+     "The resource belongs to another organisation or to the platform."},
     {ResultCode::kAddressClaimed, "address_claimed",
      "The address and port belong to another service or backend server."},
     {ResultCode::kBrokenReference, "broken_reference",
--- a/src/cli/apply_plan.cc
+++ b/src/cli/apply_plan.cc
@@ -21,8 +21,8 @@
 
 constexpr std::size_t kMaxResources = 10'000;
 // What is named by others is written before them.
-constexpr std::array kWriteOrder = {ResourceKind::kFirm, ResourceKind::kZone,
-                                    ResourceKind::kServer,
+constexpr std::array kWriteOrder = {ResourceKind::kOrganisation,
+                                    ResourceKind::kZone, ResourceKind::kServer,
                                     ResourceKind::kService};
 
 std::string Name(const ResourceId& id) {
@@ -33,8 +33,8 @@
 struct SnapshotWriter {
   config::Snapshot* snapshot;
 
-  void operator()(const config::Firm& firm) const {
-    snapshot->firms[firm.name] = firm;
+  void operator()(const config::Organisation& organisation) const {
+    snapshot->organisations[organisation.name] = organisation;
   }
   void operator()(const config::Service& service) const {
     snapshot->services[service.name] = service;
--- a/src/cli/apply_plan.h
+++ b/src/cli/apply_plan.h
@@ -33,7 +33,7 @@
   Version version = 0;  // Of `before`.
 };
 
-// The resources of a document {"firms":[],"zones":[],"servers":[],
+// The resources of a document {"organisations":[],"zones":[],"servers":[],
 // "services":[]} in the order in which they can be written, or every reason
 // why it is wrong, with paths such as "services[2].addresses[0]". Pure;
 // thread-safe.
--- a/src/cli/cli.cc
+++ b/src/cli/cli.cc
@@ -121,7 +121,7 @@
                     "URL of the API, http://IP:PORT; several with commas")
         ->envname("GCW_API");
     app_.add_option("--token-file", args_.token_file,
-                    "File that holds the firm's token")
+                    "File that holds the organisation's token")
         ->envname("GCW_TOKEN_FILE");
     app_.add_option("-o,--output", args_.format, "json or table")
         ->check(CLI::IsMember({"json", "table"}));
@@ -139,7 +139,7 @@
   }
 
   void AddKind(CLI::App* sub) {
-    sub->add_option("kind", args_.kind, "firm, service, server or zone")
+    sub->add_option("kind", args_.kind, "organisation, service, server or zone")
         ->required();
   }
 
--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -107,7 +107,7 @@
 
 Result<CurrentResources> ReadCurrent(const Session& session) {
   CurrentResources current;
-  for (ResourceKind kind : {ResourceKind::kFirm, ResourceKind::kZone,
+  for (ResourceKind kind : {ResourceKind::kOrganisation, ResourceKind::kZone,
                             ResourceKind::kServer, ResourceKind::kService}) {
     const Result<json> list = session.api->Get(CollectionPath(kind));
     if (!list.ok()) {
@@ -175,7 +175,7 @@
 }  // namespace
 
 Result<ResourceKind> ParseKind(std::string_view word) {
-  for (ResourceKind kind : {ResourceKind::kFirm, ResourceKind::kService,
+  for (ResourceKind kind : {ResourceKind::kOrganisation, ResourceKind::kService,
                             ResourceKind::kServer, ResourceKind::kZone}) {
     const std::string_view name = config::ToString(kind);
     if (word == name || word == fmt::format("{}s", name)) {
@@ -184,7 +184,7 @@
   }
   return Error{
       ResultCode::kUsage, "KIND",
-      fmt::format("'{}' is none of firm, service, server, zone", word)};
+      fmt::format("'{}' is none of organisation, service, server, zone", word)};
 }
 
 Status RunGet(const Session& session, const ResourceId& id) {
--- a/src/cli/render.cc
+++ b/src/cli/render.cc
@@ -22,18 +22,18 @@
 
 std::vector<Column> ColumnsOf(ResourceKind kind) {
   switch (kind) {
-    case ResourceKind::kFirm:
+    case ResourceKind::kOrganisation:
       return {{"NAME", "/name"}, {"VERSION", "/version"}};
     case ResourceKind::kService:
       return {{"NAME", "/name"},
-              {"FIRM", "/spec/firm"},
+              {"ORGANISATION", "/spec/organisation"},
               {"KIND", "/spec/kind"},
               {"ADDRESSES", "/spec/addresses"},
               {"SERVERS", "/spec/servers"},
               {"VERSION", "/version"}};
     case ResourceKind::kServer:
       return {{"NAME", "/name"},
-              {"FIRM", "/spec/firm"},
+              {"ORGANISATION", "/spec/organisation"},
               {"ADDRESS", "/spec/address"},
               {"ZONE", "/spec/zone"},
               {"SLOTS", "/spec/slots"},
--- a/src/config/codec.cc
+++ b/src/config/codec.cc
@@ -20,12 +20,12 @@
 constexpr std::size_t kMaxTokenHashBytes = 512;
 constexpr std::size_t kMaxOpBytes = 256;
 
-Firm ReadFirm(ObjectReader& reader) {
-  Firm firm;
-  reader.ReadName("name", Presence::kRequired, &firm.name);
+Organisation ReadOrganisation(ObjectReader& reader) {
+  Organisation organisation;
+  reader.ReadName("name", Presence::kRequired, &organisation.name);
   reader.ReadString("token_sha256", Presence::kOptional, kMaxTokenHashBytes,
-                    &firm.token_sha256);
-  return firm;
+                    &organisation.token_sha256);
+  return organisation;
 }
 
 ServiceLimits ReadLimits(const json& value,
@@ -96,7 +96,7 @@
                     std::vector<Error>* errors) {
   Service service;
   reader.ReadName("name", Presence::kRequired, &service.name);
-  reader.ReadName("firm", Presence::kRequired, &service.firm);
+  reader.ReadName("organisation", Presence::kRequired, &service.organisation);
   auto kind = static_cast<std::size_t>(service.kind);
   reader.ReadWord("kind", Presence::kOptional, {"flow", "request", "mixed"},
                   &kind);
@@ -110,22 +110,22 @@
   return service;
 }
 
-// An absent or empty firm means that the server is shared.
-void ReadServerFirm(ObjectReader& reader, BackendServer* server) {
+// An absent or empty organisation means that the server is shared.
+void ReadServerOrganisation(ObjectReader& reader, BackendServer* server) {
   bool is_empty = false;
-  reader.ReadValue("firm", Presence::kOptional,
+  reader.ReadValue("organisation", Presence::kOptional,
                    [&](const json& value, const std::string&) {
                      is_empty = value == json("");
                    });
   if (!is_empty) {
-    reader.ReadName("firm", Presence::kOptional, &server->firm);
+    reader.ReadName("organisation", Presence::kOptional, &server->organisation);
   }
 }
 
 BackendServer ReadServer(ObjectReader& reader) {
   BackendServer server;
   reader.ReadName("name", Presence::kRequired, &server.name);
-  ReadServerFirm(reader, &server);
+  ReadServerOrganisation(reader, &server);
   reader.ReadEndpoint("address", Presence::kRequired, &server.address);
   reader.ReadName("zone", Presence::kRequired, &server.zone);
   reader.ReadUint("slots", Presence::kOptional, 1, kMaxSlots, &server.slots);
@@ -152,8 +152,8 @@
                       UnknownFields unknown,
                       std::vector<Error>* errors) {
   switch (kind) {
-    case ResourceKind::kFirm:
-      return ReadFirm(reader);
+    case ResourceKind::kOrganisation:
+      return ReadOrganisation(reader);
     case ResourceKind::kService:
       return ReadService(reader, unknown, errors);
     case ResourceKind::kServer:
@@ -182,8 +182,9 @@
   }
 }
 
-json EncodeFirm(const Firm& firm) {
-  return {{"name", firm.name}, {"token_sha256", firm.token_sha256}};
+json EncodeOrganisation(const Organisation& organisation) {
+  return {{"name", organisation.name},
+          {"token_sha256", organisation.token_sha256}};
 }
 
 json EncodeService(const Service& service) {
@@ -196,7 +197,7 @@
     servers.push_back({{"server", member.server}, {"weight", member.weight}});
   }
   return {{"name", service.name},
-          {"firm", service.firm},
+          {"organisation", service.organisation},
           {"kind", ToString(service.kind)},
           {"addresses", std::move(addresses)},
           {"servers", std::move(servers)},
@@ -207,7 +208,7 @@
 
 json EncodeServer(const BackendServer& server) {
   return {{"name", server.name},
-          {"firm", server.firm},
+          {"organisation", server.organisation},
           {"address", gcw::ToString(server.address)},
           {"zone", server.zone},
           {"slots", server.slots},
@@ -220,7 +221,9 @@
 }
 
 struct SpecEncoder {
-  json operator()(const Firm& firm) const { return EncodeFirm(firm); }
+  json operator()(const Organisation& organisation) const {
+    return EncodeOrganisation(organisation);
+  }
   json operator()(const Service& service) const {
     return EncodeService(service);
   }
@@ -236,8 +239,8 @@
 
 std::string_view ToString(ResourceKind kind) {
   switch (kind) {
-    case ResourceKind::kFirm:
-      return "firm";
+    case ResourceKind::kOrganisation:
+      return "organisation";
     case ResourceKind::kService:
       return "service";
     case ResourceKind::kServer:
@@ -257,7 +260,7 @@
     return std::nullopt;
   }
   key.remove_prefix(kConfigPrefix.size());
-  for (ResourceKind kind : {ResourceKind::kFirm, ResourceKind::kService,
+  for (ResourceKind kind : {ResourceKind::kOrganisation, ResourceKind::kService,
                             ResourceKind::kServer, ResourceKind::kZone}) {
     const std::string prefix = fmt::format("{}/", ToString(kind));
     if (key.starts_with(prefix) && IsName(key.substr(prefix.size()))) {
@@ -281,14 +284,14 @@
 }
 
 std::string_view OwnerOf(const Resource& resource) {
-  if (const auto* firm = std::get_if<Firm>(&resource)) {
-    return firm->name;
+  if (const auto* organisation = std::get_if<Organisation>(&resource)) {
+    return organisation->name;
   }
   if (const auto* service = std::get_if<Service>(&resource)) {
-    return service->firm;
+    return service->organisation;
   }
   if (const auto* server = std::get_if<BackendServer>(&resource)) {
-    return server->firm;
+    return server->organisation;
   }
   return {};
 }
--- a/src/config/snapshot_builder.cc
+++ b/src/config/snapshot_builder.cc
@@ -58,14 +58,16 @@
 
   void DropForeignMembers() {
     for (auto& [name, service] : snapshot_->services) {
-      const auto is_foreign = [&, &firm = service.firm](const auto& member) {
-        return IsForeign(firm, member);
-      };
+      const auto is_foreign =
+          [&, &organisation = service.organisation](const auto& member) {
+            return IsForeign(organisation, member);
+          };
       const auto cut = std::remove_if(service.servers.begin(),
                                       service.servers.end(), is_foreign);
       if (cut != service.servers.end()) {
         Report({ResourceKind::kService, name}, ResultCode::kForbidden,
-               "servers", "a backend server of another firm is left out");
+               "servers",
+               "a backend server of another organisation is left out");
         service.servers.erase(cut, service.servers.end());
       }
     }
@@ -83,7 +85,9 @@
   }
 
  private:
-  void Insert(const Firm& firm) { snapshot_->firms.emplace(firm.name, firm); }
+  void Insert(const Organisation& organisation) {
+    snapshot_->organisations.emplace(organisation.name, organisation);
+  }
   void Insert(const Service& service) {
     snapshot_->services.emplace(service.name, service);
   }
@@ -145,12 +149,14 @@
     });
   }
 
-  bool IsForeign(const std::string& firm, const ServiceMember& member) const {
+  bool IsForeign(const std::string& organisation,
+                 const ServiceMember& member) const {
     const auto it = snapshot_->servers.find(member.server);
     if (it == snapshot_->servers.end()) {
       return false;
     }
-    return !it->second.firm.empty() && it->second.firm != firm;
+    return !it->second.organisation.empty() &&
+           it->second.organisation != organisation;
   }
 
   void ReportClaimed(const ResourceId& id,
--- a/src/config/validate.cc
+++ b/src/config/validate.cc
@@ -32,8 +32,8 @@
 
   void CheckDelete(const ResourceId& id) {
     switch (id.kind) {
-      case ResourceKind::kFirm:
-        CheckFirmUnused(id.name);
+      case ResourceKind::kOrganisation:
+        CheckOrganisationUnused(id.name);
         return;
       case ResourceKind::kServer:
         CheckServerUnused(id.name);
@@ -59,7 +59,7 @@
   }
 
   void CheckService(const Service& service) {
-    CheckFirmExists(service.firm);
+    CheckOrganisationExists(service.organisation);
     for (std::size_t i = 0; i < service.addresses.size(); ++i) {
       CheckAddress({ResourceKind::kService, service.name}, service.addresses[i],
                    fmt::format("addresses[{}]", i));
@@ -71,8 +71,8 @@
   }
 
   void CheckServer(const BackendServer& server) {
-    if (!server.firm.empty()) {
-      CheckFirmExists(server.firm);
+    if (!server.organisation.empty()) {
+      CheckOrganisationExists(server.organisation);
     }
     if (!snapshot_.zones.contains(server.zone)) {
       Report(ResultCode::kBrokenReference, "zone",
@@ -82,10 +82,10 @@
                  "address");
   }
 
-  void CheckFirmExists(const std::string& firm) {
-    if (!snapshot_.firms.contains(firm)) {
-      Report(ResultCode::kBrokenReference, "firm",
-             fmt::format("there is no firm '{}'", firm));
+  void CheckOrganisationExists(const std::string& organisation) {
+    if (!snapshot_.organisations.contains(organisation)) {
+      Report(ResultCode::kBrokenReference, "organisation",
+             fmt::format("there is no organisation '{}'", organisation));
     }
   }
 
@@ -98,10 +98,11 @@
              fmt::format("there is no backend server '{}'", name));
       return;
     }
-    const std::string& owner = it->second.firm;
-    if (!owner.empty() && owner != service.firm) {
+    const std::string& owner = it->second.organisation;
+    if (!owner.empty() && owner != service.organisation) {
       Report(ResultCode::kForbidden, std::move(field),
-             fmt::format("backend server '{}' belongs to another firm", name));
+             fmt::format("backend server '{}' belongs to another organisation",
+                         name));
     }
   }
 
@@ -128,7 +129,7 @@
   // would move to another VM or another owner with no new incarnation.
   void CheckFixedFields(const Resource& before, const Resource& after) {
     if (OwnerOf(before) != OwnerOf(after)) {
-      ReportFixed("firm");
+      ReportFixed("organisation");
     }
     const auto* old_server = std::get_if<BackendServer>(&before);
     const auto* new_server = std::get_if<BackendServer>(&after);
@@ -143,14 +144,14 @@
     }
   }
 
-  void CheckFirmUnused(const std::string& firm) {
+  void CheckOrganisationUnused(const std::string& organisation) {
     for (const auto& [name, service] : snapshot_.services) {
-      if (service.firm == firm) {
+      if (service.organisation == organisation) {
         ReportReferenced("service", name);
       }
     }
     for (const auto& [name, server] : snapshot_.servers) {
-      if (server.firm == firm) {
+      if (server.organisation == organisation) {
         ReportReferenced("backend server", name);
       }
     }
@@ -174,7 +175,7 @@
     }
   }
 
-  // Does not name the owner: it may be another firm's resource.
+  // Does not name the owner: it may be another organisation's resource.
   void ReportClaimed(const std::string& field, const Endpoint& address) {
     Report(ResultCode::kAddressClaimed, field,
            fmt::format("{} is claimed by another service or backend server",
@@ -236,8 +237,8 @@
 std::optional<Resource> FindResource(const Snapshot& snapshot,
                                      const ResourceId& id) {
   switch (id.kind) {
-    case ResourceKind::kFirm:
-      return FindIn(snapshot.firms, id.name);
+    case ResourceKind::kOrganisation:
+      return FindIn(snapshot.organisations, id.name);
     case ResourceKind::kService:
       return FindIn(snapshot.services, id.name);
     case ResourceKind::kServer:
--- a/src/dispatch/codec.cc
+++ b/src/dispatch/codec.cc
@@ -117,7 +117,7 @@
 json ToFields(const Request& request) {
   json map = {{"t", "req"},
               {"id", request.id},
-              {"firm", request.firm},
+              {"organisation", request.organisation},
               {"svc", request.service},
               {"dl", absl::ToInt64Milliseconds(request.deadline)},
               {"w", request.worth},
@@ -149,7 +149,7 @@
 Request ReadRequest(FieldReader& reader) {
   Request request;
   request.id = reader.Text("id");
-  request.firm = reader.Text("firm");
+  request.organisation = reader.Text("organisation");
   request.service = reader.Text("svc");
   request.deadline = reader.Milliseconds("dl");
   request.worth = reader.Real("w");
--- a/src/dispatch/home.cc
+++ b/src/dispatch/home.cc
@@ -109,11 +109,12 @@
 }
 
 double Home::Priority(const Held& held, absl::Time now) const {
-  // Firms below their floor go before all others; then worth for slot time.
+  // Organisations below their floor go before all others; then worth for slot
+  // time.
   constexpr double kFirst = 1e12;
-  const std::string& firm = held.hand.routed.request.firm;
-  const double share = shares_.share(firm, now);
-  if (share < context_.options.firm_floor) {
+  const std::string& organisation = held.hand.routed.request.organisation;
+  const double share = shares_.share(organisation, now);
+  if (share < context_.options.organisation_floor) {
     return kFirst * (2 - share);
   }
   const auto stats = stats_.find(held.service());
@@ -252,7 +253,7 @@
   ServiceStats& stats = stats_[held.service()];
   stats.AddServiceTime(elapsed);
   stats.AddAnswerTime(now - held.received);
-  shares_.AddSlotTime(held.hand.routed.request.firm, elapsed, now);
+  shares_.AddSlotTime(held.hand.routed.request.organisation, elapsed, now);
   std::vector<AnswerPart> parts = held.answer.Take();
   LeaveServer(held, true, now);
   const SlotHint hint = Hint(held.service(), now);
--- a/src/dispatch/home.h
+++ b/src/dispatch/home.h
@@ -111,7 +111,7 @@
   const SlotPolicy& policy_;
   ServerPool pool_;
   RetryBudget budget_;
-  FirmShares shares_;
+  OrganisationShares shares_;
   ServiceStatsMap stats_;
   std::map<std::string, RequestQueue, std::less<>> queues_;
   Handle next_handle_ = 1;
--- a/src/dispatch/ingress.cc
+++ b/src/dispatch/ingress.cc
@@ -19,7 +19,7 @@
       std::find(service->addresses.begin(), service->addresses.end(),
                 routed.service_address) == service->addresses.end()) {
     code = ResultCode::kUnknownService;
-  } else if (service->firm != request.firm) {
+  } else if (service->organisation != request.organisation) {
     code = ResultCode::kForbidden;
   }
   if (code == ResultCode::kOk) {
--- a/src/dispatch/owner.cc
+++ b/src/dispatch/owner.cc
@@ -24,7 +24,7 @@
 
 // Repeats of one request have equal contents.
 std::uint64_t Fingerprint(const Request& request) {
-  std::uint64_t hash = StableHash(request.firm);
+  std::uint64_t hash = StableHash(request.organisation);
   hash = MixHash(hash, StableHash(request.service));
   hash = MixHash(hash, request.idempotent ? 1 : 0);
   return MixHash(hash, StableHash(request.body));
--- a/src/dispatch/service_stats.h
+++ b/src/dispatch/service_stats.h
@@ -32,12 +32,15 @@
 
 using ServiceStatsMap = std::map<std::string, ServiceStats, std::less<>>;
 
-// Slot time that each firm had lately, so that none starves. Not thread-safe.
-class FirmShares {
+// Slot time that each organisation had lately, so that none starves. Not
+// thread-safe.
+class OrganisationShares {
  public:
-  void AddSlotTime(std::string_view firm, absl::Duration time, absl::Time now);
+  void AddSlotTime(std::string_view organisation,
+                   absl::Duration time,
+                   absl::Time now);
   // Share of all slot time of late; 0 to 1.
-  double share(std::string_view firm, absl::Time now) const;
+  double share(std::string_view organisation, absl::Time now) const;
 
  private:
   struct Used {
@@ -46,7 +49,7 @@
   };
   static double Decayed(const Used& used, absl::Time now);
 
-  std::map<std::string, Used, std::less<>> firms_;
+  std::map<std::string, Used, std::less<>> organisations_;
 };
 
 }  // namespace gcw::dispatch
--- a/src/lab/config_writer.cc
+++ b/src/lab/config_writer.cc
@@ -28,7 +28,7 @@
     const ServiceInfo& info = topology.services[i];
     config::Service service;
     service.name = info.name;
-    service.firm = info.firm;
+    service.organisation = info.organisation;
     service.addresses = {info.address};
     for (const ServerIndex server : info.servers) {
       service.servers.push_back({topology.servers[server].name});
@@ -38,10 +38,10 @@
 }
 
 void ConfigWriter::WriteAll() {
-  for (const std::string& name : topology_.firms) {
-    config::Firm firm;
-    firm.name = name;
-    Write(firm);
+  for (const std::string& name : topology_.organisations) {
+    config::Organisation organisation;
+    organisation.name = name;
+    Write(organisation);
   }
   for (ZoneIndex i = 0; i < topology_.zones.size(); ++i) {
     SetZoneState(i, config::ZoneState::kIn);
--- a/src/lab/lab_run.cc
+++ b/src/lab/lab_run.cc
@@ -382,10 +382,11 @@
   }
 
   void AddServiceTotals(std::vector<Total>* totals) const {
-    for (const std::string& firm : topology_.firms) {
-      totals->push_back({"service." + firm, meter_.ServiceShare(firm)});
+    for (const std::string& organisation : topology_.organisations) {
       totals->push_back(
-          {"service_settled." + firm, meter_.SettledServiceShare(firm)});
+          {"service." + organisation, meter_.ServiceShare(organisation)});
+      totals->push_back({"service_settled." + organisation,
+                         meter_.SettledServiceShare(organisation)});
     }
     const auto ms = [&](ServiceIndex i, double share) {
       return absl::ToDoubleMilliseconds(meter_.AnswerTime(i, share));
--- a/src/lab/load_meter.cc
+++ b/src/lab/load_meter.cc
@@ -173,21 +173,23 @@
   });
 }
 
-double LoadMeter::ServiceShare(const std::string& firm) const {
-  return Share(firm, false);
+double LoadMeter::ServiceShare(const std::string& organisation) const {
+  return Share(organisation, false);
 }
 
-double LoadMeter::SettledServiceShare(const std::string& firm) const {
-  return Share(firm, true);
+double LoadMeter::SettledServiceShare(const std::string& organisation) const {
+  return Share(organisation, true);
 }
 
-double LoadMeter::Share(const std::string& firm, bool settled_only) const {
+double LoadMeter::Share(const std::string& organisation,
+                        bool settled_only) const {
   double bearable = 0;
   double delivered = 0;
   const auto& services = world_.topology().services;
   for (const Window& window : windows_) {
     for (ServiceIndex s = 0; s < services.size(); ++s) {
-      if (services[s].firm == firm && (window.settled || !settled_only)) {
+      if (services[s].organisation == organisation &&
+          (window.settled || !settled_only)) {
         bearable += window.bearable[s];
         delivered += window.delivered[s];
       }
--- a/src/lab/load_meter.h
+++ b/src/lab/load_meter.h
@@ -18,7 +18,7 @@
 };
 
 // Measures how evenly load lies, what cold servers got, and what share of the
-// offered worth each firm was served. Not thread-safe.
+// offered worth each organisation was served. Not thread-safe.
 class LoadMeter {
  public:
   explicit LoadMeter(const World& world);
@@ -52,10 +52,10 @@
   absl::Duration AnswerTime(ServiceIndex service, double share) const;
   double cold_overload() const { return cold_overload_; }
   // Delivered worth over the worth that the servers could have borne; 1 if
-  // the firm offered nothing.
-  double ServiceShare(const std::string& firm) const;
+  // the organisation offered nothing.
+  double ServiceShare(const std::string& organisation) const;
   // The same over settled windows only.
-  double SettledServiceShare(const std::string& firm) const;
+  double SettledServiceShare(const std::string& organisation) const;
 
  private:
   struct Offer {
@@ -75,7 +75,7 @@
   };
 
   void OpenWindow();
-  double Share(const std::string& firm, bool settled_only) const;
+  double Share(const std::string& organisation, bool settled_only) const;
   bool Counts(ServerIndex server) const;
   double Imbalance(ServiceIndex service,
                    double (*load)(const ServerUse&, ServiceIndex)) const;
--- a/src/lab/messages.cc
+++ b/src/lab/messages.cc
@@ -11,10 +11,14 @@
 
 struct ToCbor {
   Json operator()(const RequestMessage& m) const {
-    Json json = {{"t", "req"},           {"id", m.id},
-                 {"firm", m.firm},       {"svc", m.service},
-                 {"dl", m.deadline_ms},  {"w", m.worth},
-                 {"idem", m.idempotent}, {"body", Json::binary(m.body)}};
+    Json json = {{"t", "req"},
+                 {"id", m.id},
+                 {"organisation", m.organisation},
+                 {"svc", m.service},
+                 {"dl", m.deadline_ms},
+                 {"w", m.worth},
+                 {"idem", m.idempotent},
+                 {"body", Json::binary(m.body)}};
     if (m.expected_bytes > 0) {
       json["sz"] = m.expected_bytes;
     }
@@ -71,7 +75,7 @@
 RequestMessage ReadRequest(const Json& json) {
   RequestMessage m;
   json.at("id").get_to(m.id);
-  json.at("firm").get_to(m.firm);
+  json.at("organisation").get_to(m.organisation);
   json.at("svc").get_to(m.service);
   json.at("dl").get_to(m.deadline_ms);
   json.at("w").get_to(m.worth);
--- a/src/lab/messages.h
+++ b/src/lab/messages.h
@@ -17,7 +17,7 @@
 
 struct RequestMessage {
   std::string id;
-  std::string firm;
+  std::string organisation;
   std::string service;
   std::int64_t deadline_ms = 0;  // Time left.
   double worth = 1;
--- a/src/lab/request_callers.cc
+++ b/src/lab/request_callers.cc
@@ -118,7 +118,7 @@
     const ServiceInfo& service = world_.topology().services[request.service];
     RequestMessage message;
     message.id = request.id;
-    message.firm = service.firm;
+    message.organisation = service.organisation;
     message.service = service.name;
     message.deadline_ms =
         absl::ToInt64Milliseconds(request.deadline - scheduler_.now());
--- a/src/lab/topology.cc
+++ b/src/lab/topology.cc
@@ -18,16 +18,16 @@
 constexpr int kConnections = 2000;
 constexpr int kMainServers = 14;
 constexpr int kSmallServers = 4;
-// Servers of the main service that also serve the other firm.
+// Servers of the main service that also serve the other organisation.
 constexpr int kSharedServers = 3;
-constexpr double kOtherFirmSlots = 1.5;
-constexpr double kOtherFirmFlows = 0.1;
+constexpr double kOtherOrganisationSlots = 1.5;
+constexpr double kOtherOrganisationFlows = 0.1;
 constexpr double kSmallServiceFlows = 0.2;
 
 struct Base {
   std::string_view name;
-  std::string_view firm;
-  std::string_view other_firm;
+  std::string_view organisation;
+  std::string_view other_organisation;
   std::array<std::string_view, 3> zones;
   std::string_view main_service;
   std::string_view small_service;
@@ -98,12 +98,12 @@
 
 void AddService(Topology& topology,
                 std::string_view name,
-                std::string_view firm,
+                std::string_view organisation,
                 ServerIndex first,
                 int count) {
   ServiceInfo service;
   service.name = std::string(name);
-  service.firm = std::string(firm);
+  service.organisation = std::string(organisation);
   const auto number = static_cast<std::uint32_t>(topology.services.size() + 1);
   service.address = {kServiceNetwork + number, kServicePort};
   for (int i = 0; i < count; ++i) {
@@ -114,8 +114,8 @@
 
 void SetLoad(const Base& base, Topology& topology) {
   ServiceInfo& main = topology.services[0];
-  main.slots_at_full_load = kMainServers * base.slots - kOtherFirmSlots;
-  main.flow_share = 1 - kSmallServiceFlows - kOtherFirmFlows;
+  main.slots_at_full_load = kMainServers * base.slots - kOtherOrganisationSlots;
+  main.flow_share = 1 - kSmallServiceFlows - kOtherOrganisationFlows;
   main.mean_service_time = base.main_service_time;
   main.answer_bytes = 600;
   ServiceInfo& small = topology.services[1];
@@ -124,8 +124,8 @@
   small.mean_service_time = base.small_service_time;
   small.answer_bytes = 3000;
   ServiceInfo& other = topology.services[2];
-  other.slots_at_full_load = kOtherFirmSlots;
-  other.flow_share = kOtherFirmFlows;
+  other.slots_at_full_load = kOtherOrganisationSlots;
+  other.flow_share = kOtherOrganisationFlows;
   other.mean_service_time = base.small_service_time;
   other.answer_bytes = 600;
 }
@@ -147,7 +147,8 @@
   assert(base != nullptr);
   Topology topology;
   topology.base = std::string(name);
-  topology.firms = {std::string(base->firm), std::string(base->other_firm)};
+  topology.organisations = {std::string(base->organisation),
+                            std::string(base->other_organisation)};
   topology.zones.assign(base->zones.begin(), base->zones.end());
   topology.zone_delay = base->zone_delay;
   topology.caller_delay = base->caller_delay;
@@ -161,10 +162,10 @@
   }
   AddServers(topology, *base, base->main_service, kMainServers, octet);
   AddServers(topology, *base, base->small_service, kSmallServers, octet);
-  AddService(topology, base->main_service, base->firm, 0, kMainServers);
-  AddService(topology, base->small_service, base->firm, kMainServers,
+  AddService(topology, base->main_service, base->organisation, 0, kMainServers);
+  AddService(topology, base->small_service, base->organisation, kMainServers,
              kSmallServers);
-  AddService(topology, base->other_service, base->other_firm, 0,
+  AddService(topology, base->other_service, base->other_organisation, 0,
              kSharedServers);
   SetLoad(*base, topology);
   return topology;
--- a/src/lab/topology.h
+++ b/src/lab/topology.h
@@ -35,7 +35,7 @@
 
 struct ServiceInfo {
   std::string name;
-  std::string firm;
+  std::string organisation;
   Endpoint address;
   std::vector<ServerIndex> servers;
   // The share of its servers' slots that full load fills.
@@ -48,7 +48,7 @@
 // Who stands where in one deployment. Immutable during a run.
 struct Topology {
   std::string base;
-  std::vector<std::string> firms;
+  std::vector<std::string> organisations;
   std::vector<std::string> zones;
   absl::Duration zone_delay;    // One way between zones.
   absl::Duration caller_delay;  // One way between callers and the fabric.
--- a/tests/api/api_fixture.h
+++ b/tests/api/api_fixture.h
@@ -95,7 +95,7 @@
   std::string token_;
 };
 
-// A platform, an API on it, two firms, one zone and one shared server.
+// A platform, an API on it, two organisations, one zone and one shared server.
 class ApiFixture {
  public:
   explicit ApiFixture(fake_platform::RateLimits limits = {1e6, 1e6}) {
@@ -106,10 +106,12 @@
     platform = std::move(made).value();
     api = MakeApi();
     Operator pool = MakeOperator(kPoolToken);
-    CHECK(pool.Post("/v1/firms", FirmSpec("valtellina", kValtellinaToken))
+    CHECK(pool.Post("/v1/organisations",
+                    OrganisationSpec("valtellina", kValtellinaToken))
+              .status == 201);
+    CHECK(pool.Post("/v1/organisations",
+                    OrganisationSpec("tayside", kTaysideToken))
               .status == 201);
-    CHECK(pool.Post("/v1/firms", FirmSpec("tayside", kTaysideToken)).status ==
-          201);
     CHECK(pool.Post("/v1/zones", {{"name", "tirano"}}).status == 201);
     CHECK(pool.Post("/v1/servers", ServerSpec("shared", "", 1)).status == 201);
   }
@@ -129,22 +131,23 @@
     return {api->endpoint(), token};
   }
 
-  static json FirmSpec(const std::string& name, const std::string& token) {
+  static json OrganisationSpec(const std::string& name,
+                               const std::string& token) {
     return {{"name", name}, {"token_sha256", HashOfToken(token)}};
   }
   static json ServerSpec(const std::string& name,
-                         const std::string& firm,
+                         const std::string& organisation,
                          int host) {
     return {{"name", name},
-            {"firm", firm},
+            {"organisation", organisation},
             {"address", fmt::format("10.1.0.{}:9000", host)},
             {"zone", "tirano"}};
   }
   static json ServiceSpec(const std::string& name,
-                          const std::string& firm,
+                          const std::string& organisation,
                           const std::string& address) {
     return {{"name", name},
-            {"firm", firm},
+            {"organisation", organisation},
             {"addresses", {address}},
             {"servers", {{{"server", "shared"}}}}};
   }
--- a/tests/api/bad_input_test.cc
+++ b/tests/api/bad_input_test.cc
@@ -89,7 +89,7 @@
                                               18446744073709551615ULL,
                                               "10.0.0.1:0"};
     json spec = GoodSpec();
-    static const std::vector<std::string> kFields = {"name", "firm",
+    static const std::vector<std::string> kFields = {"name", "organisation",
                                                      "addresses"};
     spec[Pick(kFields)] = Pick(kValues);
     spec["extra"] = Pick(kValues);
@@ -145,7 +145,7 @@
 
   std::string Collection() {
     static const std::vector<std::string> kCollections = {
-        "/v1/firms", "/v1/services", "/v1/servers", "/v1/zones"};
+        "/v1/organisations", "/v1/services", "/v1/servers", "/v1/zones"};
     return Pick(kCollections);
   }
 
--- a/tests/api/resources_test.cc
+++ b/tests/api/resources_test.cc
@@ -72,18 +72,18 @@
   ApiFixture fixture;
   Operator crew = fixture.MakeOperator(kValtellinaToken);
   const Reply reply = crew.Post("/v1/services", {{"name", "a"},
-                                                 {"firm", "Valtellina"},
+                                                 {"organisation", "Valtellina"},
                                                  {"addresses", {"x"}},
                                                  {"color", 1}});
   CHECK(reply.status == 400);
   REQUIRE(reply.body.at("errors").size() == 3);
-  CHECK(reply.body["errors"][0]["field"] == "firm");
+  CHECK(reply.body["errors"][0]["field"] == "organisation");
   CHECK(reply.body["errors"][1]["field"] == "addresses[0]");
   CHECK(reply.body["errors"][2]["field"] == "color");
   CHECK_FALSE(reply.body["error"]["what_to_do"].get<std::string>().empty());
 }
 
-TEST_CASE("a firm touches only what is its own") {
+TEST_CASE("an organisation touches only what is its own") {
   ApiFixture fixture;
   Operator crew = fixture.MakeOperator(kValtellinaToken);
   Operator fitter = fixture.MakeOperator(kTaysideToken);
@@ -100,7 +100,7 @@
   CHECK(fitter.Get("/v1/services").body.at("items").empty());
   CHECK(fitter.Get("/v1/servers/van").status == 404);
   CHECK(fitter.Get("/v1/servers").body.at("items").size() == 1);
-  CHECK(fitter.Get("/v1/firms").body.at("items").size() == 1);
+  CHECK(fitter.Get("/v1/organisations").body.at("items").size() == 1);
 
   // Not changed.
   const Version before = fixture.platform->revision();
@@ -118,8 +118,8 @@
       fitter.Patch("/v1/servers/shared", {{"state", "out"}}),
       fitter.Post("/v1/servers", ApiFixture::ServerSpec("more", "", 9)),
       fitter.Patch("/v1/zones/tirano", {{"state", "out"}}),
-      fitter.Patch("/v1/firms/valtellina", {{"token_sha256", ""}}),
-      fitter.Post("/v1/firms", {{"name", "third"}}),
+      fitter.Patch("/v1/organisations/valtellina", {{"token_sha256", ""}}),
+      fitter.Post("/v1/organisations", {{"name", "third"}}),
   };
   for (std::size_t i = 0; i < refused.size(); ++i) {
     INFO("call " << i << ": " << refused[i].body.dump());
@@ -142,7 +142,8 @@
         200);
 }
 
-TEST_CASE("only the right token is let in, and a firm may change its own") {
+TEST_CASE(
+    "only the right token is let in, and an organisation may change its own") {
   ApiFixture fixture;
   for (const char* token :
        {"", "valtellina", "valtellina.", "valtellina.wrong", "pool.wrong",
@@ -155,12 +156,11 @@
   }
   Operator crew = fixture.MakeOperator(kValtellinaToken);
   const std::string next = "valtellina.next-secret";
-  CHECK(
-      crew.Patch("/v1/firms/valtellina", {{"token_sha256", "plain"}}).status ==
-      400);
-  CHECK(
-      crew.Patch("/v1/firms/valtellina", {{"token_sha256", HashOfToken(next)}})
-          .status == 200);
+  CHECK(crew.Patch("/v1/organisations/valtellina", {{"token_sha256", "plain"}})
+            .status == 400);
+  CHECK(crew.Patch("/v1/organisations/valtellina",
+                   {{"token_sha256", HashOfToken(next)}})
+            .status == 200);
   CHECK(crew.Get("/v1/zones").status == 401);
   Operator renewed = fixture.MakeOperator(next);
   CHECK(renewed.Get("/v1/zones").status == 200);
@@ -174,7 +174,7 @@
   };
   const std::uint64_t before = lists();
   CHECK(crew.Get("/v1/zones/tirano").status == 200);
-  CHECK(crew.Get("/v1/firms/tayside").status == 404);
+  CHECK(crew.Get("/v1/organisations/tayside").status == 404);
   CHECK(lists() == before);
 }
 
--- a/tests/api/watch_test.cc
+++ b/tests/api/watch_test.cc
@@ -73,7 +73,7 @@
   CHECK(second[3].at("version").get<Version>() >= deleted);
 }
 
-TEST_CASE("a watch does not show what belongs to another firm") {
+TEST_CASE("a watch does not show what belongs to another organisation") {
   ApiFixture fixture;
   Operator fitter = fixture.MakeOperator(kTaysideToken);
   REQUIRE(fitter
@@ -162,7 +162,7 @@
   CHECK(fresh.at("revision") == latest);
   CHECK(fresh.at("unreachable").empty());
   CHECK(fresh.at("in_force_everywhere") == 5);
-  // Another firm's or an unknown backend server is not shown.
+  // Another organisation's or an unknown backend server is not shown.
   CHECK(fresh.at("zones")[0].at("servers").size() == 1);
 
   const json old = set(ZoneStatus(absl::Now() - absl::Seconds(60), {7}));
--- a/tests/balancer/balancer_test.cc
+++ b/tests/balancer/balancer_test.cc
@@ -57,16 +57,16 @@
     REQUIRE(platform.Put("config/" + key, value.dump(), 0).ok());
   };
   put("zone/a", {{"name", "a"}, {"state", "in"}});
-  put("firm/coop", {{"name", "coop"}, {"token_sha256", ""}});
+  put("organisation/coop", {{"name", "coop"}, {"token_sha256", ""}});
   put("server/s1", {{"name", "s1"},
-                    {"firm", ""},
+                    {"organisation", ""},
                     {"address", ToString(kServer)},
                     {"zone", "a"},
                     {"slots", 3},
                     {"connections", 2000},
                     {"state", "in"}});
   put("service/board", {{"name", "board"},
-                        {"firm", "coop"},
+                        {"organisation", "coop"},
                         {"kind", "mixed"},
                         {"addresses", {ToString(kService)}},
                         {"servers", {{{"server", "s1"}, {"weight", 100}}}}});
@@ -150,7 +150,7 @@
 void CheckRequest(kernel::UdpSocket& fabric, kernel::UdpSocket& server) {
   dispatch::Request request;
   request.id = "request-1";
-  request.firm = "coop";
+  request.organisation = "coop";
   request.service = "board";
   request.deadline = absl::Seconds(8);
   request.worth = 1;
--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -75,9 +75,9 @@
 
 std::string DocumentText() {
   return R"({
-    "servers": [{"name": "s1", "firm": "tayside", "address": "10.2.0.1:9000",
+    "servers": [{"name": "s1", "organisation": "tayside", "address": "10.2.0.1:9000",
                  "zone": "tirano", "slots": 2}],
-    "services": [{"name": "desk", "firm": "tayside",
+    "services": [{"name": "desk", "organisation": "tayside",
                   "addresses": ["10.3.0.1:80"],
                   "servers": [{"server": "s1"}, {"server": "shared"}]}]})";
 }
--- a/tests/config/codec_test.cc
+++ b/tests/config/codec_test.cc
@@ -14,7 +14,7 @@
 
 json ServiceSpec() {
   return json::parse(R"({
-    "name": "dispatch", "firm": "valtellina", "kind": "mixed",
+    "name": "dispatch", "organisation": "valtellina", "kind": "mixed",
     "addresses": ["10.0.0.1:80", "10.0.0.2:80"],
     "servers": [{"server": "s1", "weight": 100}, {"server": "s2", "weight": 0}],
     "limits": {"queue": 10, "flow_idle_seconds": 60}})");
@@ -30,7 +30,7 @@
 
 TEST_CASE("each kind keeps its value through JSON") {
   const std::vector<Resource> resources = {
-      Firm{"tayside", "salt:hash"},
+      Organisation{"tayside", "salt:hash"},
       Service{"dispatch",
               "valtellina",
               ServiceKind::kFlow,
--- a/tests/config/snapshot_test.cc
+++ b/tests/config/snapshot_test.cc
@@ -18,29 +18,34 @@
           EncodeStored("op", resource)};
 }
 
-Service MakeService(std::string name, std::string firm, Endpoint address) {
+Service MakeService(std::string name,
+                    std::string organisation,
+                    Endpoint address) {
   Service service;
   service.name = std::move(name);
-  service.firm = std::move(firm);
+  service.organisation = std::move(organisation);
   service.addresses = {address};
   return service;
 }
 
-BackendServer MakeServer(std::string name, std::string firm, Endpoint address) {
+BackendServer MakeServer(std::string name,
+                         std::string organisation,
+                         Endpoint address) {
   BackendServer server;
   server.name = std::move(name);
-  server.firm = std::move(firm);
+  server.organisation = std::move(organisation);
   server.address = address;
   server.zone = "tirano";
   return server;
 }
 
-// Two firms, a zone, a shared server, one server and one service of each.
+// Two organisations, a zone, a shared server, one server and one service of
+// each.
 std::vector<ObjectRecord> BaseRecords() {
   Service service = MakeService("dispatch", "valtellina", kAddressA);
   service.servers = {{"shared", 100}, {"own", 100}};
-  return {Record(Firm{"valtellina", ""}, 1),
-          Record(Firm{"tayside", ""}, 2),
+  return {Record(Organisation{"valtellina", ""}, 1),
+          Record(Organisation{"tayside", ""}, 2),
           Record(AvailabilityZone{"tirano"}, 3),
           Record(MakeServer("shared", "", kServerAddress), 4),
           Record(MakeServer("own", "valtellina", {0x0a000102, 9000}), 5),
@@ -108,7 +113,7 @@
   CHECK(built.snapshot->services.at("photos").addresses.empty());
 }
 
-TEST_CASE("a member that now belongs to another firm is dropped") {
+TEST_CASE("a member that now belongs to another organisation is dropped") {
   std::vector<ObjectRecord> records = BaseRecords();
   records.push_back(Record(MakeServer("own", "tayside", {0x0a000110, 1}), 9));
   records.erase(records.begin() + 4);
@@ -144,12 +149,12 @@
         std::vector{ResultCode::kAddressClaimed});
 }
 
-TEST_CASE("references must exist and stay within the firm") {
+TEST_CASE("references must exist and stay within the organisation") {
   Service service = MakeService("desk", "tayside", kAddressB);
   service.servers = {{"shared", 1}, {"desk1", 1}};
   CHECK(ValidateWrite(service).empty());
   service.servers = {{"own", 1}, {"nowhere", 1}};
-  service.firm = "nobody";
+  service.organisation = "nobody";
   CHECK(ValidateWrite(service) == std::vector{ResultCode::kBrokenReference,
                                               ResultCode::kForbidden,
                                               ResultCode::kBrokenReference});
@@ -163,18 +168,18 @@
   CHECK(Validate({kZone, "tirano"}, {}).size() == 3);
   CHECK(Validate({kServer, "own"}, {}) ==
         std::vector{ResultCode::kStillReferenced});
-  CHECK(Validate({kFirm, "tayside"}, {}) ==
+  CHECK(Validate({kOrganisation, "tayside"}, {}) ==
         std::vector{ResultCode::kStillReferenced});
   CHECK(Validate({kServer, "desk1"}, {}).empty());
   CHECK(Validate({kService, "dispatch"}, {}).empty());
 }
 
-TEST_CASE("firm, address and zone of a backend server are fixed") {
+TEST_CASE("organisation, address and zone of a backend server are fixed") {
   BackendServer server = MakeServer("own", "valtellina", {0x0a000102, 9000});
   server.state = ServerState::kDraining;
   CHECK(ValidateWrite(server).empty());
   server.address = kAddressB;
-  server.firm = "";
+  server.organisation = "";
   CHECK(ValidateWrite(server) ==
         std::vector{ResultCode::kInvalidField, ResultCode::kInvalidField});
 }
--- a/tests/dispatch/codec_test.cc
+++ b/tests/dispatch/codec_test.cc
@@ -11,7 +11,7 @@
 Request ExampleRequest() {
   Request request;
   request.id = "van-7/1";
-  request.firm = "valtellina";
+  request.organisation = "valtellina";
   request.service = "dispatch";
   request.deadline = absl::Milliseconds(1500);
   request.worth = 2.5;
--- a/tests/dispatch/sim.cc
+++ b/tests/dispatch/sim.cc
@@ -33,11 +33,12 @@
       random_(options.seed),
       snapshot_(std::make_shared<config::Snapshot>()) {
   snapshot_->revision = 1;
-  const auto add_service = [&](const std::string& name, const std::string& firm,
-                               int servers, std::uint16_t port) {
+  const auto add_service = [&](const std::string& name,
+                               const std::string& organisation, int servers,
+                               std::uint16_t port) {
     config::Service service;
     service.name = name;
-    service.firm = firm;
+    service.organisation = organisation;
     service.addresses = {{0x0a010101, port}};
     for (int i = 0; i < servers; ++i) {
       SimServer server;
@@ -55,7 +56,7 @@
       service.servers.push_back({server.name, 100});
       servers_[server.name] = server;
     }
-    snapshot_->firms[firm] = {firm, "", 1};
+    snapshot_->organisations[organisation] = {organisation, "", 1};
     snapshot_->services[name] = service;
   };
   for (const std::string& zone : options.zones) {
@@ -426,7 +427,7 @@
   SimRequest record;
   constexpr double kWorths[] = {1, 2, 5};
   record.request.id = fmt::format("r{}", ++count_);
-  record.request.firm = snapshot_->services.at(service).firm;
+  record.request.organisation = snapshot_->services.at(service).organisation;
   record.request.service = service;
   record.request.worth = kWorths[random_() % 3];
   record.request.idempotent = idempotent;
@@ -585,11 +586,11 @@
   return names;
 }
 
-double Sim::service(const std::string& firm) const {
+double Sim::service(const std::string& organisation) const {
   double offered = 0;
   double delivered = 0;
   for (const auto& [id, record] : requests_) {
-    const bool counts = record.request.firm == firm &&
+    const bool counts = record.request.organisation == organisation &&
                         record.sent >= counted_from_ &&
                         record.end != SimEnd::kCancelled;
     offered += counts ? record.request.worth : 0;
--- a/tests/dispatch/sim.h
+++ b/tests/dispatch/sim.h
@@ -144,8 +144,8 @@
       s.busy_seconds = 0;
     }
   }
-  // Worth delivered over worth offered, of a firm's requests.
-  double service(const std::string& firm) const;
+  // Worth delivered over worth offered, of an organisation's requests.
+  double service(const std::string& organisation) const;
   // Largest over mean slot use of the servers of the main service.
   double imbalance();
   double extra_attempts() const;
--- a/tests/lab/message_test.cc
+++ b/tests/lab/message_test.cc
@@ -15,7 +15,8 @@
   request.service = "dispatch";
   request.deadline_ms = 900;
   auto json = nlohmann::json::from_cbor(Encode(request));
-  for (const char* field : {"t", "id", "firm", "svc", "dl", "w", "idem"}) {
+  for (const char* field :
+       {"t", "id", "organisation", "svc", "dl", "w", "idem"}) {
     CHECK(json.contains(field));
   }
   CHECK_FALSE(json.contains("rid"));  // Only between daemon and server.
--- a/tests/lab/packet_counters_test.cc
+++ b/tests/lab/packet_counters_test.cc
@@ -18,7 +18,7 @@
   CHECK(f.ledger.notes().at(0).kind == "packets.misdelivered");
 }
 
-TEST_CASE("packets.misdelivered moves for the other firm's service") {
+TEST_CASE("packets.misdelivered moves for the other organisation's service") {
   Fixture f;
   const ServiceIndex shelf = f.topology.FindService("shelf");
   f.SendFlow(f.topology.FindServer("dispatch-1"), kTcpSyn, shelf);
--- a/tests/lab/request_counters_test.cc
+++ b/tests/lab/request_counters_test.cc
@@ -214,7 +214,7 @@
   CHECK(f.requests.totals().sent == 1);
 }
 
-TEST_CASE("service.<firm> falls when requests are not delivered") {
+TEST_CASE("service.<organisation> falls when requests are not delivered") {
   for (const bool served : {true, false}) {
     Fixture f(RequestsOnly(0.3));
     if (served) {
@@ -261,7 +261,8 @@
   CHECK(f.meter.AnswerTime(1, 1) == absl::ZeroDuration());
 }
 
-TEST_CASE("service_settled.<firm> leaves out windows of a zone's change") {
+TEST_CASE(
+    "service_settled.<organisation> leaves out windows of a zone's change") {
   Fixture f;
   const std::vector<ServerLoad> loads(f.servers.size(), {0, 3, false});
   for (const bool settled : {true, false}) {
