direct: the least important new flows give way when more is asked than is borne

Cause of what was lost: every flow was placed, so that requests waited at servers until they were shed or late; of 3,200 requests in two seconds 470 were answered in time although the servers bear about 1,900.

Each service has an admission that adapts the part of new flows that is placed, from two signs together: answers late against the target of their route, and requests that queue. Lower priorities go first. Only first packets are turned away, with a reset at once.

Ruled out: one sign alone (slow servers are late without being asked for too much; a busy second queues without being late), counts of all daemons (news ten times a second), turning away repeated first packets (their flow may be open).

--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -22,6 +22,7 @@
   kStillAnswering,   // Forwarded: the entry is gone, yet the server answers.
   kUnknownRoute,     // Reset: no route has that address.
   kNoServer,         // Reset: no server can take a new flow.
+  kOverloaded,       // Reset: more is asked of the service than it bears.
   kServerGone,       // Reset: the entry is gone and the store was healthy.
   kServerRestarted,  // Reset: the server runs as another incarnation.
   kServerRefuses,    // Reset: the server's address refuses connections.
@@ -34,7 +35,7 @@
   kWaitedOutPause,   // Dropped: it waited while this process was paused.
   kMalformed,        // Dropped: cut, or lengths that do not fit.
 };
-inline constexpr std::size_t kReasons = 17;
+inline constexpr std::size_t kReasons = 18;
 
 // The name of `reason`, for example "placed". Thread-safe.
 std::string_view ReasonName(Reason reason);
@@ -87,6 +88,7 @@
   FlowCookie cookie = 0;
   absl::Duration evidence_age;  // Since what decided became known.
   PassedOver passed_over;       // Of a first packet.
+  double admitted_share = 1;    // Of the service's new flows.
   Version configuration = 0;
   absl::Duration servers_age;
 };
@@ -130,6 +132,14 @@
   Version revision = 0;
 };
 
+// New flows of a service are turned away because it is overloaded, or all are
+// placed again.
+struct AdmissionChanged {
+  std::string service;
+  bool limited = false;
+  double requests_per_slot = 0;
+};
+
 // The store was lost or regained for one kind of state.
 struct FeedChanged {
   std::string feed;
@@ -152,6 +162,7 @@
                            ServerChanged,
                            ServerReachChanged,
                            ZoneChanged,
+                           AdmissionChanged,
                            FeedChanged,
                            StaleStateIgnored>;
 
--- a/include/gcw/direct/resources.h
+++ b/include/gcw/direct/resources.h
@@ -27,6 +27,9 @@
   Endpoint address;
   std::string name;
   std::vector<ServiceShare> services;
+  std::uint32_t priority = 0;  // 0 gives way last.
+  // Answers should be there within this time; zero: not known.
+  absl::Duration target_latency;
 
   bool operator==(const Route&) const = default;
 };
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -7,6 +7,8 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
+#include "gcw/base/hash.h"
+#include "src/direct/admission.h"
 #include "src/direct/flow_table.h"
 #include "src/direct/loss_watch.h"
 #include "src/direct/placer.h"
@@ -39,6 +41,12 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
+// Half of the target is left for what answers differ by.
+bool IsOverdue(const Flow& flow, absl::Duration waiting) {
+  return flow.target_latency > absl::ZeroDuration() &&
+         2 * waiting > flow.target_latency;
+}
+
 struct FeedState {
   Version revision = 0;
   bool synced = false;
@@ -74,7 +82,12 @@
     services_.clear();
     for (const Service& service : configuration_.services) {
       services_[service.name] = service;
+      admissions_.try_emplace(service.name,
+                              MixHash(options_.seed, StableHash(service.name)));
     }
+    std::erase_if(admissions_, [this](const auto& item) {
+      return !services_.contains(item.first);
+    });
     events_.push_back(ConfigurationApplied{
         configuration_.version, revision,
         static_cast<std::uint32_t>(configuration_.routes.size()),
@@ -156,11 +169,12 @@
     if (packet.syn) {
       return Open(packet, configuration_.routes[route->second], now);
     }
-    return Continue(packet, now);
+    return Continue(packet, configuration_.routes[route->second], now);
   }
 
   void OnTick(absl::Time now) {
     LookAtFlows(now);
+    AdaptAdmissions(now);
     loss_.OnTick(now);
     for (const auto& entry : servers_.entries()) {
       ResetFlowsOfGone(*entry, now);
@@ -272,6 +286,11 @@
     }
     const auto service = services_.find(name);
     loss_.CountDemand(name);
+    // A repetition is never turned away: the flow may have been opened by now.
+    if (flow == nullptr && packet.acknowledged == 0 &&
+        !Admit(name, route.priority)) {
+      return RefuseOverloaded(packet, name, now);
+    }
     Placement placement;
     if (service != services_.end()) {
       placement =
@@ -282,6 +301,9 @@
       return RefuseOpening(packet, placement.passed_over, now);
     }
     flow = Track(packet, flow, placement.server, now);
+    if (flow != nullptr) {
+      flow->target_latency = route.target_latency;
+    }
     ++placement.server->placed;
     const Reason reason = repeated ? Reason::kPlacedAgain : Reason::kPlaced;
     events_.push_back(FlowOpened{.flow = packet.flow,
@@ -296,6 +318,21 @@
     return Forward(*placement.server, reason);
   }
 
+  bool Admit(std::string_view service, std::uint32_t priority) {
+    const auto admission = admissions_.find(service);
+    return admission == admissions_.end() || admission->second.Admit(priority);
+  }
+
+  Decision RefuseOverloaded(const Packet& packet,
+                            std::string_view service,
+                            absl::Time now) {
+    Decision decision =
+        Refuse(packet, Reason::kOverloaded, nullptr, absl::ZeroDuration(), now);
+    std::get<FlowRefused>(events_.back()).admitted_share =
+        admissions_.find(service)->second.share();
+    return decision;
+  }
+
   // Nobody can take a new flow. Where that is only because this daemon is cut
   // off, its caller repeats the packet, and another daemon gets it by then.
   Decision RefuseOpening(const Packet& packet,
@@ -336,7 +373,7 @@
   }
 
   // A packet of a flow that its server has answered.
-  Decision Continue(const Packet& packet, absl::Time now) {
+  Decision Continue(const Packet& packet, const Route& route, absl::Time now) {
     Flow* flow = flows_.Find(packet.flow);
     ServerEntry* server = nullptr;
     if (flow != nullptr && flow->opened) {
@@ -351,6 +388,9 @@
     }
     if (flow == nullptr) {
       flow = Track(packet, nullptr, server, now);
+      if (flow != nullptr) {
+        flow->target_latency = route.target_latency;
+      }
     } else if (!flow->opened) {
       FlowTable::Move(*flow, server);
       flow->opened = true;
@@ -378,6 +418,16 @@
     waits_.push_back({kind, server.server.service, server.server.name, time});
   }
 
+  void NoteAnswer(const Flow& flow, absl::Time now) {
+    const absl::Duration waited = now - flow.waiting_since;
+    NoteWait(WaitSample::Kind::kAnswer, *flow.server, waited);
+    const auto admission = admissions_.find(flow.server->server.service);
+    if (admission != admissions_.end() &&
+        flow.target_latency > absl::ZeroDuration()) {
+      admission->second.OnAnswer(waited, flow.target_latency);
+    }
+  }
+
   // Learns from what the caller acknowledges and repeats.
   void Observe(const Packet& packet, Flow& flow, absl::Time now) {
     ServerEntry& server = *flow.server;
@@ -387,7 +437,7 @@
       // An answer that only the next request acknowledges ended at an unknown
       // time.
       if (flow.waiting && packet.payload == 0) {
-        NoteWait(WaitSample::Kind::kAnswer, server, now - flow.waiting_since);
+        NoteAnswer(flow, now);
       }
       flow.speaks = flow.speaks || (flow.waiting && packet.payload == 0);
       flow.waiting = false;
@@ -421,6 +471,7 @@
     for (const auto& entry : servers_.entries()) {
       entry->busy = 0;
       entry->late = 0;
+      entry->overdue = 0;
     }
     for (const auto& [key, flow] : flows_.flows()) {
       if (!flow.opened && now - flow.opened_at > kSlowOpening) {
@@ -432,6 +483,7 @@
       const absl::Duration waiting = now - flow.waiting_since;
       if (flow.speaks || waiting < kTracelessAnswer) {
         ++flow.server->busy;
+        flow.server->overdue += IsOverdue(flow, waiting) ? 1 : 0;
       }
       if (flow.speaks && waiting > kSlowAnswer &&
           flow.server->reach.last_progress() <= flow.waiting_since) {
@@ -445,6 +497,43 @@
     }
   }
 
+  // Compares what waits at each service with the slots it has.
+  void AdaptAdmissions(absl::Time now) {
+    for (auto& [service, admission] : admissions_) {
+      const ServiceLoad load = LoadOf(service);
+      const bool was_limited = admission.share() < 1;
+      admission.OnTick(load, now);
+      const bool limited = admission.share() < 1;
+      if (limited != was_limited) {
+        events_.push_back(
+            AdmissionChanged{service, limited, load.requests_per_slot});
+      }
+    }
+  }
+
+  // The load of the usable servers, as if every daemon carried as much as this
+  // one.
+  ServiceLoad LoadOf(std::string_view service) const {
+    std::uint64_t slots = 0;
+    std::uint64_t busy = 0;
+    std::uint64_t overdue = 0;
+    for (const auto& entry : servers_.entries()) {
+      if (entry->server.service == service &&
+          entry->presence == Presence::kListed && entry->reach.usable()) {
+        slots += entry->server.slots;
+        busy += entry->busy;
+        overdue += entry->overdue;
+      }
+    }
+    if (slots == 0 || busy == 0) {
+      return {};
+    }
+    const auto own = static_cast<double>(busy);
+    return {.requests_per_slot =
+                own * placer_.fleet().daemons / static_cast<double>(slots),
+            .overdue = static_cast<double>(overdue) / own};
+  }
+
   void ResetFlowsOf(const ServerEntry& server, absl::Time now) {
     std::vector<FlowKey> ended;
     for (const auto& [key, flow] : flows_.flows()) {
@@ -561,6 +650,7 @@
   Configuration configuration_;
   absl::flat_hash_map<Endpoint, std::size_t> routes_;
   std::map<std::string, Service, std::less<>> services_;
+  std::map<std::string, Admission, std::less<>> admissions_;  // By service.
   std::set<std::string, std::less<>> zones_out_;
   ServerTable servers_;
   LossWatch loss_;
--- a/src/direct/events.cc
+++ b/src/direct/events.cc
@@ -4,11 +4,11 @@
 namespace {
 
 constexpr std::array<std::string_view, kReasons> kReasonNames{
-    "established",    "placed",        "placed_again",   "still_answering",
-    "unknown_route",  "no_server",     "server_gone",    "server_restarted",
-    "server_refuses", "server_silent", "cookie_unknown", "cookie_pending",
-    "no_cookie",      "not_synced",    "left_to_others", "waited_out_pause",
-    "malformed"};
+    "established",      "placed",         "placed_again",  "still_answering",
+    "unknown_route",    "no_server",      "overloaded",    "server_gone",
+    "server_restarted", "server_refuses", "server_silent", "cookie_unknown",
+    "cookie_pending",   "no_cookie",      "not_synced",    "left_to_others",
+    "waited_out_pause", "malformed"};
 constexpr std::array<std::string_view, 5> kPresenceNames{
     "listed", "unreadable", "lapsed", "gone", "restarted"};
 constexpr std::array<std::string_view, 4> kReachNames{"good", "suspect",
--- a/src/direct/flow_table.h
+++ b/src/direct/flow_table.h
@@ -25,6 +25,7 @@
   absl::Time opened_at;
   absl::Time last_packet;
   absl::Time waiting_since;
+  absl::Duration target_latency;  // Of its route.
 };
 
 // The flows that this daemon has seen lately. Counts them at their servers.
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -54,6 +54,10 @@
   LogHeading operator()(const direct::ZoneChanged&) const {
     return {LogLevel::kInfo, kState, "zone_changed"};
   }
+  LogHeading operator()(const direct::AdmissionChanged& e) const {
+    return {e.limited ? LogLevel::kWarning : LogLevel::kInfo, kRouting,
+            "admission_changed"};
+  }
   LogHeading operator()(const direct::FeedChanged& e) const {
     return {e.connected ? LogLevel::kInfo : LogLevel::kWarning, kState,
             "feed_changed"};
@@ -116,6 +120,7 @@
             {"zone_out", e.passed_over.zone_out},
             {"lost", e.passed_over.lost},
             {"limited", e.passed_over.limited},
+            {"admitted_share", e.admitted_share},
             {"configuration", e.configuration},
             {"servers_age_ms", Ms(e.servers_age)}};
   }
@@ -147,6 +152,11 @@
   ordered_json operator()(const direct::ZoneChanged& e) const {
     return {{"zone", e.zone}, {"out", e.out}, {"revision", e.revision}};
   }
+  ordered_json operator()(const direct::AdmissionChanged& e) const {
+    return {{"service", e.service},
+            {"limited", e.limited},
+            {"requests_per_slot", e.requests_per_slot}};
+  }
   ordered_json operator()(const direct::FeedChanged& e) const {
     return {{"feed", e.feed},
             {"connected", e.connected},
--- a/tests/adapter/resource_codec_test.cc
+++ b/tests/adapter/resource_codec_test.cc
@@ -16,7 +16,8 @@
 
 constexpr char kConfiguration[] =
     R"({"version":7,"routes":[{"name":"r-1","host":"198.18.0.1",)"
-    R"("path_prefix":"/8443/","kind":"idempotent","traffic_split":[)"
+    R"("path_prefix":"/8443/","kind":"idempotent","priority":2,)"
+    R"("target_latency_ms":200,"traffic_split":[)"
     R"({"service":"a","weight":90},{"service":"b","weight":10}]},)"
     R"({"name":"r-2","host":"198.18.0.2","path_prefix":"/443/",)"
     R"("service":"b","later":{"x":1}}],"services":[{"name":"a",)"
@@ -95,6 +96,10 @@
   CHECK(ToString(configuration.routes[0].address) == "198.18.0.1:8443");
   CHECK(configuration.routes[0].services ==
         std::vector<direct::ServiceShare>{{"a", 90}, {"b", 10}});
+  CHECK(configuration.routes[0].priority == 2);
+  CHECK(configuration.routes[0].target_latency == absl::Milliseconds(200));
+  CHECK(configuration.routes[1].priority == 0);
+  CHECK(configuration.routes[1].target_latency == absl::ZeroDuration());
   CHECK(configuration.routes[1].services ==
         std::vector<direct::ServiceShare>{{"b", 1}});
   REQUIRE(configuration.services.size() == 2);
