routing: a daemon that saw only a first packet does not reset the flow later

A daemon placed a first packet on a server of a zone that went out milliseconds later (or relayed it to a daemon that had just been killed). The caller repeated it; the packet came to another daemon, which chose another server, and the flow opened. When the fabric then brought a packet of the flow to the first daemon, its old entry named a server that is gone, and it reset the flow.

Now such an entry is dropped and the flow routed as one that this daemon does not know. Tests: tests/routing/router_test.cc, two cases with two daemons, both fail before. The Alone cases stay as they are: without another daemon nobody else can have opened the flow.

--- a/src/routing/table_router.cc
+++ b/src/routing/table_router.cc
@@ -77,6 +77,10 @@
   if (header.placement != 0) {
     return TakePlacement(visit, entry);
   }
+  if (entry != nullptr && MayLiveElsewhere(visit, *entry)) {
+    Forget(*entry);
+    entry = nullptr;
+  }
   if (entry != nullptr && !Reopens(visit, *entry) && Trusts(visit, *entry)) {
     return Hit(visit, *entry);
   }
@@ -326,6 +330,12 @@
          visit.tick - entry.last_packet <= kTrustedIdle;
 }
 
+bool TableRouter::MayLiveElsewhere(const Visit& visit,
+                                   const FlowEntry& entry) const {
+  return !visit.opening && !entry.has(FlowEntry::kConfirmed) &&
+         !registry_.alive(entry.server) && holders_.members().size() > 1;
+}
+
 bool TableRouter::Reopens(const Visit& visit, const FlowEntry& entry) const {
   if (!visit.opening) {
     return false;
--- a/src/routing/table_router.h
+++ b/src/routing/table_router.h
@@ -76,6 +76,10 @@
   // Whether `entry` says for sure where the packet goes.
   bool Trusts(const Visit& visit, const FlowEntry& entry) const;
   // Whether the packet opens a new flow with the addresses of an old one.
+  // Whether the entry knows nothing of the flow: only a first packet was seen,
+  // its server is gone, and the caller's repetition of it, which another daemon
+  // placed, may have opened the flow.
+  bool MayLiveElsewhere(const Visit& visit, const FlowEntry& entry) const;
   bool Reopens(const Visit& visit, const FlowEntry& entry) const;
   // Whether this daemon heard enough of the others lately.
   bool Fresh(absl::Time now) const;
--- a/tests/routing/router_test.cc
+++ b/tests/routing/router_test.cc
@@ -1,4 +1,6 @@
+#include <array>
 #include <catch2/catch.hpp>
+#include <cstdint>
 #include <memory>
 #include <span>
 #include <string>
@@ -158,6 +160,103 @@
           .accept);
 }
 
+// Two daemons that hear each other.
+struct Pair {
+  std::array<std::unique_ptr<RoutingPolicy>, 2> routers;
+  Config config = MakeDesk(6);
+  double now = 0;
+
+  Pair() {
+    const std::vector<Member> members{{"b0", "a", MemberState::kAlive, 1},
+                                      {"b1", "b", MemberState::kAlive, 1}};
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+      RouterOptions options;
+      options.self = members[i].name;
+      options.zone = members[i].zone;
+      options.max_flows = 1000;
+      routers[i] = RoutingPolicy::Make(options).value();
+    }
+    Apply();
+    for (std::size_t i = 0; i < routers.size(); ++i) {
+      const std::vector<Member> others{members[1 - i]};
+      routers[i]->ApplyMembers(others, At(now));
+    }
+    Pass(6);
+  }
+
+  void Apply() {
+    const config::SnapshotPtr snapshot = config.Take();
+    for (const auto& router : routers) {
+      router->ApplySnapshot(snapshot, At(now));
+    }
+  }
+
+  void Pass(double seconds) {
+    for (const double end = now + seconds; now < end; now += 0.05) {
+      for (std::size_t i = 0; i < routers.size(); ++i) {
+        routers[i]->NoteFreshness(At(now));
+        routers[i]->OnTick(At(now));
+        for (const OutgoingMessage& message : routers[i]->TakeMessages()) {
+          routers[1 - i]->OnMessage(i == 0 ? "b0" : "b1", message.bytes,
+                                    At(now));
+        }
+      }
+    }
+  }
+};
+
+// First packets that one daemon placed in a zone a moment before it went out,
+// and that reached nobody. Their callers repeat them at the other daemon, where
+// the flows open; then the first daemon gets packets of them again.
+void OpenElsewhere(Pair& pair, bool exceptions) {
+  std::vector<std::uint32_t> lost;
+  for (std::uint32_t flow = 1; flow < 200; ++flow) {
+    const Decision placed =
+        pair.routers[0]->OnPacket(MakePacket(flow, true), At(pair.now));
+    const std::string server(placed.server_name);
+    if (!server.empty() && placed.exception == exceptions &&
+        pair.config.next.servers[server].zone == "c") {
+      lost.push_back(flow);
+    }
+  }
+  REQUIRE(lost.size() > 5);
+  pair.config.next.zones["c"].state = config::ZoneState::kOut;
+  pair.Apply();
+  pair.Pass(0.9);
+  std::vector<std::string> chosen;
+  for (const std::uint32_t flow : lost) {
+    const Decision repeated =
+        pair.routers[1]->OnPacket(MakePacket(flow, true), At(pair.now));
+    REQUIRE(repeated.action != Action::kReset);
+    chosen.emplace_back(repeated.server_name);
+  }
+  pair.Pass(3);
+  for (std::size_t i = 0; i < lost.size(); ++i) {
+    const Decision later =
+        pair.routers[0]->OnPacket(MakePacket(lost[i], false), At(pair.now));
+    CHECK(later.action != Action::kReset);
+    if (later.action == Action::kForward && !chosen[i].empty()) {
+      CHECK(later.server_name == chosen[i]);
+    }
+  }
+}
+
+TEST_CASE("a flow that another daemon opened is not reset for a lost server") {
+  Pair pair;
+  OpenElsewhere(pair, false);
+}
+
+TEST_CASE("nor if this daemon recorded its choice of that server") {
+  Pair pair;
+  // New flows of a busy server are placed elsewhere, which is recorded.
+  const std::vector<ServerHint> hints{{"s0", 0.1}, {"s1", 0.1}};
+  for (const auto& router : pair.routers) {
+    router->SetServerHints(hints, At(pair.now));
+  }
+  pair.Pass(5);
+  OpenElsewhere(pair, true);
+}
+
 TEST_CASE("a service address that moves gives up the old service's flows") {
   Alone alone(1);
   REQUIRE(alone.router->OnPacket(MakePacket(1, true), At(1)).action ==
