--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -7,8 +7,8 @@
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
-#include "gcw/base/hash.h"
-#include "src/direct/admission.h"
+#include "src/direct/admissions.h"
+#include "src/direct/feed_states.h"
 #include "src/direct/flow_table.h"
 #include "src/direct/loss_watch.h"
 #include "src/direct/placer.h"
@@ -17,8 +17,6 @@
 namespace gcw::direct {
 namespace {
 
-constexpr std::array<std::string_view, kFeeds> kFeedNames{"configuration",
-                                                          "servers", "zones"};
 // A feed that was confirmed within this time misses no news. Watches come every
 // few seconds, and word of them passes through some daemons.
 constexpr absl::Duration kFeedAlive = absl::Seconds(10);
@@ -47,20 +45,14 @@
          2 * waiting > flow.target_latency;
 }
 
-struct FeedState {
-  Version revision = 0;
-  bool synced = false;
-  bool connected = false;
-  absl::Time confirmed = absl::InfinitePast();
-  absl::Time lost_at = absl::InfinitePast();
-};
-
 }  // namespace
 
 class DirectRouter::Impl {
  public:
   explicit Impl(const RouterOptions& options)
       : options_(options),
+        feeds_(&events_),
+        admissions_(options.seed, &events_),
         servers_(options.lapse_grace, &events_),
         loss_(options.zone, servers_, zones_out_, &events_),
         flows_(options.max_flows),
@@ -68,7 +60,7 @@
 
   void ApplyConfiguration(const Configuration& configuration,
                           Version revision) {
-    if (!Advance(Feed::kConfiguration, revision)) {
+    if (!feeds_.Advance(Feed::kConfiguration, revision)) {
       return;
     }
     if (configuration == configuration_) {
@@ -82,12 +74,8 @@
     services_.clear();
     for (const Service& service : configuration_.services) {
       services_[service.name] = service;
-      admissions_.try_emplace(service.name,
-                              MixHash(options_.seed, StableHash(service.name)));
     }
-    std::erase_if(admissions_, [this](const auto& item) {
-      return !services_.contains(item.first);
-    });
+    admissions_.SetServices(configuration_.services);
     events_.push_back(ConfigurationApplied{
         configuration_.version, revision,
         static_cast<std::uint32_t>(configuration_.routes.size()),
@@ -97,13 +85,13 @@
   void ApplyServerList(std::span<const ServerReport> reports,
                        Version revision,
                        absl::Time now) {
-    if (Advance(Feed::kServers, revision)) {
+    if (feeds_.Advance(Feed::kServers, revision)) {
       servers_.ApplyList(reports, revision, now);
     }
   }
 
   void ApplyZonesOut(std::span<const std::string> zones, Version revision) {
-    if (!Advance(Feed::kZones, revision)) {
+    if (!feeds_.Advance(Feed::kZones, revision)) {
       return;
     }
     const std::set<std::string, std::less<>> out(zones.begin(), zones.end());
@@ -125,34 +113,11 @@
   }
 
   void OnFeedConfirmed(Feed feed, absl::Time confirmed) {
-    absl::Time& known = feed_state(feed).confirmed;
-    known = std::max(known, confirmed);
-  }
-
-  void OnStoreAnswer(Feed feed, absl::Time now) {
-    OnFeedConfirmed(feed, now);
-    FeedState& state = feed_state(feed);
-    if (state.connected) {
-      return;
-    }
-    state.connected = true;
-    events_.push_back(FeedChanged{.feed = FeedName(feed),
-                                  .connected = true,
-                                  .away = state.lost_at == absl::InfinitePast()
-                                              ? absl::ZeroDuration()
-                                              : now - state.lost_at});
+    feeds_.OnConfirmed(feed, confirmed);
   }
-
+  void OnStoreAnswer(Feed feed, absl::Time now) { feeds_.OnAnswer(feed, now); }
   void OnStoreFailure(Feed feed, ResultCode code, absl::Time now) {
-    FeedState& state = feed_state(feed);
-    if (!state.connected && state.lost_at != absl::InfinitePast()) {
-      return;
-    }
-    state.connected = false;
-    state.lost_at = now;
-    events_.push_back(FeedChanged{.feed = FeedName(feed),
-                                  .connected = false,
-                                  .code = static_cast<int>(code)});
+    feeds_.OnFailure(feed, code, now);
   }
 
   // A packet from a caller.
@@ -174,7 +139,7 @@
 
   void OnTick(absl::Time now) {
     LookAtFlows(now);
-    AdaptAdmissions(now);
+    admissions_.OnTick(servers_, placer_.fleet().daemons, now);
     loss_.OnTick(now);
     for (const auto& entry : servers_.entries()) {
       ResetFlowsOfGone(*entry, now);
@@ -186,7 +151,7 @@
     loss_.DecayDemand();
     placer_.Expire(now);
     flows_.Expire(configuration_.flow_idle_timeout, options_.max_flow_age, now);
-    servers_.OnTick(options_.max_flow_age, feed_state(Feed::kServers).confirmed,
+    servers_.OnTick(options_.max_flow_age, feeds_.confirmed(Feed::kServers),
                     now);
     absl::erase_if(unknown_cookies_, [&](const auto& item) {
       return now - item.second > options_.max_flow_age;
@@ -209,10 +174,7 @@
 
   std::vector<Event> TakeEvents() { return std::exchange(events_, {}); }
 
-  bool synced() const {
-    return std::all_of(feeds_.begin(), feeds_.end(),
-                       [](const FeedState& state) { return state.synced; });
-  }
+  bool synced() const { return feeds_.synced(); }
 
   bool can_serve() const {
     return synced() && loss_.ServesMost(LossWatch::Lost::kSure);
@@ -222,7 +184,7 @@
     RouterStats stats;
     stats.daemons = placer_.fleet().daemons;
     for (std::size_t i = 0; i < kFeeds; ++i) {
-      stats.feed_ages[i] = now - feeds_[i].confirmed;
+      stats.feed_ages[i] = feeds_.Age(static_cast<Feed>(i), now);
     }
     stats.configuration = configuration_.version;
     stats.flows = flows_.size();
@@ -241,29 +203,8 @@
   }
 
  private:
-  static std::string FeedName(Feed feed) {
-    return std::string(kFeedNames[static_cast<std::size_t>(feed)]);
-  }
-
-  FeedState& feed_state(Feed feed) {
-    return feeds_[static_cast<std::size_t>(feed)];
-  }
-
-  // Takes note of a state of `feed`; false if it is older than the one held.
-  bool Advance(Feed feed, Version revision) {
-    FeedState& state = feed_state(feed);
-    if (revision < state.revision) {
-      events_.push_back(
-          StaleStateIgnored{FeedName(feed), revision, state.revision});
-      return false;
-    }
-    state.revision = revision;
-    state.synced = true;
-    return true;
-  }
-
   absl::Duration ServersAge(absl::Time now) const {
-    return now - feeds_[static_cast<std::size_t>(Feed::kServers)].confirmed;
+    return feeds_.Age(Feed::kServers, now);
   }
 
   // A first packet, or a repetition of one.
@@ -288,7 +229,7 @@
     loss_.CountDemand(name);
     // A repetition is never turned away: the flow may have been opened by now.
     if (flow == nullptr && packet.acknowledged == 0 &&
-        !Admit(name, route.priority)) {
+        !admissions_.Admit(name, route.priority)) {
       return RefuseOverloaded(packet, name, now);
     }
     Placement placement;
@@ -318,18 +259,13 @@
     return Forward(*placement.server, reason);
   }
 
-  bool Admit(std::string_view service, std::uint32_t priority) {
-    const auto admission = admissions_.find(service);
-    return admission == admissions_.end() || admission->second.Admit(priority);
-  }
-
   Decision RefuseOverloaded(const Packet& packet,
                             std::string_view service,
                             absl::Time now) {
     Decision decision =
         Refuse(packet, Reason::kOverloaded, nullptr, absl::ZeroDuration(), now);
     std::get<FlowRefused>(events_.back()).admitted_share =
-        admissions_.find(service)->second.share();
+        admissions_.ShareOf(service);
     return decision;
   }
 
@@ -421,11 +357,8 @@
   void NoteAnswer(const Flow& flow, absl::Time now) {
     const absl::Duration waited = now - flow.waiting_since;
     NoteWait(WaitSample::Kind::kAnswer, *flow.server, waited);
-    const auto admission = admissions_.find(flow.server->server.service);
-    if (admission != admissions_.end() &&
-        flow.target_latency > absl::ZeroDuration()) {
-      admission->second.OnAnswer(waited, flow.target_latency);
-    }
+    admissions_.OnAnswer(flow.server->server.service, waited,
+                         flow.target_latency);
   }
 
   // Learns from what the caller acknowledges and repeats.
@@ -497,43 +430,6 @@
     }
   }
 
-  // Compares what waits at each service with the slots it has.
-  void AdaptAdmissions(absl::Time now) {
-    for (auto& [service, admission] : admissions_) {
-      const ServiceLoad load = LoadOf(service);
-      const bool was_limited = admission.share() < 1;
-      admission.OnTick(load, now);
-      const bool limited = admission.share() < 1;
-      if (limited != was_limited) {
-        events_.push_back(
-            AdmissionChanged{service, limited, load.requests_per_slot});
-      }
-    }
-  }
-
-  // The load of the usable servers, as if every daemon carried as much as this
-  // one.
-  ServiceLoad LoadOf(std::string_view service) const {
-    std::uint64_t slots = 0;
-    std::uint64_t busy = 0;
-    std::uint64_t overdue = 0;
-    for (const auto& entry : servers_.entries()) {
-      if (entry->server.service == service &&
-          entry->presence == Presence::kListed && entry->reach.usable()) {
-        slots += entry->server.slots;
-        busy += entry->busy;
-        overdue += entry->overdue;
-      }
-    }
-    if (slots == 0 || busy == 0) {
-      return {};
-    }
-    const auto own = static_cast<double>(busy);
-    return {.requests_per_slot =
-                own * placer_.fleet().daemons / static_cast<double>(slots),
-            .overdue = static_cast<double>(overdue) / own};
-  }
-
   void ResetFlowsOf(const ServerEntry& server, absl::Time now) {
     std::vector<FlowKey> ended;
     for (const auto& [key, flow] : flows_.flows()) {
@@ -646,11 +542,11 @@
 
   const RouterOptions options_;
   std::vector<Event> events_;
-  std::array<FeedState, kFeeds> feeds_;
+  FeedStates feeds_;
   Configuration configuration_;
   absl::flat_hash_map<Endpoint, std::size_t> routes_;
   std::map<std::string, Service, std::less<>> services_;
-  std::map<std::string, Admission, std::less<>> admissions_;  // By service.
+  Admissions admissions_;
   std::set<std::string, std::less<>> zones_out_;
   ServerTable servers_;
   LossWatch loss_;
