--- a/src/direct/admissions.cc
+++ b/src/direct/admissions.cc
@@ -16,10 +16,10 @@
 
 Waiting WaitingAt(const ServerTable& servers, std::string_view service) {
   Waiting waiting;
-  for (const auto& entry : servers.entries()) {
+  for (const ServerEntry* entry : servers.OfService(service)) {
     const bool usable =
         entry->presence == Presence::kListed && entry->reach.usable();
-    if (!usable || entry->server.service != service) {
+    if (!usable) {
       continue;
     }
     waiting.slots += entry->server.slots;
--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cassert>
 #include <tuple>
-#include <vector>
 
 namespace gcw::direct {
 namespace {
@@ -21,9 +20,8 @@
   bool cold = false;
   bool far = false;
   double load = 0;
-  std::uint64_t lot = 0;
 
-  auto tie() const { return std::tie(avoided, lapsed, cold, far, load, lot); }
+  auto tie() const { return std::tie(avoided, lapsed, cold, far, load); }
 };
 
 }  // namespace
@@ -55,9 +53,6 @@
                      const std::set<std::string, std::less<>>& zones_out,
                      absl::Time now,
                      PassedOver& passed_over) {
-  if (entry.server.service != service.name) {
-    return false;
-  }
   const bool listed = entry.presence == Presence::kListed ||
                       entry.presence == Presence::kLapsed;
   if (!listed || entry.server.draining || entry.cookie_taken) {
@@ -90,40 +85,55 @@
                          const ServerEntry* avoid,
                          absl::Time now) {
   Placement placement;
-  std::vector<ServerEntry*> candidates;
+  candidates_.clear();
   std::uint64_t own_slots = 0;
   std::uint64_t own_busy = 0;
-  for (const auto& entry : servers.entries()) {
+  for (ServerEntry* entry : servers.OfService(service.name)) {
     if (!MayTake(*entry, service, zones_out, now, placement.passed_over)) {
       continue;
     }
-    candidates.push_back(entry.get());
-    if (entry->server.zone == options_.zone) {
+    const bool far = entry->server.zone != options_.zone;
+    candidates_.push_back({entry, far});
+    if (!far) {
       own_slots += entry->server.slots;
       own_busy += entry->busy;
     }
   }
-  placement.candidates = static_cast<std::uint32_t>(candidates.size());
   const bool own_full = static_cast<double>(own_busy) >=
                         kZoneFullBusyPerSlot * static_cast<double>(own_slots);
+  placement.candidates = static_cast<std::uint32_t>(candidates_.size());
+  placement.server = Best(avoid, own_full, now);
+  if (placement.server != nullptr && now < placement.server->cold_until) {
+    cold_.Count(placement.server->cookie, now);
+  }
+  return placement;
+}
+
+ServerEntry* Placer::Best(const ServerEntry* avoid,
+                          bool own_full,
+                          absl::Time now) {
+  ServerEntry* chosen = nullptr;
   Rank best;
-  for (ServerEntry* entry : candidates) {
+  std::uint64_t equals = 0;
+  for (const Candidate& candidate : candidates_) {
+    ServerEntry* entry = candidate.entry;
     const Rank rank{
         .avoided = entry == avoid,
         .lapsed = entry->presence == Presence::kLapsed,
         .cold = now < entry->cold_until,
-        .far = !own_full && entry->server.zone != options_.zone,
-        .load = static_cast<double>(entry->open_flows) / entry->server.slots,
-        .lot = random_()};
-    if (placement.server == nullptr || rank.tie() < best.tie()) {
+        .far = !own_full && candidate.far,
+        .load = static_cast<double>(entry->open_flows) / entry->server.slots};
+    const bool better = chosen == nullptr || rank.tie() < best.tie();
+    equals = better ? 1 : equals + (rank.tie() == best.tie() ? 1 : 0);
+    // Each of the equals has the same chance in the end.
+    const bool drawn =
+        better || (rank.tie() == best.tie() && random_() % equals == 0);
+    if (drawn) {
       best = rank;
-      placement.server = entry;
+      chosen = entry;
     }
   }
-  if (placement.server != nullptr && now < placement.server->cold_until) {
-    cold_.Count(placement.server->cookie, now);
-  }
-  return placement;
+  return chosen;
 }
 
 }  // namespace gcw::direct
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -6,6 +6,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "src/direct/cold_limiter.h"
@@ -58,15 +59,23 @@
   std::string_view DrawService(const Route& route);
 
  private:
+  struct Candidate {
+    ServerEntry* entry = nullptr;
+    bool far = false;  // In another zone than the daemon.
+  };
+
   // Whether `entry` may take a flow; counts why not.
   bool MayTake(const ServerEntry& entry,
                const Service& service,
                const std::set<std::string, std::less<>>& zones_out,
                absl::Time now,
                PassedOver& passed_over);
+  // The best of the candidates, or null; by lot among equals.
+  ServerEntry* Best(const ServerEntry* avoid, bool own_full, absl::Time now);
 
   const PlacerOptions options_;
   std::mt19937_64 random_;
+  std::vector<Candidate> candidates_;  // Of the choice under way.
   ColdLimiter cold_;
 };
 
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -1,7 +1,6 @@
 #include "src/direct/server_table.h"
 
 #include <algorithm>
-
 #include <set>
 
 namespace gcw::direct {
@@ -22,6 +21,21 @@
       Remove(entry->server.name, revision, now);
     }
   }
+  IndexServices();
+}
+
+void ServerTable::IndexServices() {
+  by_service_.clear();
+  for (const auto& entry : entries_) {
+    by_service_[entry->server.service].push_back(entry.get());
+  }
+}
+
+std::span<ServerEntry* const> ServerTable::OfService(
+    std::string_view service) const {
+  const auto it = by_service_.find(service);
+  return it == by_service_.end() ? std::span<ServerEntry* const>()
+                                 : std::span<ServerEntry* const>(it->second);
 }
 
 void ServerTable::Apply(const ServerReport& report, absl::Time now) {
@@ -131,6 +145,7 @@
       SetPresence(*entry, Presence::kGone, now);
     }
   }
+  const std::size_t before = entries_.size();
   std::erase_if(entries_, [&](const std::unique_ptr<ServerEntry>& entry) {
     const bool over = entry->presence == Presence::kGone ||
                       entry->presence == Presence::kRestarted;
@@ -147,6 +162,9 @@
     }
     return true;
   });
+  if (entries_.size() != before) {
+    IndexServices();
+  }
 }
 
 ServerEntry* ServerTable::FindByName(std::string_view name) {
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -48,9 +48,6 @@
   void ApplyList(std::span<const ServerReport> reports,
                  Version revision,
                  absl::Time now);
-  void Apply(const ServerReport& report, absl::Time now);
-  // `revision` is that of the state in which the entry is missing.
-  void Remove(std::string_view name, Version revision, absl::Time now);
 
   // Settles entries that were still away when the state was `confirmed`, the
   // grace or more after they vanished; forgets those that have been gone for
@@ -65,18 +62,25 @@
   const std::vector<std::unique_ptr<ServerEntry>>& entries() const {
     return entries_;
   }
+  // Those of one service; valid until the next change of the table.
+  std::span<ServerEntry* const> OfService(std::string_view service) const;
 
  private:
+  void Apply(const ServerReport& report, absl::Time now);
+  // `revision` is that of the state in which the entry is missing.
+  void Remove(std::string_view name, Version revision, absl::Time now);
   void Add(const ServerReport& report, absl::Time now);
   void Update(ServerEntry& entry, const ServerReport& report, absl::Time now);
   void SetPresence(ServerEntry& entry, Presence presence, absl::Time now);
   void Report(const ServerEntry& entry, absl::Time now);
+  void IndexServices();
 
   const absl::Duration lapse_grace_;
   std::vector<Event>* const events_;
   std::vector<std::unique_ptr<ServerEntry>> entries_;
   std::map<std::string, ServerEntry*, std::less<>> by_name_;
   absl::flat_hash_map<FlowCookie, ServerEntry*> by_cookie_;
+  std::map<std::string, std::vector<ServerEntry*>, std::less<>> by_service_;
 };
 
 }  // namespace gcw::direct
