direct: requests to lost servers turn nobody away

Cause: admission counted requests that wait beyond half of their target as a sign of overload. Requests whose server went down stay in the flow table until they are idle; once the server was usable again they counted as its load.

Ruled out: a lower weight of such requests (a daemon has ten others at a time). Only answers tell of overload now, and a request counts as waiting for four times its target at most, since its caller has turned away by then.

--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -7,14 +7,15 @@
 namespace gcw::direct {
 namespace {
 
-// Answers are judged together for this long, if there are enough.
+// Answers are judged together for this long, or until there are enough.
 constexpr absl::Duration kWindow = absl::Milliseconds(100);
 constexpr std::size_t kEnoughAnswers = 5;
+// Without enough answers for this long, nothing says that servers are crowded.
+constexpr absl::Duration kLongestWindow = absl::Milliseconds(500);
 // Median waits, in parts of the target. Half of a target is left for what
 // answers differ by.
 constexpr double kCrowdedWait = 0.5;
 constexpr double kCalmWait = 0.4;
-constexpr double kMostOverdue = 0.5;
 // With this many requests for each slot, most wait behind another. The figure
 // of a single daemon is off by a third where zones have unequal numbers.
 constexpr double kCrowdedSlot = 2;
@@ -52,27 +53,20 @@
   return *middle;
 }
 
-bool Admission::Crowded(const ServiceLoad& load) {
-  return load.requests_per_slot > kCrowdedSlot &&
-         (load.overdue > kMostOverdue || MedianWait() > kCrowdedWait);
-}
-
-bool Admission::Calm(const ServiceLoad& load) {
-  return load.requests_per_slot < kCalmSlot ||
-         (load.overdue < kMostOverdue && MedianWait() < kCalmWait);
-}
-
-void Admission::OnTick(const ServiceLoad& load, absl::Time now) {
-  if (now - window_start_ < kWindow) {
+void Admission::OnTick(double requests_per_slot, absl::Time now) {
+  const absl::Duration window = now - window_start_;
+  const bool enough = waits_.size() >= kEnoughAnswers;
+  if (window < kWindow || (!enough && window < kLongestWindow)) {
     return;
   }
-  if (Crowded(load)) {
-    const bool flooded = load.requests_per_slot > kFloodedSlot;
+  const double median = MedianWait();
+  if (median > kCrowdedWait && requests_per_slot > kCrowdedSlot) {
+    const bool flooded = requests_per_slot > kFloodedSlot;
     share_ *= flooded ? kFloodedFall : kFall;
     share_ = std::max(share_, kLeastShare);
-  } else if (load.requests_per_slot < kIdleSlot) {
+  } else if (requests_per_slot < kIdleSlot) {
     share_ = std::min(share_ + kIdleRise, 1.0);
-  } else if (Calm(load)) {
+  } else if (median < kCalmWait || requests_per_slot < kCalmSlot) {
     share_ = std::min(share_ * kRise, 1.0);
   }
   waits_.clear();
--- a/src/direct/admission.h
+++ b/src/direct/admission.h
@@ -10,14 +10,6 @@
 
 namespace gcw::direct {
 
-// How a daemon sees the load of one service.
-struct ServiceLoad {
-  // That wait or run, as if every daemon carried as many as this one.
-  double requests_per_slot = 0;
-  // Part of the requests under way that wait beyond half of their target.
-  double overdue = 0;
-};
-
 // Decides which new flows of one service are turned away at once while its
 // servers are asked for more than they bear. Answers the load of a burst in
 // which every request waits behind others until it is late: fewer are let in,
@@ -26,8 +18,9 @@
 //
 // Two signs together tell that more is asked than is borne: answers take longer
 // than their routes aim at, and requests wait behind others. Slow servers alone
-// show only the first, a busy second only the other. No word of other daemons
-// is needed, since all see the same servers. Pure; not thread-safe.
+// show only the first, a busy second or requests to lost servers only the
+// other. No word of other daemons is needed, since all see the same servers.
+// Pure; not thread-safe.
 class Admission {
  public:
   explicit Admission(std::uint64_t seed);
@@ -40,15 +33,15 @@
   // may be placed. Counts it as demand.
   bool Admit(std::uint32_t priority);
 
-  // Adapts to the answers and the load; to be called every 50 ms or so.
-  void OnTick(const ServiceLoad& load, absl::Time now);
+  // Adapts to the answers; to be called every 50 ms or so. `requests_per_slot`
+  // is how many wait or run for each slot of the service.
+  void OnTick(double requests_per_slot, absl::Time now);
 
   // The part of new flows that may be placed.
   double share() const { return share_; }
 
  private:
-  bool Crowded(const ServiceLoad& load);
-  bool Calm(const ServiceLoad& load);
+  // The median of the window; 0 if there were too few answers.
   double MedianWait();
   double ChanceOf(std::uint32_t priority) const;
 
--- a/src/direct/admissions.cc
+++ b/src/direct/admissions.cc
@@ -11,7 +11,6 @@
 struct Waiting {
   std::uint64_t slots = 0;
   std::uint64_t busy = 0;
-  std::uint64_t overdue = 0;
 };
 
 Waiting WaitingAt(const ServerTable& servers, std::string_view service) {
@@ -24,20 +23,17 @@
     }
     waiting.slots += entry->server.slots;
     waiting.busy += entry->busy;
-    waiting.overdue += entry->overdue;
   }
   return waiting;
 }
 
-// As if every daemon carried as much as this one.
-ServiceLoad LoadOf(const Waiting& waiting, std::uint32_t daemons) {
-  if (waiting.slots == 0 || waiting.busy == 0) {
-    return {};
+// For each slot, as if every daemon carried as much as this one.
+double RequestsPerSlot(const Waiting& waiting, std::uint32_t daemons) {
+  if (waiting.slots == 0) {
+    return 0;
   }
-  const auto busy = static_cast<double>(waiting.busy);
-  return {
-      .requests_per_slot = busy * daemons / static_cast<double>(waiting.slots),
-      .overdue = static_cast<double>(waiting.overdue) / busy};
+  return static_cast<double>(waiting.busy) * daemons /
+         static_cast<double>(waiting.slots);
 }
 
 }  // namespace
@@ -77,13 +73,13 @@
                         std::uint32_t daemons,
                         absl::Time now) {
   for (auto& [service, admission] : by_service_) {
-    const ServiceLoad load = LoadOf(WaitingAt(servers, service), daemons);
+    const double requests =
+        RequestsPerSlot(WaitingAt(servers, service), daemons);
     const bool was_limited = admission.share() < 1;
-    admission.OnTick(load, now);
+    admission.OnTick(requests, now);
     const bool limited = admission.share() < 1;
     if (limited != was_limited) {
-      events_->push_back(
-          AdmissionChanged{service, limited, load.requests_per_slot});
+      events_->push_back(AdmissionChanged{service, limited, requests});
     }
   }
 }
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -32,6 +32,8 @@
 constexpr absl::Duration kSlowOpening = absl::Milliseconds(60);
 // A flow whose answers leave no trace counts as busy for this long.
 constexpr absl::Duration kTracelessAnswer = absl::Milliseconds(100);
+// Callers wait for a few times what their route aims at.
+constexpr double kPatience = 4;
 constexpr std::size_t kMaxUnknownCookies = 4096;
 
 // Whether the sequence number `a` comes after `b`, modulo 2^32.
@@ -39,10 +41,11 @@
   return static_cast<std::int32_t>(a - b) > 0;
 }
 
-// Half of the target is left for what answers differ by.
-bool IsOverdue(const Flow& flow, absl::Duration waiting) {
+// Whether the caller of a request that waits has turned away by now, without a
+// word: a server that was lost leaves many of these.
+bool IsAbandoned(const Flow& flow, absl::Duration waiting) {
   return flow.target_latency > absl::ZeroDuration() &&
-         2 * waiting > flow.target_latency;
+         waiting > kPatience * flow.target_latency;
 }
 
 }  // namespace
@@ -404,7 +407,6 @@
     for (const auto& entry : servers_.entries()) {
       entry->busy = 0;
       entry->late = 0;
-      entry->overdue = 0;
     }
     for (const auto& [key, flow] : flows_.flows()) {
       if (!flow.opened && now - flow.opened_at > kSlowOpening) {
@@ -414,9 +416,9 @@
         continue;
       }
       const absl::Duration waiting = now - flow.waiting_since;
-      if (flow.speaks || waiting < kTracelessAnswer) {
+      const bool traced = flow.speaks || waiting < kTracelessAnswer;
+      if (traced && !IsAbandoned(flow, waiting)) {
         ++flow.server->busy;
-        flow.server->overdue += IsOverdue(flow, waiting) ? 1 : 0;
       }
       if (flow.speaks && waiting > kSlowAnswer &&
           flow.server->reach.last_progress() <= flow.waiting_since) {
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -29,9 +29,7 @@
   std::uint32_t open_flows = 0;  // Of this daemon, closed ones left out.
   std::uint32_t tracked = 0;     // Flows that refer to this entry.
   std::uint32_t busy = 0;        // Flows that wait for it, at the last tick.
-  std::uint32_t late = 0;  // Of these, those without an answer for too long.
-  // Of those that wait, how many do so beyond half of their target.
-  std::uint32_t overdue = 0;
+  std::uint32_t late = 0;    // Of these, those without an answer for too long.
   std::uint64_t placed = 0;  // New flows, since it was first read.
   bool flows_reset = false;  // Its idle flows were given up, as it is gone.
   // Another incarnation has the same cookie: this one takes no new flows.
--- a/tests/direct/loss_test.cc
+++ b/tests/direct/loss_test.cc
@@ -203,5 +203,30 @@
   CHECK(f.router->can_serve());
 }
 
+TEST_CASE("requests that a lost server leaves behind turn nobody away") {
+  RouterFixture f;
+  f.configuration.version = 2;
+  for (Route& route : f.configuration.routes) {
+    route.target_latency = absl::Milliseconds(200);
+  }
+  f.router->ApplyConfiguration(f.configuration, ++f.revision);
+  f.router->SetFleet({.daemons = 26, .rank = 0}, f.now);
+  // Many requests that nobody answers, and one flow that is answered quickly.
+  const FlowCookie answered = OpenAndWait(f, 1);
+  for (std::uint16_t port = 2; port < 20; ++port) {
+    OpenAndWait(f, port);
+  }
+  std::uint32_t sequence = 1201;
+  std::uint32_t answer = 1300;
+  for (std::uint16_t port = 100; port < 200; ++port) {
+    f.Send(f.Data(1, answered, sequence, answer, 0));
+    f.Send(f.Data(1, answered, sequence, answer, 100));
+    sequence += 100;
+    answer += 400;
+    f.Pass(absl::Milliseconds(20));
+    CHECK(f.Send(f.Syn(port)).reason != Reason::kOverloaded);
+  }
+}
+
 }  // namespace
 }  // namespace gcw::direct
