direct_balancer: a change of one server costs what changed, not the whole list

Ruled out: passing on only the changes (a list of the platform may correct what has the same revision; the packet task would have to trust that none is missed). Reports are shared between lists now, and one pass over two ordered lists finds what changed.

--- a/bench/direct_decision.cc
+++ b/bench/direct_decision.cc
@@ -41,7 +41,7 @@
   configuration.services = {{"service", 0, 10}};
   router->ApplyConfiguration(configuration, 1);
   router->ApplyZonesOut({}, 1);
-  std::vector<ServerReport> reports;
+  std::vector<ServerReportPtr> reports;
   for (std::uint32_t i = 0; i < count; ++i) {
     BackendServer server;
     server.name = fmt::format("server-{}", i);
@@ -51,7 +51,8 @@
     server.address = {0x0a000000 + i, 8080};
     server.zone = fmt::format("zone-{}", i % 3);
     server.slots = 2;
-    reports.push_back({1, server.name, true, server});
+    reports.push_back(std::make_shared<ServerReport>(
+        ServerReport{1, server.name, true, server}));
   }
   router->ApplyServerList(reports, 1, At(0));
   return router;
--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -82,6 +82,9 @@
   BackendServer server;
 };
 
+// Reports are shared by the lists that hold them.
+using ServerReportPtr = std::shared_ptr<const ServerReport>;
+
 // A connection attempt that shows whether a backend server still listens.
 struct ProbeRequest {
   std::uint32_t id = 0;  // To be given back with the outcome.
@@ -131,7 +134,7 @@
   // revision of the store, is ignored and reported as an event.
   void ApplyConfiguration(const Configuration& configuration, Version revision);
   // All entries as of `revision`; a server that is not among them is gone.
-  void ApplyServerList(std::span<const ServerReport> reports,
+  void ApplyServerList(std::span<const ServerReportPtr> reports,
                        Version revision,
                        absl::Time now);
   // The availability zones whose servers get no new flows.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -85,7 +85,7 @@
         static_cast<std::uint32_t>(configuration_.services.size())});
   }
 
-  void ApplyServerList(std::span<const ServerReport> reports,
+  void ApplyServerList(std::span<const ServerReportPtr> reports,
                        Version revision,
                        absl::Time now) {
     if (feeds_.Advance(Feed::kServers, revision)) {
@@ -581,7 +581,7 @@
                                       Version revision) {
   impl_->ApplyConfiguration(configuration, revision);
 }
-void DirectRouter::ApplyServerList(std::span<const ServerReport> reports,
+void DirectRouter::ApplyServerList(std::span<const ServerReportPtr> reports,
                                    Version revision,
                                    absl::Time now) {
   impl_->ApplyServerList(reports, revision, now);
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -1,20 +1,22 @@
 #include "src/direct/server_table.h"
 
 #include <algorithm>
-#include <set>
+
+#include "absl/container/flat_hash_set.h"
 
 namespace gcw::direct {
 
 ServerTable::ServerTable(absl::Duration lapse_grace, std::vector<Event>* events)
     : lapse_grace_(lapse_grace), events_(events) {}
 
-void ServerTable::ApplyList(std::span<const ServerReport> reports,
+void ServerTable::ApplyList(std::span<const ServerReportPtr> reports,
                             Version revision,
                             absl::Time now) {
-  std::set<std::string_view> listed;
-  for (const ServerReport& report : reports) {
-    listed.insert(report.name);
-    Apply(report, now);
+  absl::flat_hash_set<std::string_view> listed;
+  listed.reserve(reports.size());
+  for (const ServerReportPtr& report : reports) {
+    listed.insert(report->name);
+    Apply(*report, now);
   }
   for (const auto& entry : entries_) {
     if (!listed.contains(entry->server.name)) {
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -43,7 +43,7 @@
   // `events` must outlive the table.
   ServerTable(absl::Duration lapse_grace, std::vector<Event>* events);
 
-  void ApplyList(std::span<const ServerReport> reports,
+  void ApplyList(std::span<const ServerReportPtr> reports,
                  Version revision,
                  absl::Time now);
 
--- a/src/direct_balancer/feed_reader.cc
+++ b/src/direct_balancer/feed_reader.cc
@@ -1,6 +1,7 @@
 #include "src/direct_balancer/feed_reader.h"
 
-#include <map>
+#include <memory>
+#include <string_view>
 #include <utility>
 
 #include "platform/object_format.h"
@@ -9,8 +10,8 @@
 namespace gcw::direct_balancer {
 namespace {
 
-std::string NameOf(const relay::Object& object, std::string_view prefix) {
-  return object.key.substr(prefix.size());
+std::string_view NameOf(const relay::Object& object, std::string_view prefix) {
+  return std::string_view(object.key).substr(prefix.size());
 }
 
 class ConfigurationReader : public FeedReader {
@@ -45,6 +46,7 @@
   direct::Version decoded_ = 0;
 };
 
+// Objects come in order of key, so one pass over both lists finds what changed.
 class ServersReader : public FeedReader {
  public:
   FeedNews OnObjects(std::span<const relay::Object> objects,
@@ -52,37 +54,40 @@
     FeedNews news;
     ServersListed listed;
     listed.revision = revision;
-    std::map<std::string, direct::ServerReport> decoded;
+    listed.reports.reserve(objects.size());
+    auto known = reports_.cbegin();
     for (const relay::Object& object : objects) {
-      direct::ServerReport report = Read(object, news);
-      listed.reports.push_back(report);
-      decoded.emplace(object.key, std::move(report));
+      const std::string_view name = NameOf(object, adapter::kServersPrefix);
+      while (known != reports_.cend() && (*known)->name < name) {
+        ++known;
+      }
+      const bool same = known != reports_.cend() && (*known)->name == name &&
+                        (*known)->revision == object.version;
+      listed.reports.push_back(same ? *known : Read(object, name, news));
     }
-    decoded_ = std::move(decoded);
+    reports_ = listed.reports;
     news.message = std::move(listed);
     return news;
   }
 
  private:
-  direct::ServerReport Read(const relay::Object& object, FeedNews& news) const {
-    const auto known = decoded_.find(object.key);
-    if (known != decoded_.end() && known->second.revision == object.version) {
-      return known->second;
-    }
-    direct::ServerReport report;
-    report.name = NameOf(object, adapter::kServersPrefix);
-    report.revision = object.version;
-    auto server = adapter::DecodeServer(report.name, object.json);
-    report.readable = server.ok();
+  static direct::ServerReportPtr Read(const relay::Object& object,
+                                      std::string_view name,
+                                      FeedNews& news) {
+    auto report = std::make_shared<direct::ServerReport>();
+    report->name = std::string(name);
+    report->revision = object.version;
+    auto server = adapter::DecodeServer(name, object.json);
+    report->readable = server.ok();
     if (server.ok()) {
-      report.server = std::move(server).value();
+      report->server = std::move(server).value();
     } else {
       news.unreadable.push_back({object.key, object.version, server.error()});
     }
     return report;
   }
 
-  std::map<std::string, direct::ServerReport> decoded_;
+  std::vector<direct::ServerReportPtr> reports_;
 };
 
 class ZonesReader : public FeedReader {
@@ -92,7 +97,7 @@
     ZonesOutRead read;
     read.revision = revision;
     for (const relay::Object& object : objects) {
-      read.zones.push_back(NameOf(object, adapter::kZonesOutPrefix));
+      read.zones.emplace_back(NameOf(object, adapter::kZonesOutPrefix));
     }
     FeedNews news;
     news.message = std::move(read);
--- a/src/direct_balancer/feed_reader.h
+++ b/src/direct_balancer/feed_reader.h
@@ -33,7 +33,7 @@
   static std::unique_ptr<FeedReader> Make(direct::Feed feed);
   virtual ~FeedReader() = default;
 
-  // All live objects as of `revision`.
+  // All live objects as of `revision`, in order of key.
   virtual FeedNews OnObjects(std::span<const relay::Object> objects,
                              direct::Version revision) = 0;
 };
--- a/src/direct_balancer/messages.h
+++ b/src/direct_balancer/messages.h
@@ -21,7 +21,7 @@
 
 // All entries of servers as of `revision`.
 struct ServersListed {
-  std::vector<direct::ServerReport> reports;
+  std::vector<direct::ServerReportPtr> reports;
   direct::Version revision = 0;
 };
 
--- a/tests/direct/cold_fleet_test.cc
+++ b/tests/direct/cold_fleet_test.cc
@@ -38,7 +38,8 @@
     server.address = {0x0a000001, 8080};
     server.zone = "near";
     server.cold_for = absl::Seconds(60);
-    const std::vector<ServerReport> reports{{1, server.name, true, server}};
+    const std::vector<ServerReportPtr> reports{std::make_shared<ServerReport>(
+        ServerReport{1, server.name, true, server})};
     Configuration configuration;
     configuration.routes = {{kRoute, "board", {{"board", 1}}}};
     configuration.services = {{"board", 2000, flows_per_second}};
--- a/tests/direct/router_fixture.h
+++ b/tests/direct/router_fixture.h
@@ -52,10 +52,11 @@
 
   // What the store lists now.
   void List() {
-    std::vector<ServerReport> reports;
+    std::vector<ServerReportPtr> reports;
     ++revision;
     for (const BackendServer& server : servers) {
-      reports.push_back({revision, server.name, true, server});
+      reports.push_back(std::make_shared<ServerReport>(
+          ServerReport{revision, server.name, true, server}));
     }
     router->ApplyServerList(reports, revision, now);
     Collect();
--- a/tests/direct/server_test.cc
+++ b/tests/direct/server_test.cc
@@ -117,10 +117,11 @@
   RouterFixture f;
   const FlowCookie cookie = f.Open(1);
   const std::string name = f.NameOf(cookie);
-  std::vector<ServerReport> reports;
+  std::vector<ServerReportPtr> reports;
   ++f.revision;
   for (const BackendServer& server : f.servers) {
-    reports.push_back({f.revision, server.name, server.name != name, server});
+    reports.push_back(std::make_shared<ServerReport>(
+        ServerReport{f.revision, server.name, server.name != name, server}));
   }
   f.router->ApplyServerList(reports, f.revision, f.now);
   for (std::uint16_t port = 2; port < 20; ++port) {
