kernel: one way to open a service and to empty a socket

Four tasks opened their mailbox and made it known with the same twelve lines, three drained a socket in batches with the same loop. Each stands once, in the kernel. Tests of kernel, balancer, direct_balancer and dispatch pass as before.

--- a/include/gcw/kernel/udp_socket.h
+++ b/include/gcw/kernel/udp_socket.h
@@ -19,6 +19,7 @@
   static constexpr std::size_t kMaxDatagram = 2048;
   // Datagrams per system call.
   static constexpr std::size_t kBatch = 64;
+  static constexpr std::size_t kMaxBatches = 8;
 
   using Receiver = std::function<void(const Endpoint& from,
                                       std::span<const std::uint8_t> datagram)>;
@@ -36,6 +37,11 @@
   // valid during the call. Returns how many there were.
   std::size_t Receive(const Receiver& receiver);
 
+  // Receives until the socket is empty, but kMaxBatches at most, so that other
+  // work of the thread goes on. Calls `before_batch` ahead of each batch.
+  void ReceiveBatches(const Receiver& receiver,
+                      const std::function<void()>& before_batch = {});
+
   // Queues `parts`, one after the other, as one datagram to `to`. The bytes
   // are copied. A datagram over kMaxDatagram is dropped and counted. Sends the
   // queue when it holds a batch.
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -8,6 +8,7 @@
 #include "gcw/config/snapshot_builder.h"
 #include "gcw/dispatch/options.h"
 #include "gcw/kernel/mailbox.h"
+#include "gcw/kernel/service.h"
 #include "src/balancer/leave_gate.h"
 #include "src/balancer/tell.h"
 
@@ -114,18 +115,16 @@
   }
 
   Status MakeMailbox(kernel::EventLoop& loop) {
-    auto mailbox = kernel::Mailbox<ClusterMessage>::Make(kMailboxCapacity);
+    auto mailbox = kernel::OpenService<ClusterMessage>(
+        kernel_, loop, kClusterService, kMailboxCapacity,
+        [this](ClusterMessage& message) {
+          std::visit([this](auto& m) { OnMessage(m); }, message);
+        });
     if (!mailbox.ok()) {
       return mailbox.error();
     }
     mailbox_ = std::move(mailbox).value();
-    Status attached = mailbox_->Attach(loop, [this](ClusterMessage& message) {
-      std::visit([this](auto& m) { OnMessage(m); }, message);
-    });
-    if (!attached.ok()) {
-      return attached;
-    }
-    return kernel_.Register<ClusterMessage>(kClusterService, mailbox_);
+    return OkStatus();
   }
 
   // Membership.
--- a/src/balancer/dispatch_task.cc
+++ b/src/balancer/dispatch_task.cc
@@ -10,6 +10,7 @@
 #include "gcw/dispatch/codec.h"
 #include "gcw/dispatch/dispatcher.h"
 #include "gcw/kernel/mailbox.h"
+#include "gcw/kernel/service.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
 #include "src/balancer/tell.h"
@@ -21,7 +22,6 @@
 constexpr absl::Duration kTick = absl::Milliseconds(1);
 constexpr absl::Duration kAdviceInterval = absl::Milliseconds(200);
 constexpr std::size_t kMailboxCapacity = 50'000;
-constexpr std::size_t kMaxBatches = 8;
 
 dispatch::MemberState StateOf(const membership::Member& member) {
   if (member.leaving()) {
@@ -127,19 +127,17 @@
   }
 
   Status MakeMailbox(kernel::EventLoop& loop) {
-    auto mailbox = kernel::Mailbox<DispatchMessage>::Make(kMailboxCapacity);
+    auto mailbox = kernel::OpenService<DispatchMessage>(
+        kernel_, loop, kDispatchService, kMailboxCapacity,
+        [this](DispatchMessage& message) {
+          std::visit([this](auto& m) { OnMessage(m); }, message);
+          Perform();
+        });
     if (!mailbox.ok()) {
       return mailbox.error();
     }
     mailbox_ = std::move(mailbox).value();
-    Status attached = mailbox_->Attach(loop, [this](DispatchMessage& message) {
-      std::visit([this](auto& m) { OnMessage(m); }, message);
-      Perform();
-    });
-    if (!attached.ok()) {
-      return attached;
-    }
-    return kernel_.Register<DispatchMessage>(kDispatchService, mailbox_);
+    return OkStatus();
   }
 
   Status MakeSockets(kernel::EventLoop& loop) {
@@ -175,11 +173,7 @@
                              std::span<const std::uint8_t> datagram) {
       (this->*handler)(from, datagram);
     };
-    for (std::size_t i = 0; i < kMaxBatches; ++i) {
-      if (socket.Receive(receive) < kernel::UdpSocket::kBatch) {
-        break;
-      }
-    }
+    socket.ReceiveBatches(receive);
     Perform();
   }
 
--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -8,6 +8,7 @@
 #include "gcw/base/log.h"
 #include "gcw/kernel/mailbox.h"
 #include "gcw/kernel/pause_guard.h"
+#include "gcw/kernel/service.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
 #include "gcw/wire/relay_header.h"
@@ -22,7 +23,6 @@
 constexpr absl::Duration kTick = absl::Milliseconds(50);
 constexpr std::size_t kMailboxCapacity = 50'000;
 // Batches of one socket before the others get their turn.
-constexpr std::size_t kMaxBatches = 8;
 
 routing::TcpFlags FlagsOf(const PacketView& view) {
   return {view.tcp.syn, view.tcp.ack, view.tcp.fin, view.tcp.rst};
@@ -105,18 +105,16 @@
   }
 
   Status MakeMailbox(kernel::EventLoop& loop) {
-    auto mailbox = kernel::Mailbox<PacketMessage>::Make(kMailboxCapacity);
+    auto mailbox = kernel::OpenService<PacketMessage>(
+        kernel_, loop, kPacketService, kMailboxCapacity,
+        [this](PacketMessage& message) {
+          std::visit([this](auto& m) { OnMessage(m); }, message);
+        });
     if (!mailbox.ok()) {
       return mailbox.error();
     }
     mailbox_ = std::move(mailbox).value();
-    Status attached = mailbox_->Attach(loop, [this](PacketMessage& message) {
-      std::visit([this](auto& m) { OnMessage(m); }, message);
-    });
-    if (!attached.ok()) {
-      return attached;
-    }
-    return kernel_.Register<PacketMessage>(kPacketService, mailbox_);
+    return OkStatus();
   }
 
   Status MakeSockets(kernel::EventLoop& loop) {
@@ -154,13 +152,10 @@
                              std::span<const std::uint8_t> datagram) {
       (this->*handler)(from, datagram);
     };
-    for (std::size_t i = 0; i < kMaxBatches; ++i) {
+    socket.ReceiveBatches(receive, [this] {
       now_ = kernel::MonotonicNow();
       pause_guard_.OnActivity(now_);
-      if (socket.Receive(receive) < kernel::UdpSocket::kBatch) {
-        break;
-      }
-    }
+    });
     Flush();
   }
 
--- a/src/cluster/member_link.cc
+++ b/src/cluster/member_link.cc
@@ -12,7 +12,6 @@
 namespace {
 
 constexpr std::size_t kMailboxCapacity = 20'000;
-constexpr std::size_t kMaxBatches = 8;
 
 }  // namespace
 
@@ -121,11 +120,7 @@
                                 std::span<const std::uint8_t> datagram) {
       OnDatagram(from, datagram);
     };
-    for (std::size_t i = 0; i < kMaxBatches; ++i) {
-      if (socket_->Receive(receive) < kernel::UdpSocket::kBatch) {
-        break;
-      }
-    }
+    socket_->ReceiveBatches(receive);
     socket_->Flush();
   }
 
--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -7,6 +7,7 @@
 #include "gcw/direct/direct_router.h"
 #include "gcw/kernel/mailbox.h"
 #include "gcw/kernel/pause_guard.h"
+#include "gcw/kernel/service.h"
 #include "gcw/kernel/udp_socket.h"
 #include "platform/packet_header.h"
 #include "src/direct_balancer/messages.h"
@@ -74,17 +75,14 @@
 
  private:
   Status OpenMailbox(kernel::EventLoop& loop) {
-    auto mailbox = kernel::Mailbox<PacketMessage>::Make(kMailboxCapacity);
+    auto mailbox = kernel::OpenService<PacketMessage>(
+        kernel_, loop, kPacketService, kMailboxCapacity,
+        [this](PacketMessage& message) { OnMessage(message); });
     if (!mailbox.ok()) {
       return mailbox.error();
     }
     mailbox_ = std::move(mailbox).value();
-    Status attached = mailbox_->Attach(
-        loop, [this](PacketMessage& message) { OnMessage(message); });
-    if (!attached.ok()) {
-      return attached;
-    }
-    return kernel_.Register<PacketMessage>(kPacketService, mailbox_);
+    return OkStatus();
   }
 
   void OnReadable() {
--- a/src/kernel/udp_socket.cc
+++ b/src/kernel/udp_socket.cc
@@ -152,6 +152,18 @@
 std::size_t UdpSocket::Receive(const Receiver& receiver) {
   return impl_->Receive(receiver);
 }
+void UdpSocket::ReceiveBatches(const Receiver& receiver,
+                               const std::function<void()>& before_batch) {
+  for (std::size_t i = 0; i < kMaxBatches; ++i) {
+    if (before_batch) {
+      before_batch();
+    }
+    if (Receive(receiver) < kBatch) {
+      return;
+    }
+  }
+}
+
 void UdpSocket::Queue(const Endpoint& to,
                       std::span<const std::uint8_t> first,
                       std::span<const std::uint8_t> second) {
