--- a/src/soak/fault_player.cc
+++ b/src/soak/fault_player.cc
@@ -16,9 +16,12 @@
 constexpr absl::Duration kZoneOutLeast = absl::Seconds(5);
 constexpr absl::Duration kLapseAway = absl::Milliseconds(1500);
 constexpr lab::LinkFaults kLossy{.loss = 0.05, .duplicate = 0.05};
-const lab::LinkFaults kSlow{.reorder = 0.2,
-                            .delay = absl::Milliseconds(20),
-                            .jitter = absl::Milliseconds(30)};
+
+lab::LinkFaults SlowLinks() {
+  return {.reorder = 0.2,
+          .delay = absl::Milliseconds(20),
+          .jitter = absl::Milliseconds(30)};
+}
 
 }  // namespace
 
@@ -79,7 +82,7 @@
     case FaultKind::kLossyServers:
       return FaultyServers(kLossy, fault.lasts);
     case FaultKind::kSlowServers:
-      return FaultyServers(kSlow, fault.lasts);
+      return FaultyServers(SlowLinks(), fault.lasts);
     case FaultKind::kCrashServer:
       return LoseServer(server, ProbeTarget::Mode::kRefuse, fault.lasts);
     case FaultKind::kDarkServer:
