--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -46,7 +46,7 @@
                    const ServerEntry* avoid,
                    absl::Time now);
 
-  // Daemons that share the limits of cold servers. Precondition: > 0.
+  // Who shares the limits of cold servers, see ColdLimiter.
   void SetFleet(const FleetPlace& place, absl::Time now) {
     cold_.SetFleet(place, now);
   }
