--- a/src/direct/admission.cc
+++ b/src/direct/admission.cc
@@ -10,23 +10,24 @@
 // Answers are judged together for this long, or until there are enough.
 constexpr absl::Duration kWindow = absl::Milliseconds(100);
 constexpr std::size_t kEnoughAnswers = 5;
-// Without enough answers for this long, nothing says that servers are crowded.
+// Without enough answers for this long, nothing says that servers are
+// overloaded.
 constexpr absl::Duration kLongestWindow = absl::Milliseconds(500);
 // Median waits, in parts of the target. Half of a target is left for what
 // answers differ by.
-constexpr double kCrowdedWait = 0.5;
-constexpr double kCalmWait = 0.4;
+constexpr double kOverloadWait = 0.5;
+constexpr double kNormalWait = 0.4;
 // With this many requests for each slot, most wait behind another. The figure
 // of a single daemon is off by a third where zones have unequal numbers.
-constexpr double kCrowdedSlot = 2;
-constexpr double kFloodedSlot = 4;
+constexpr double kOverloadPerSlot = 2;
+constexpr double kSeverePerSlot = 4;
 // Below it hardly any waits, and slots may soon have nothing to do.
-constexpr double kCalmSlot = 1.5;
-constexpr double kIdleSlot = 1;
+constexpr double kNormalPerSlot = 1.5;
+constexpr double kIdlePerSlot = 1;
 // The share falls fast, as every flow let in stays, and rises slowly unless
 // slots are idle.
 constexpr double kFall = 0.8;
-constexpr double kFloodedFall = 0.6;
+constexpr double kSevereFall = 0.6;
 constexpr double kRise = 1.06;
 constexpr double kIdleRise = 0.05;
 // Some are always let in, since their answers tell when the load is over.
@@ -60,13 +61,13 @@
     return;
   }
   const double median = MedianWait();
-  if (median > kCrowdedWait && requests_per_slot > kCrowdedSlot) {
-    const bool flooded = requests_per_slot > kFloodedSlot;
-    share_ *= flooded ? kFloodedFall : kFall;
+  if (median > kOverloadWait && requests_per_slot > kOverloadPerSlot) {
+    const bool severe = requests_per_slot > kSeverePerSlot;
+    share_ *= severe ? kSevereFall : kFall;
     share_ = std::max(share_, kLeastShare);
-  } else if (requests_per_slot < kIdleSlot) {
+  } else if (requests_per_slot < kIdlePerSlot) {
     share_ = std::min(share_ + kIdleRise, 1.0);
-  } else if (median < kCalmWait || requests_per_slot < kCalmSlot) {
+  } else if (median < kNormalWait || requests_per_slot < kNormalPerSlot) {
     share_ = std::min(share_ * kRise, 1.0);
   }
   waits_.clear();
--- a/tests/direct/admission_test.cc
+++ b/tests/direct/admission_test.cc
@@ -23,9 +23,9 @@
 
 // One service of equal slots behind one queue, as a server's own: requests
 // beyond the queue are turned away by the server after they came.
-class CrowdedService {
+class OverloadedService {
  public:
-  CrowdedService(int slots, bool gated) : slots_(slots), gated_(gated) {}
+  OverloadedService(int slots, bool gated) : slots_(slots), gated_(gated) {}
 
   // Plays a second at `rate` requests a second, a fifth of them important.
   void PlaySecond(double rate) {
@@ -118,7 +118,7 @@
 TEST_CASE("at the usual load nobody is turned away") {
   for (const double load : {0.3, 0.6, 0.8}) {
     CAPTURE(load);
-    CrowdedService service(kSlots, true);
+    OverloadedService service(kSlots, true);
     for (int second = 0; second < 10; ++second) {
       service.PlaySecond(load * kBorne);
       CHECK(service.share() == 1);
@@ -129,9 +129,9 @@
 TEST_CASE("in a burst what servers bear is answered in time") {
   for (const double load : {1.5, 2.0, 4.0}) {
     CAPTURE(load);
-    CrowdedService gated(kSlots, true);
-    CrowdedService open(kSlots, false);
-    for (CrowdedService* service : {&gated, &open}) {
+    OverloadedService gated(kSlots, true);
+    OverloadedService open(kSlots, false);
+    for (OverloadedService* service : {&gated, &open}) {
       service->PlaySecond(load * kBorne);
       service->Forget();
       for (int second = 0; second < 5; ++second) {
@@ -148,7 +148,7 @@
 }
 
 TEST_CASE("the least important give way first") {
-  CrowdedService service(kSlots, true);
+  OverloadedService service(kSlots, true);
   service.PlaySecond(3 * kBorne);
   service.Forget();
   for (int second = 0; second < 5; ++second) {
@@ -160,7 +160,7 @@
 }
 
 TEST_CASE("all are let in again soon after a burst") {
-  CrowdedService service(kSlots, true);
+  OverloadedService service(kSlots, true);
   for (int second = 0; second < 3; ++second) {
     service.PlaySecond(4 * kBorne);
   }
@@ -172,48 +172,54 @@
   CHECK(service.share() == 1);
 }
 
-TEST_CASE("slow servers without a queue turn nobody away") {
-  Admission admission(1);
-  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
-  for (int tick = 0; tick < 100; ++tick) {
+// An admission whose service answers ten requests before each tick.
+class SteadyAnswers {
+ public:
+  // One tick after answers that took `waited`.
+  void Tick(absl::Duration waited, double requests_per_slot) {
     for (int i = 0; i < 10; ++i) {
-      admission.OnAnswer(2 * kTarget, kTarget);
+      admission_.OnAnswer(waited, kTarget);
     }
-    now += absl::Milliseconds(50);
-    admission.OnTick(0.9, now);
-    CHECK(admission.share() == 1);
+    QuietTick(requests_per_slot);
+  }
+  // One without answers.
+  void QuietTick(double requests_per_slot) {
+    now_ += absl::Milliseconds(50);
+    admission_.OnTick(requests_per_slot, now_);
+  }
+  double share() const { return admission_.share(); }
+
+ private:
+  Admission admission_{1};
+  absl::Time now_ = absl::UnixEpoch() + absl::Hours(1);
+};
+
+TEST_CASE("slow servers without a queue turn nobody away") {
+  SteadyAnswers service;
+  for (int tick = 0; tick < 100; ++tick) {
+    service.Tick(2 * kTarget, 0.9);
+    CHECK(service.share() == 1);
   }
 }
 
 TEST_CASE("requests to lost servers turn nobody away") {
-  Admission admission(1);
-  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  SteadyAnswers service;
   for (int tick = 0; tick < 100; ++tick) {
-    for (int i = 0; i < 10; ++i) {
-      admission.OnAnswer(0.25 * kTarget, kTarget);
-    }
-    now += absl::Milliseconds(50);
-    admission.OnTick(8, now);
-    CHECK(admission.share() == 1);
+    service.Tick(0.25 * kTarget, 8);
+    CHECK(service.share() == 1);
   }
 }
 
 TEST_CASE("a service that nobody asks for lets everybody in again") {
-  Admission admission(1);
-  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  SteadyAnswers service;
   for (int tick = 0; tick < 100; ++tick) {
-    for (int i = 0; i < 10; ++i) {
-      admission.OnAnswer(2 * kTarget, kTarget);
-    }
-    now += absl::Milliseconds(50);
-    admission.OnTick(5, now);
+    service.Tick(2 * kTarget, 5);
   }
-  CHECK(admission.share() < 0.1);
+  CHECK(service.share() < 0.1);
   for (int tick = 0; tick < 400; ++tick) {
-    now += absl::Milliseconds(50);
-    admission.OnTick(0, now);
+    service.QuietTick(0);
   }
-  CHECK(admission.share() == 1);
+  CHECK(service.share() == 1);
 }
 
 }  // namespace
--- a/tests/direct_balancer/daemon_test.cc
+++ b/tests/direct_balancer/daemon_test.cc
@@ -96,13 +96,7 @@
   world.platform->SetPartitioned(kDaemonIp + 1, true);
   absl::SleepFor(absl::Seconds(1));
   const std::size_t added = world.AddServer();
-  bool seen = false;
-  for (std::uint16_t port = 2000; port < 2100 && !seen; ++port) {
-    world.Send(1, world.Syn(port));
-    const auto arrival = world.Next(absl::Milliseconds(100));
-    seen = arrival && arrival->server == added;
-  }
-  CHECK(seen);
+  CHECK(world.PlacesOn(added, 1, 2000, 2100));
 }
 
 TEST_CASE("history that is gone is read anew") {
@@ -114,13 +108,7 @@
   const std::size_t added = world.AddServer();
   world.platform->Compact();
   world.platform->SetWatchStall(false);
-  bool seen = false;
-  for (std::uint16_t port = 2000; port < 2200 && !seen; ++port) {
-    world.Send(0, world.Syn(port));
-    const auto arrival = world.Next(absl::Milliseconds(100));
-    seen = arrival && arrival->server == added;
-  }
-  CHECK(seen);
+  CHECK(world.PlacesOn(added, 0, 2000, 2200));
 }
 
 TEST_CASE("an address without a route is answered with a reset") {
--- a/tests/direct_balancer/world.h
+++ b/tests/direct_balancer/world.h
@@ -186,6 +186,21 @@
     return {};
   }
 
+  // Whether the daemon places one of the flows from these ports on the server.
+  bool PlacesOn(std::size_t server,
+                std::uint32_t daemon,
+                std::uint16_t first_port,
+                std::uint16_t end_port) {
+    for (std::uint16_t port = first_port; port < end_port; ++port) {
+      Send(daemon, Syn(port));
+      const auto arrival = Next(absl::Milliseconds(100));
+      if (arrival && arrival->server == server) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   std::unique_ptr<fake_platform::FakePlatform> platform;
 
  private:
