direct_balancer: the state task stops before its platform callers are destroyed

Cause: ~StateTask destroyed the callers on the destroying thread while the state thread still ran.

Change: the task stops first; the callers are destroyed with its state. A caller that is being destroyed drops the calls that are queued, so it does not start one that would have to be waited for. The same order was looked for in all other tasks: they stop first (balancer/platform_task.cc holds its caller as a member and has no thread of its own).

--- a/include/gcw/cluster/platform_caller.h
+++ b/include/gcw/cluster/platform_caller.h
@@ -49,7 +49,8 @@
                  std::string prefix,
                  const platform::HttpPlatformOptions& options,
                  DoneCallback on_done);
-  // Cancels the call in flight and waits for the thread to end.
+  // Cancels the call in flight, drops those that are queued and waits for the
+  // thread to end.
   ~PlatformCaller() override;
 
   // Starts a call and cancels the one in flight, if any: the relay requests a
--- a/src/cluster/platform_caller.cc
+++ b/src/cluster/platform_caller.cc
@@ -1,5 +1,6 @@
 #include "gcw/cluster/platform_caller.h"
 
+#include <atomic>
 #include <utility>
 
 #include "gcw/kernel/mailbox.h"
@@ -37,12 +38,18 @@
     }
     mailbox_ = std::move(mailbox).value();
     return mailbox_->Attach(loop, [this](const relay::PlatformCall& call) {
-      on_done_(Execute(call));
+      if (!closing_.load(std::memory_order_acquire)) {
+        on_done_(Execute(call));
+      }
     });
   }
 
-  // Cancels the call in flight, if any. Thread-safe.
-  void CancelCall() { client_->CancelCall(); }
+  // Cancels the call in flight, if any, and drops those that are queued.
+  // Thread-safe.
+  void Close() {
+    closing_.store(true, std::memory_order_release);
+    client_->CancelCall();
+  }
 
   // Cancels the call in flight, if any, and queues `call`. Thread-safe.
   void Call(const relay::PlatformCall& call) {
@@ -82,6 +89,7 @@
   const std::string prefix_;
   const std::unique_ptr<platform::HttpPlatformClient> client_;
   const DoneCallback on_done_;
+  std::atomic<bool> closing_ = false;
   std::shared_ptr<kernel::Mailbox<relay::PlatformCall>> mailbox_;
 };
 
@@ -95,7 +103,7 @@
                                    std::move(on_done))) {}
 
 PlatformCaller::~PlatformCaller() {
-  impl_->CancelCall();
+  impl_->Close();
   Stop();
 }
 
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -133,14 +133,6 @@
   // Asks the task to announce that this daemon leaves the fleet. Thread-safe.
   void Leave() { mailbox_->Send(LeaveRequest{}); }
 
-  // Aborts the calls under way and stops their threads. To be called before the
-  // task ends, so that no outcome arrives afterwards.
-  void StopCallers() {
-    for (auto& caller : callers_) {
-      caller.reset();
-    }
-  }
-
  private:
   Status OpenMailbox(kernel::EventLoop& loop) {
     auto mailbox = kernel::Mailbox<TaskMessage>::Make(kMailboxCapacity);
@@ -497,7 +489,8 @@
       impl_(std::make_unique<Impl>(settings, seed, kernel, log, metrics)) {}
 
 StateTask::~StateTask() {
-  impl_->StopCallers();
+  // The task's thread uses the callers until it has ended. An outcome that
+  // arrives afterwards stays in the mailbox, which the callers share.
   Stop();
 }
 
