lease: a write in progress at a release takes effect first

Cause: Release() let the lease be written as released while a fenced write was still in progress. That write was never sent and got no outcome, although each accepted write is promised one.

Change: writes in progress end before the release; further writes are refused with kLeaseLost. If the store does not answer, the lease expires and the write is reported as before.

--- a/include/gcw/lease/lease.h
+++ b/include/gcw/lease/lease.h
@@ -118,8 +118,9 @@
   // Starts a write of `json` (a JSON text) to the guarded object `key`;
   // OnTick() returns the store calls for it, and TakeOutcomes() its outcome.
   // Fails with kInvalidField if the key is not guarded or the text is not valid
-  // JSON, with kLeaseLost if the lease is not held at `now`, and with
-  // kLeaseHeld if an earlier write to the key is still in progress.
+  // JSON, with kLeaseLost if the lease is not held at `now` or Release() was
+  // called, and with kLeaseHeld if an earlier write to the key is still in
+  // progress.
   Status FencedWrite(std::string_view key,
                      std::string_view json,
                      absl::Time now);
@@ -135,9 +136,9 @@
   // The outcomes of fenced writes since the last call of this method.
   std::vector<WriteOutcome> TakeOutcomes();
 
-  // Marks the lease as released at the next tick, so that another member can
-  // acquire it without waiting for it to expire. This object does not acquire
-  // the lease again.
+  // Marks the lease as released once the writes in progress have ended, so that
+  // another member can acquire it without waiting for it to expire. This object
+  // does not acquire the lease again.
   void Release();
 
   Stats stats() const;
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -86,6 +86,12 @@
     return std::all_of(guarded_objects.begin(), guarded_objects.end(),
                        [](const GuardedObject& g) { return g.fenced(); });
   }
+  // Whether a fenced write has no outcome yet.
+  bool write_pending() const {
+    return std::any_of(
+        guarded_objects.begin(), guarded_objects.end(),
+        [](const GuardedObject& g) { return g.write_pending(); });
+  }
   std::string NextOperationId() {
     return options.holder + "#" + std::to_string(++last_operation);
   }
@@ -160,6 +166,11 @@
     return due ? ReadLease() : std::nullopt;
   }
   if (release_requested) {
+    // Writes in progress end first, so that each has an outcome. If they don't
+    // end, the lease expires.
+    if (write_pending()) {
+      return GuardedCall();
+    }
     BeginLeaseWrite(WriteType::kRelease, lease_version, now);
     return PutLease();
   }
@@ -439,10 +450,10 @@
   if (!IsJson(json)) {
     return InvalidField("json", "is not valid JSON");
   }
-  if (!IsHeld(now)) {
+  if (!IsHeld(now) || state_->release_requested) {
     ++state_->stats.refused_writes;
     return Error{ResultCode::kLeaseLost, "",
-                 "the lease is not held by this member"};
+                 "the lease is not held by this member or is being released"};
   }
   if (it->write_pending()) {
     return Error{ResultCode::kLeaseHeld, std::string(key),
--- a/tests/lease/lease_test.cc
+++ b/tests/lease/lease_test.cc
@@ -80,6 +80,40 @@
   CHECK(simulation.max_holders == 1);
 }
 
+// A holder that stops writes its last status and releases the lease right
+// after. The release overtook the write, which then had no outcome at all.
+TEST_CASE("a write that is in progress at a release takes effect first") {
+  LeaseSimulation simulation(5);
+  simulation.Add("a");
+  simulation.Run(absl::Seconds(2));
+  simulation.Add("b");
+  REQUIRE(simulation.StartWrite(simulation.candidate(0)).ok());
+  simulation.candidate(0).lease->Release();
+  CHECK(simulation.StartWrite(simulation.candidate(0)).error().code ==
+        ResultCode::kLeaseLost);
+  simulation.RunUntil(
+      [&] { return simulation.IsHeld(simulation.candidate(1)); },
+      absl::Seconds(5));
+  REQUIRE(simulation.candidate(0).outcomes.contains(Data("a", 0)));
+  CHECK(simulation.candidate(0).outcomes.at(Data("a", 0)).ok());
+  CHECK(simulation.TimesApplied(Data("a", 0)) == 1);
+  CHECK(simulation.Holders() == std::vector<std::size_t>{1});
+}
+
+// Each accepted write has an outcome, also if the store does not answer.
+TEST_CASE("a write that is in progress at a release is reported in an outage") {
+  LeaseSimulation simulation(6);
+  simulation.Add("a");
+  simulation.Run(absl::Seconds(2));
+  REQUIRE(simulation.StartWrite(simulation.candidate(0)).ok());
+  simulation.candidate(0).lease->Release();
+  simulation.store_down = true;
+  simulation.Run(absl::Minutes(1));
+  REQUIRE(simulation.candidate(0).outcomes.contains(Data("a", 0)));
+  CHECK_FALSE(simulation.candidate(0).outcomes.at(Data("a", 0)).ok());
+  CHECK(simulation.applied().empty());
+}
+
 TEST_CASE("each fenced write takes effect once and is reported") {
   LeaseSimulation simulation(4);
   simulation.Add("a");
