kernel: a late timer is called once

Cause: a timer that was late by a period or more was due again at once, so its handler ran twice in a row (3 us apart in the test).

Change: the next call is one period after the late one.

Result: the new test failed before and passes.

--- a/src/kernel/event_loop.cc
+++ b/src/kernel/event_loop.cc
@@ -131,7 +131,9 @@
       if (timers_[i].due > now) {
         continue;
       }
-      timers_[i].due = std::max(timers_[i].due + timers_[i].period, now);
+      // A handler that is late by a period or more skips the missed calls.
+      const absl::Time next = timers_[i].due + timers_[i].period;
+      timers_[i].due = next > now ? next : now + timers_[i].period;
       const Handler handler = timers_[i].handler;
       handler();
     }
--- a/tests/kernel/kernel_test.cc
+++ b/tests/kernel/kernel_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 #include "gcw/kernel/task.h"
 #include "gcw/kernel/udp_socket.h"
 
@@ -126,6 +127,27 @@
   CHECK(sender.value()->datagrams_dropped() == 1);
 }
 
+// After a handler or the whole process was paused, a timer that is late made up
+// for the lost time with a second call at once.
+TEST_CASE("a late timer runs once, and then again after its period") {
+  constexpr absl::Duration kPeriod = absl::Milliseconds(100);
+  auto loop = EventLoop::Make();
+  REQUIRE(loop.ok());
+  std::vector<absl::Time> calls;
+  loop.value()->AddTimer(kPeriod, [&] {
+    calls.push_back(MonotonicNow());
+    if (calls.size() == 1) {
+      absl::SleepFor(3 * kPeriod);
+    }
+    if (calls.size() == 3) {
+      loop.value()->Stop();
+    }
+  });
+  loop.value()->Run();
+  REQUIRE(calls.size() == 3);
+  CHECK(calls[2] - calls[1] >= kPeriod);
+}
+
 TEST_CASE("binding an address in use fails and names the address") {
   const Endpoint a{0x7f4d0001, 9125};
   const auto first = UdpSocket::Make(a);
