base: a log whose reader has stopped can be closed

Cause: once a batch was being written, the writing thread waited for the reader without looking at whether the log was being closed, and a blocking descriptor blocked it inside write(). The destructor then never returned: a daemon whose log reader stopped could not end by itself. Lines that were dropped at the end were not counted either. The new test did not end within 10 minutes.

Change: each write is at most PIPE_BUF bytes and follows a poll() that found room for it; a poll that times out looks whether the log is being closed. Close() ends the log and returns the final counts.

Result: the test passes in a second.

--- a/include/gcw/base/event_log.h
+++ b/include/gcw/base/event_log.h
@@ -35,7 +35,8 @@
   std::uint64_t written = 0;
   // Lines dropped because their event name exceeded its rate limit.
   std::uint64_t suppressed = 0;
-  // Lines dropped because the queue was full or the reader was gone.
+  // Lines dropped because the queue was full, or because the reader was gone or
+  // did not read until the log was closed.
   std::uint64_t overflowed = 0;
   // The current size of the queue.
   std::size_t queued_bytes = 0;
@@ -45,13 +46,13 @@
 // own. A slow or stopped reader never blocks the threads that log. Lines over
 // the rate limit or the size of the queue are dropped and counted per event
 // name; the next written line of that event has the count in its field
-// "suppressed". All methods are thread-safe.
+// "suppressed". All methods but Close() are
+// thread-safe.
 class EventLog {
  public:
   // Starts the writing thread. Fails with kInternal if that is impossible.
   static Result<std::unique_ptr<EventLog>> Make(const EventLogOptions& options);
-  // Writes the queued lines. Waits at most a second for the reader before each
-  // write; when that expires, drops the remaining lines.
+  // Closes the log, see Close().
   ~EventLog();
   EventLog(const EventLog&) = delete;
   EventLog& operator=(const EventLog&) = delete;
@@ -72,6 +73,12 @@
 
   // Sets the lowest level that is written.
   void set_level(LogLevel level);
+  // Writes the queued lines and ends the writing thread. Waits at most a second
+  // for the reader before each write; when that expires, drops the remaining
+  // lines. Returns the final counts. Later lines are not written. Must not be
+  // called by two threads at the same time.
+  EventLogStats Close();
+
   // The counts of lines so far.
   EventLogStats stats() const;
 
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -1,5 +1,6 @@
 #include "gcw/base/event_log.h"
 
+#include <limits.h>
 #include <poll.h>
 #include <pthread.h>
 #include <unistd.h>
@@ -57,7 +58,9 @@
   explicit Impl(const EventLogOptions& options)
       : options_(options), level_(options.level) {}
 
-  ~Impl() {
+  ~Impl() { Close(); }
+
+  EventLogStats Close() {
     {
       absl::MutexLock lock(&mutex_);
       stopping_ = true;
@@ -65,6 +68,7 @@
     if (thread_.joinable()) {
       thread_.join();
     }
+    return stats();
   }
 
   Status Start() {
@@ -174,27 +178,31 @@
         batch.swap(queue_);
         stopping = stopping_;
       }
-      WriteBatch(batch, stopping);
+      WriteBatch(batch);
       if (stopping) {
         return;
       }
     }
   }
 
-  // Writes `batch` and waits for the reader as long as necessary. If
-  // `stopping`, waits at most kPollTimeoutMs before each write, then drops the
-  // rest.
-  void WriteBatch(std::string_view batch, bool stopping) {
+  // Writes `batch` and waits for the reader as long as necessary. Once the log
+  // is being closed, waits at most kPollTimeoutMs before each write, then drops
+  // the rest.
+  void WriteBatch(std::string_view batch) {
     const std::uint64_t lines = CountLines(batch);
     while (!batch.empty()) {
       pollfd ready{options_.descriptor, POLLOUT, 0};
-      if (stopping && poll(&ready, 1, kPollTimeoutMs) <= 0) {
-        return;
+      if (poll(&ready, 1, kPollTimeoutMs) <= 0) {
+        if (stopping()) {
+          break;  // The reader has stopped reading.
+        }
+        continue;
       }
+      // A longer write could block until the reader reads.
       const ssize_t bytes_written =
-          write(options_.descriptor, batch.data(), batch.size());
+          write(options_.descriptor, batch.data(),
+                std::min<std::size_t>(batch.size(), PIPE_BUF));
       if (bytes_written < 0 && (errno == EINTR || errno == EAGAIN)) {
-        poll(&ready, 1, kPollTimeoutMs);
         continue;
       }
       if (bytes_written <= 0) {
@@ -208,6 +216,11 @@
     stats_.overflowed += lost;
   }
 
+  bool stopping() const {
+    absl::MutexLock lock(&mutex_);
+    return stopping_;
+  }
+
   const EventLogOptions options_;
   std::atomic<LogLevel> level_;
   mutable absl::Mutex mutex_;
@@ -244,6 +257,9 @@
 void EventLog::set_level(LogLevel level) {
   impl_->set_level(level);
 }
+EventLogStats EventLog::Close() {
+  return impl_->Close();
+}
 EventLogStats EventLog::stats() const {
   return impl_->stats();
 }
--- a/tests/base/event_log_test.cc
+++ b/tests/base/event_log_test.cc
@@ -1,5 +1,6 @@
 #include "gcw/base/event_log.h"
 
+#include <fcntl.h>
 #include <signal.h>
 #include <unistd.h>
 
@@ -115,6 +116,29 @@
   reader.join();
 }
 
+// An operator must be able to tell that the end of a log is missing.
+TEST_CASE("lines that a stopped reader leaves at the end are counted") {
+  constexpr int kLines = 1000;
+  Pipe pipe;
+  auto log = EventLog::Make({.descriptor = pipe.ends[1],
+                             .queue_bytes = 1'000'000,
+                             .lines_per_second = 1e6,
+                             .batch_delay = absl::Milliseconds(1)});
+  REQUIRE(log.ok());
+  // Fills the pipe, so that the log can write nothing.
+  REQUIRE(fcntl(pipe.ends[1], F_SETFL, O_NONBLOCK) == 0);
+  const std::string filler(4096, 'x');
+  while (write(pipe.ends[1], filler.data(), filler.size()) > 0) {
+  }
+  for (int i = 0; i < kLines; ++i) {
+    REQUIRE(log.value()->Admit(LogLevel::kInfo, "event"));
+    log.value()->Write(LogLevel::kInfo, "p", "event", {{"i", i}});
+  }
+  const EventLogStats stats = log.value()->Close();
+  CHECK(stats.written == 0);
+  CHECK(stats.overflowed == kLines);
+}
+
 TEST_CASE("lines after the reader has closed the pipe count as overflowed") {
   Pipe pipe;
   close(std::exchange(pipe.ends[0], -1));
