--- a/tests/direct_balancer/settings_test.cc
+++ b/tests/direct_balancer/settings_test.cc
@@ -58,6 +58,10 @@
   updated.members_port = 1;
   CHECK(ChangedRestartOnlyFields(current, updated) ==
         std::vector<std::string_view>{"zone", "members_port"});
+  updated = current;
+  updated.seeds.pop_back();
+  CHECK(ChangedRestartOnlyFields(current, updated) ==
+        std::vector<std::string_view>{"seeds"});
 }
 
 }  // namespace
