soak: an answer to a request of another flow is a wrong answer

Cause: the check compared the IP addresses of callers only, so an answer to an earlier request of the same caller on another flow passed: what a caller gets if a connection that is in use again receives a late copy.

Change: the caller keeps the requests of its current flow and accepts late copies of their answers only. Stricter than before for every answer.

--- a/src/soak/caller.cc
+++ b/src/soak/caller.cc
@@ -69,8 +69,13 @@
   ++attempt_generation_;
   ++attempts_;
   first_part_received_ = false;
+  if (!open_) {
+    flow_.caller.port = next_port_++;
+    flow_requests_.clear();
+  }
   request_ = fmt::format("{}/{}/{}", ToString(flow_.caller), request_count_++,
                          attempt_generation_);
+  flow_requests_.insert(request_);
   AfterIfCurrent(kAttemptTimeout, [this] {
     open_ = false;
     FinishRequest();
@@ -79,7 +84,6 @@
     SendRequest();
     return;
   }
-  flow_.caller.port = next_port_++;
   cookie_ = 0;
   sequence_ = kFirstSequence;
   acknowledged_ = 0;
@@ -167,10 +171,9 @@
 void Caller::OnAnswer(const adapter::EndHostPacket& end) {
   const std::string answered_request = end.data.substr(0, end.data.size() - 1);
   if (state_ != State::kWaiting || answered_request != request_) {
-    // The part up to ':' is the caller's IP address. A late copy of an answer
-    // to an earlier request of the same caller is no fault.
-    if (answered_request.substr(0, answered_request.find(':')) !=
-        request_.substr(0, request_.find(':'))) {
+    // A late copy of an answer to an earlier request on the same flow is no
+    // fault.
+    if (!flow_requests_.contains(answered_request)) {
       observer_.OnWrongAnswer();
     }
     return;
--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 
 #include "platform/stand_in_packet.h"
@@ -96,6 +97,8 @@
   std::uint32_t sequence_ = 0;
   std::uint32_t acknowledged_ = 0;
   std::string request_;
+  // The requests that were sent on the current flow.
+  std::set<std::string> flow_requests_;
   // Whether the first of the answer's two packets has arrived.
   bool first_part_received_ = false;
   std::uint64_t request_count_ = 0;
