dispatch, control: two messages without a sender are removed

ClaimRecords and MessageType::kHints were decoded although no daemon sends them: code that only an attacker could reach. The number 3 and the text "recs" stay unused.

--- a/include/gcw/control/control_transport.h
+++ b/include/gcw/control/control_transport.h
@@ -21,9 +21,9 @@
 enum class MessageType : std::uint8_t {
   kRelay = 1,        // Versioned state that gcw/relay distributes.
   kFlowRecords = 2,  // Messages between the routing policies of gcw/routing.
-  kHints = 3,        // Not sent by any daemon; handled like kDispatch.
-  kStatus = 4,       // A daemon's status report to the zone's status writers.
-  kDispatch = 5,     // Messages between the dispatchers of gcw/dispatch.
+  // 3 is not used.
+  kStatus = 4,    // A daemon's status report to the zone's status writers.
+  kDispatch = 5,  // Messages between the dispatchers of gcw/dispatch.
 };
 
 // What happens to a message if its peer's queue is full. In either case, the
--- a/include/gcw/dispatch/peer_messages.h
+++ b/include/gcw/dispatch/peer_messages.h
@@ -149,23 +149,6 @@
   bool operator==(const SlotHints&) const = default;
 };
 
-// The owner that a witness has recorded for one request.
-struct ClaimRecord {
-  std::string id;
-  std::string owner;
-
-  bool operator==(const ClaimRecord&) const = default;
-};
-
-// Leaving witness to its successor in the zone, on the control channel: the
-// claims that it has recorded.
-struct ClaimRecords {
-  std::vector<ClaimRecord> records;
-  bool last = false;
-
-  bool operator==(const ClaimRecords&) const = default;
-};
-
 // Receiver to sender: acknowledges the message with this sequence number.
 struct PeerAck {
   std::uint64_t sequence = 0;
@@ -184,7 +167,6 @@
                               AssignmentAnswer,
                               AssignmentOutcome,
                               SlotHints,
-                              ClaimRecords,
                               PeerAck>;
 
 // One datagram between two dispatchers. A message with a sequence number other
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -255,7 +255,6 @@
         SendToService<PacketMessage>(kernel_, kLog, kPacketService,
                                      ControlPayload{from, message.payload});
         return;
-      case control::MessageType::kHints:
       case control::MessageType::kDispatch:
         SendToService<DispatchMessage>(kernel_, kLog, kDispatchService,
                                        ControlPayload{from, message.payload});
--- a/src/dispatch/peer_codec.cc
+++ b/src/dispatch/peer_codec.cc
@@ -151,14 +151,6 @@
   return map;
 }
 
-json ToFields(const ClaimRecords& message) {
-  json list = json::array();
-  for (const ClaimRecord& record : message.records) {
-    list.push_back({{"id", record.id}, {"o", record.owner}});
-  }
-  return {{"t", "recs"}, {"l", std::move(list)}, {"last", message.last}};
-}
-
 json ToFields(const PeerAck& message) {
   return {{"t", "ack"}, {"n", message.sequence}};
 }
@@ -225,20 +217,6 @@
   return message;
 }
 
-ClaimRecords ReadClaimRecords(FieldReader& reader) {
-  ClaimRecords message;
-  for (const json& item : reader.List("l")) {
-    FieldReader inner(item, reader.Path("l"));
-    ClaimRecord record;
-    record.id = inner.Text("id");
-    record.owner = inner.Text("o");
-    message.records.push_back(std::move(record));
-    reader.AdoptError(inner);
-  }
-  message.last = reader.Flag("last");
-  return message;
-}
-
 ClaimReply ReadClaimReply(FieldReader& reader) {
   ClaimReply message;
   message.id = reader.Text("id");
@@ -286,9 +264,6 @@
   if (type == "hints") {
     return ReadSlotHints(reader);
   }
-  if (type == "recs") {
-    return ReadClaimRecords(reader);
-  }
   if (type == "ack") {
     return PeerAck{reader.Number("n", kMax64)};
   }
