direct_balancer: readiness is worked out with each tick, not each packet

Cause: UpdateReady looks at every server, and ran after each batch of packets: cost per packet that grew with the servers.

A daemon that leaves is unready at once as before, since the endpoint asks for that.

--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -159,6 +159,7 @@
     prober_->OnTick(now);
     router_->OnTick(now);
     ProcessRouterOutput();
+    UpdateReady();
     if (now - last_stats_ >= kStatsInterval) {
       last_stats_ = now;
       direct::RouterStats stats = router_->Stats(now);
@@ -185,10 +186,10 @@
     for (const direct::Event& event : router_->TakeEvents()) {
       log_.Write(event);
     }
-    UpdateReady();
   }
 
-  // Updates the answer to the routers' readiness check.
+  // Updates the answer to the routers' readiness check. Looks at all servers,
+  // so it runs with each tick instead of each packet.
   void UpdateReady() {
     const bool leaving = shared_.leaving.load(std::memory_order_relaxed);
     const bool ready = router_->can_serve() && !leaving;
@@ -201,6 +202,7 @@
     const absl::Time now = kernel::MonotonicNow();
     std::visit([&](const auto& m) { Handle(m, now); }, message);
     ProcessRouterOutput();
+    UpdateReady();
   }
 
   void Handle(const ConfigurationRead& m, absl::Time /*now*/) {
