direct_balancer: changes of servers are read from the store in larger steps

Cause: while a service is released or scaled, servers change one by one, and each zone's watcher called the store ten times a second.

Change: 400 ms instead of 100 ms between an answer with changes of servers and the next watch. The first change after a pause arrives as fast as before.

--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -74,6 +74,12 @@
 // entries lapsed during the outage register again.
 constexpr absl::Duration kMinBackoff = absl::Milliseconds(150);
 constexpr absl::Duration kMaxBackoff = absl::Milliseconds(kMaxBackoffMs);
+// Minimum pause between an answer with changes and the next watch call. Servers
+// change one by one while a service is released or scaled. Each call then
+// returns the changes of a longer time, which is still short against the
+// seconds in which a drain must be in force.
+constexpr absl::Duration kWatchGap = absl::Milliseconds(100);
+constexpr absl::Duration kServersWatchGap = absl::Milliseconds(400);
 // Confirmations of unchanged state that other daemons relay are passed on to
 // the packet task at most once per interval and feed.
 constexpr absl::Duration kConfirmedInterval = absl::Milliseconds(500);
@@ -196,6 +202,8 @@
       options.watch_wait = kWatchWait;
       options.watch_wait_after_failure = kRetryWait;
       options.call_grace = kCallGrace;
+      options.min_watch_gap =
+          static_cast<Feed>(i) == Feed::kServers ? kServersWatchGap : kWatchGap;
       options.backoff_min = kMinBackoff;
       options.backoff_max = kMaxBackoff;
       options.zone_fanout = kZoneFanout;
