direct: what packets tell of servers, and resets, move out of the router

FlowMonitor now learns from packets how servers answer, FlowResetter resets the flows of lost servers, and Track sets a flow's target latency in the one place where flows are tracked.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -9,6 +9,8 @@
 #include "absl/container/flat_hash_map.h"
 #include "src/direct/admission_table.h"
 #include "src/direct/feed_states.h"
+#include "src/direct/flow_monitor.h"
+#include "src/direct/flow_resetter.h"
 #include "src/direct/flow_table.h"
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
@@ -23,42 +25,10 @@
 constexpr absl::Duration kFeedFreshness = absl::Seconds(10);
 // How often expired flows, servers and unknown cookies are removed.
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
-// A flow whose request has waited for an answer for longer than this counts as
-// late. Most answers arrive within half of this time.
-constexpr absl::Duration kSlowAnswerThreshold = absl::Milliseconds(120);
-// A server with this many late flows (see kSlowAnswerThreshold) is suspected to
-// be unreachable. A single late flow proves little: its answer may have
-// arrived, with the caller acknowledging the answer only in its next request.
-// This rarely happens on two flows at the same time.
-constexpr std::uint32_t kMinLateFlows = 2;
-// A server is suspected to be unreachable if a SYN stays unanswered for longer
-// than this. The server's operating system answers SYNs, so they don't queue
-// behind requests.
-constexpr absl::Duration kSlowOpeningThreshold = absl::Milliseconds(60);
-// Some callers acknowledge an answer only with their next request, so that the
-// daemon cannot see when the answer arrives. Their flows count as waiting for
-// an answer only for this long after a request.
-constexpr absl::Duration kUnacknowledgedAnswerTime = absl::Milliseconds(100);
-// Callers are assumed to abandon a request that has waited for this many times
-// the target latency of its route.
-constexpr double kAbandonLatencyFactor = 4;
 // Maximum number of cookies in received packets to remember that match no known
 // server. Bounds the memory that packets with invalid cookies can use.
 constexpr std::size_t kMaxUnknownCookies = 4096;
 
-// Whether the sequence number `a` comes after `b`, modulo 2^32.
-bool IsAfter(std::uint32_t a, std::uint32_t b) {
-  return static_cast<std::int32_t>(a - b) > 0;
-}
-
-// Whether the caller has probably abandoned a request that has waited for
-// `waiting`. Callers don't announce this, so when a server is lost, many flows
-// with abandoned requests remain.
-bool IsAbandoned(const Flow& flow, absl::Duration waiting) {
-  return flow.target_latency > absl::ZeroDuration() &&
-         waiting > kAbandonLatencyFactor * flow.target_latency;
-}
-
 }  // namespace
 
 class DirectRouter::Impl {
@@ -70,6 +40,9 @@
         servers_(options.lapse_grace, &events_),
         failure_detector_(options.zone, servers_, zones_out_, &events_),
         flows_(options.max_flows),
+        flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
+                      &events_),
+        flow_resetter_(flows_, &events_),
         placer_({options.zone, options.seed}) {}
 
   void ApplyConfiguration(const Configuration& configuration,
@@ -152,11 +125,12 @@
   }
 
   void OnTick(absl::Time now) {
-    SuspectSlowServers(now);
+    flow_monitor_.OnTick(now);
     admission_table_.OnTick(servers_, placer_.fleet().daemons, now);
     failure_detector_.OnTick(now);
+    const HeldState state = HeldStateAt(now);
     for (const auto& entry : servers_.entries()) {
-      ResetFlowsIfGone(*entry, now);
+      flow_resetter_.ResetFlowsIfGone(*entry, state, now);
     }
     if (now - last_sweep_ < kSweepInterval) {
       return;
@@ -181,14 +155,14 @@
     ServerEntry* entry = servers_.FindByCookie(cookie);
     if (entry != nullptr &&
         failure_detector_.OnProbeOutcome(*entry, outcome, now)) {
-      ResetFlowsOf(*entry, now);
+      flow_resetter_.ResetFlowsOf(*entry, HeldStateAt(now), now);
     }
   }
 
-  std::vector<FlowReset> TakeResets() { return std::exchange(resets_, {}); }
+  std::vector<FlowReset> TakeResets() { return flow_resetter_.TakeResets(); }
 
   std::vector<LatencySample> TakeLatencySamples() {
-    return std::exchange(latency_samples_, {});
+    return flow_monitor_.TakeLatencySamples();
   }
 
   std::vector<Event> TakeEvents() { return std::exchange(events_, {}); }
@@ -226,6 +200,10 @@
     return feeds_.Age(Feed::kServers, now);
   }
 
+  HeldState HeldStateAt(absl::Time now) const {
+    return {configuration_.version, ServersAge(now)};
+  }
+
   // Handles a SYN that opens a flow, and SYNs that the caller retransmitted or
   // the network duplicated.
   Decision HandleSyn(const Packet& packet, const Route& route, absl::Time now) {
@@ -266,10 +244,7 @@
       flows_.Erase(packet.flow);
       return RefuseUnplaced(packet, placement.excluded, now);
     }
-    flow = Track(packet, flow, placement.server, now);
-    if (flow != nullptr) {
-      flow->target_latency = route.target_latency;
-    }
+    Track(packet, route, flow, placement.server, now);
     ++placement.server->placed;
     const Reason reason = repeated_syn ? Reason::kPlacedAgain : Reason::kPlaced;
     events_.push_back(FlowOpened{.flow = packet.flow,
@@ -315,6 +290,7 @@
   // flow if `flow` is null, otherwise moves `flow` to `server`. Returns null if
   // the flow table is full.
   Flow* Track(const Packet& packet,
+              const Route& route,
               Flow* flow,
               ServerEntry* server,
               absl::Time now) {
@@ -330,6 +306,7 @@
       ++untracked_;
       return nullptr;
     }
+    flow->target_latency = route.target_latency;
     flow->established = !packet.syn;
     flow->first_sequence = packet.sequence;
     // Data in `packet` is new to this daemon, so it does not count as
@@ -358,21 +335,16 @@
       return RefuseUnknownCookie(packet, now);
     }
     if (flow == nullptr) {
-      flow = Track(packet, nullptr, server, now);
-      if (flow != nullptr) {
-        flow->target_latency = route.target_latency;
-      }
+      flow = Track(packet, route, nullptr, server, now);
     } else if (!flow->established) {
       FlowTable::Reassign(*flow, server);
       flow->established = true;
       flow->next_sequence = packet.sequence;
       flow->acknowledged = packet.acknowledged;
-      RecordLatency(LatencySample::Kind::kOpening, *server,
-                    now - flow->opened_at);
-      failure_detector_.OnProgress(*server, now);
+      flow_monitor_.OnOpened(*flow, now);
     }
     if (flow != nullptr) {
-      UpdateFlow(packet, *flow, now);
+      flow_monitor_.OnPacket(packet, *flow, now);
       if (packet.fin) {
         FlowTable::Close(*flow);
       }
@@ -384,163 +356,12 @@
     return decision;
   }
 
-  void RecordLatency(LatencySample::Kind kind,
-                     const ServerEntry& server,
-                     absl::Duration latency) {
-    latency_samples_.push_back(
-        {kind, server.server.service, server.server.name, latency});
-  }
-
-  void RecordAnswer(const Flow& flow, absl::Time now) {
-    const absl::Duration latency = now - flow.waiting_since;
-    RecordLatency(LatencySample::Kind::kAnswer, *flow.server, latency);
-    admission_table_.OnAnswer(flow.server->server.service, latency,
-                              flow.target_latency);
-  }
-
-  // Updates `flow`, and what is known about the reachability of its server,
-  // from the data that the caller acknowledges, sends or retransmits in
-  // `packet`.
-  void UpdateFlow(const Packet& packet, Flow& flow, absl::Time now) {
-    ServerEntry& server = *flow.server;
-    flow.last_packet = now;
-    if (IsAfter(packet.acknowledged, flow.acknowledged)) {
-      flow.acknowledged = packet.acknowledged;
-      // Without payload the packet acknowledges the answer at once. If only the
-      // next request acknowledges the answer, its arrival time is unknown and
-      // no latency is recorded.
-      if (flow.waiting && packet.payload == 0) {
-        RecordAnswer(flow, now);
-      }
-      flow.acks_answers =
-          flow.acks_answers || (flow.waiting && packet.payload == 0);
-      flow.waiting = false;
-      failure_detector_.OnProgress(server, now);
-    }
-    if (packet.payload == 0) {
-      return;
-    }
-    const std::uint32_t end = packet.sequence + packet.payload;
-    if (IsAfter(end, flow.next_sequence)) {
-      flow.next_sequence = end;
-      failure_detector_.CountDemand(server.server.service);
-      if (!flow.waiting) {
-        flow.waiting = true;
-        flow.waiting_since = now;
-      }
-      return;
-    }
-    events_.push_back(
-        FlowStalled{.flow = packet.flow,
-                    .server = server.server.name,
-                    .waiting = flow.waiting ? now - flow.waiting_since
-                                            : absl::ZeroDuration(),
-                    .server_silence = now - server.reach.last_progress()});
-    failure_detector_.Suspect(server, now);
-  }
-
-  // Counts for each server the flows that wait for an answer and those that
-  // have waited for too long (late flows). Servers with several late flows or
-  // an unanswered SYN are suspected to be unreachable.
-  void SuspectSlowServers(absl::Time now) {
-    for (const auto& entry : servers_.entries()) {
-      entry->waiting_flows = 0;
-      entry->late_flows = 0;
-    }
-    for (const auto& [key, flow] : flows_.flows()) {
-      if (!flow.established && now - flow.opened_at > kSlowOpeningThreshold) {
-        failure_detector_.SuspectIfSilentSince(*flow.server, flow.opened_at,
-                                               now);
-      }
-      if (!flow.waiting || flow.closed) {
-        continue;
-      }
-      const absl::Duration waiting = now - flow.waiting_since;
-      const bool counts_as_waiting =
-          flow.acks_answers || waiting < kUnacknowledgedAnswerTime;
-      if (counts_as_waiting && !IsAbandoned(flow, waiting)) {
-        ++flow.server->waiting_flows;
-      }
-      if (flow.acks_answers && waiting > kSlowAnswerThreshold &&
-          flow.server->reach.last_progress() <= flow.waiting_since) {
-        ++flow.server->late_flows;
-      }
-    }
-    for (const auto& entry : servers_.entries()) {
-      if (entry->late_flows >= kMinLateFlows && entry->reach.usable()) {
-        failure_detector_.Suspect(*entry, now);
-      }
-    }
-  }
-
-  // Resets the established flows of `server`, because `server` is gone,
-  // restarted or unreachable.
-  void ResetFlowsOf(const ServerEntry& server, absl::Time now) {
-    std::vector<FlowKey> reset_flows;
-    for (const auto& [key, flow] : flows_.flows()) {
-      if (flow.server != &server || !flow.established || flow.closed) {
-        continue;
-      }
-      reset_flows.push_back(key);
-      resets_.push_back({key, flow.acknowledged});
-      events_.push_back(FlowRefused{.flow = key,
-                                    .reason = UnusableReason(server),
-                                    .server = server.server.name,
-                                    .cookie = server.cookie,
-                                    .evidence_age = now - UnusableSince(server),
-                                    .configuration = configuration_.version,
-                                    .servers_age = ServersAge(now)});
-    }
-    for (const FlowKey& key : reset_flows) {
-      flows_.Erase(key);
-    }
-  }
-
-  // Resets the flows of a server that drained and left, or that restarted. The
-  // callers' next requests then open new flows instead of failing. Does so only
-  // once per server. A server whose entry in the store vanished without a drain
-  // may still run: each of its flows is decided on when the next packet of the
-  // flow arrives.
-  void ResetFlowsIfGone(ServerEntry& server, absl::Time now) {
-    const bool gone =
-        server.presence == Presence::kRestarted ||
-        (server.presence == Presence::kGone && server.server.draining);
-    const bool no_later_progress =
-        server.reach.last_progress() <= server.presence_since;
-    if (gone && no_later_progress && !server.flows_reset) {
-      server.flows_reset = true;
-      ResetFlowsOf(server, now);
-    }
-  }
-
-  // Why the flows of `server` are reset. Precondition: `server` is gone,
-  // restarted or unreachable.
-  static Reason UnusableReason(const ServerEntry& server) {
-    if (server.presence == Presence::kRestarted) {
-      return Reason::kServerRestarted;
-    }
-    if (server.presence == Presence::kGone) {
-      return Reason::kServerGone;
-    }
-    return server.reach.reach() == Reach::kRefuses ? Reason::kServerRefuses
-                                                   : Reason::kServerSilent;
-  }
-
-  // When `server` became gone, restarted or unreachable, which is the reason
-  // for resetting its flows.
-  static absl::Time UnusableSince(const ServerEntry& server) {
-    const bool gone = server.presence == Presence::kGone ||
-                      server.presence == Presence::kRestarted;
-    return gone ? server.presence_since : server.reach.since();
-  }
-
   // Forwards a packet of an established flow, or resets the flow if its server
   // `server` is gone or unreachable.
   Decision ForwardOrRefuse(const Packet& packet,
                            const ServerEntry& server,
                            absl::Time now) {
-    const bool gone = server.presence == Presence::kGone ||
-                      server.presence == Presence::kRestarted;
+    const bool gone = IsGone(server);
     // The store removes a server's entry if the server's heartbeats don't
     // arrive, even if callers still reach the server.
     if (gone && server.reach.last_progress() > server.presence_since) {
@@ -612,14 +433,14 @@
   ServerTable servers_;
   ServerFailureDetector failure_detector_;
   FlowTable flows_;
+  FlowMonitor flow_monitor_;
+  FlowResetter flow_resetter_;
   Placer placer_;
-  std::vector<FlowReset> resets_;
   // Cookies in received packets that match no known server, with the time of
   // the first such packet.
   absl::flat_hash_map<FlowCookie, absl::Time> unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
-  std::vector<LatencySample> latency_samples_;
 };
 
 Result<std::unique_ptr<DirectRouter>> DirectRouter::Make(
