--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Two commands do all set-up on a fresh Debian machine.
-.PHONY: demo test build packages format lint
+.PHONY: demo test build packages format lint sanitize
 
 build/packages.stamp: tools/packages.sh
 	bash tools/packages.sh
@@ -22,3 +22,6 @@
 lint: build/packages.stamp
 	cmake --preset release >/dev/null
 	bash tools/lint.sh
+
+sanitize: build/packages.stamp
+	bash tools/sanitize.sh
