direct: a retransmitted SYN is placed by the configuration in force

A daemon that had placed the first copy kept the flow's service for the later ones, even if it had applied a configuration in between in which the route no longer has that service.

Ruled out: a configuration that went back (revisions only advance), other daemons (the packet came through this one).

Change: the service of the first copy is kept only while the route in force may be split to it; otherwise the flow is placed anew. This holds for copies that the network makes as well.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -208,8 +208,12 @@
   // the network duplicated.
   Decision HandleSyn(const Packet& packet, const Route& route, absl::Time now) {
     Flow* flow = flows_.Find(packet.flow);
-    const bool repeated_syn = flow != nullptr && !flow->established &&
-                              flow->first_sequence == packet.sequence;
+    // If the route has lost the service of the first SYN, the flow is placed
+    // anew.
+    const bool repeated_syn =
+        flow != nullptr && !flow->established &&
+        flow->first_sequence == packet.sequence &&
+        Placer::MayPickService(route, flow->server->server.service);
     if (repeated_syn && packet.acknowledged == 0) {
       // The caller has not retransmitted the SYN, so the network has duplicated
       // it.
--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -57,6 +57,19 @@
   return route.services.back().service;
 }
 
+bool Placer::MayPickService(const Route& route, std::string_view service) {
+  const auto share =
+      std::find_if(route.services.begin(), route.services.end(),
+                   [&](const ServiceShare& s) { return s.service == service; });
+  if (share == route.services.end()) {
+    return false;
+  }
+  const bool no_weights =
+      std::all_of(route.services.begin(), route.services.end(),
+                  [](const ServiceShare& s) { return s.weight == 0; });
+  return no_weights ? share == route.services.begin() : share->weight > 0;
+}
+
 bool Placer::CanAccept(const ServerEntry& entry,
                        const Service& service,
                        const std::set<std::string, std::less<>>& zones_out,
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -65,6 +65,8 @@
   // Picks one of the services of `route` at random, according to the weights.
   // Precondition: `route` has at least one service.
   std::string_view PickService(const Route& route);
+  // Whether PickService() may pick `service` for `route`.
+  static bool MayPickService(const Route& route, std::string_view service);
 
  private:
   struct Candidate {
--- a/tests/direct/flow_test.cc
+++ b/tests/direct/flow_test.cc
@@ -222,5 +222,54 @@
   CHECK_FALSE(DirectRouter::Make({.zone = "z", .max_flows = 0}).ok());
 }
 
+// A caller retransmits its SYN for 600 ms. A daemon that has applied a change
+// of the route in between must not place the flow as the old configuration
+// said.
+TEST_CASE("a retransmitted SYN is placed by the configuration in force") {
+  RouterFixture f;
+  const Decision first = f.Send(f.Syn(1));
+  CHECK(f.FindServer(f.NameOf(first.cookie)).service == "board");
+  f.silent = {first.server};
+  f.configuration.version = 2;
+  f.configuration.routes[0].services = {{"photos", 1}};
+  f.router->ApplyConfiguration(f.configuration, ++f.revision);
+  f.AdvanceTime(absl::Milliseconds(200));
+  Packet repeated = f.Syn(1);
+  repeated.acknowledged = 1;
+  const Decision second = f.Send(repeated);
+  REQUIRE(second.action == Action::kForward);
+  CHECK(f.FindServer(f.NameOf(second.cookie)).service == "photos");
+}
+
+// A copy that the network made may be late as well.
+TEST_CASE("a duplicated SYN does not go to a service that the route dropped") {
+  RouterFixture f;
+  f.Send(f.Syn(1));
+  f.configuration.version = 2;
+  f.configuration.routes[0].services = {{"photos", 1}};
+  f.router->ApplyConfiguration(f.configuration, ++f.revision);
+  const Decision second = f.Send(f.Syn(1));
+  REQUIRE(second.action == Action::kForward);
+  CHECK(f.FindServer(f.NameOf(second.cookie)).service == "photos");
+}
+
+// A route may have several services. The servers of both would otherwise open
+// the flow.
+TEST_CASE("a retransmitted SYN stays with its service while the route has it") {
+  RouterFixture f;
+  f.configuration.version = 2;
+  f.configuration.routes[0].services = {{"board", 1}, {"photos", 1}};
+  f.router->ApplyConfiguration(f.configuration, ++f.revision);
+  for (std::uint16_t port = 1; port < 30; ++port) {
+    const Decision first = f.Send(f.Syn(port));
+    Packet repeated = f.Syn(port);
+    repeated.acknowledged = 1;
+    const Decision second = f.Send(repeated);
+    CHECK(f.FindServer(f.NameOf(second.cookie)).service ==
+          f.FindServer(f.NameOf(first.cookie)).service);
+    f.AdvanceTime(absl::Milliseconds(200));  // Probes clear the suspicion.
+  }
+}
+
 }  // namespace
 }  // namespace gcw::direct
