direct: fewer probes of lost servers without flows

Change: one a tick instead of four. Their return is still found at once, since a lost server that answers leads to probes of others; the test of the return within a second holds.

--- a/src/direct/server_failure_detector.cc
+++ b/src/direct/server_failure_detector.cc
@@ -26,7 +26,7 @@
 constexpr std::size_t kIdlePeerProbes = 3;
 // Probes of lost servers without flows that one call of OnTick() starts, so
 // that hundreds of lost servers cause a bounded number of probes.
-constexpr std::size_t kLostIdleProbesPerTick = 4;
+constexpr std::size_t kLostIdleProbesPerTick = 1;
 // Added to the demand (recent new flows and requests) of each service, so that
 // a service without recent demand still has a small weight.
 constexpr double kMinDemand = 0.01;
--- a/tests/direct/zone_loss_test.cc
+++ b/tests/direct/zone_loss_test.cc
@@ -144,7 +144,7 @@
   f.RunLoad(absl::Seconds(70));  // Longer than flows are kept.
   f.probes_made = 0;
   f.RunLoad(absl::Seconds(5));
-  CHECK(f.probes_made <= 5 * 100);
+  CHECK(f.probes_made <= 5 * 30);
 }
 
 }  // namespace
