--- a/tests/config/snapshot_test.cc
+++ b/tests/config/snapshot_test.cc
@@ -179,6 +179,20 @@
   CHECK(Validate({kService, "dispatch"}, {}).empty());
 }
 
+// If a server could move to another zone, its flows would not be given up when
+// operators take its old zone out of service.
+TEST_CASE("the zone of a backend server is immutable") {
+  std::vector<ObjectRecord> records = BaseRecords();
+  records.push_back(Record(AvailabilityZone{"sondrio"}, 8));
+  const BuiltSnapshot built = BuildSnapshot(records, 8);
+  BackendServer server = MakeServer("own", "valtellina", {0x0a000102, 9000});
+  server.zone = "sondrio";
+  const auto errors = ValidateChange(*built.snapshot, {IdOf(server), server});
+  REQUIRE(errors.size() == 1);
+  CHECK(errors[0].code == ResultCode::kInvalidField);
+  CHECK(errors[0].field == "zone");
+}
+
 TEST_CASE("organisation and address of a backend server are immutable") {
   BackendServer server = MakeServer("own", "valtellina", {0x0a000102, 9000});
   server.state = ServerState::kDraining;
