--- a/tests/support/tsan_mutex.cc
+++ b/tests/support/tsan_mutex.cc
@@ -7,6 +7,7 @@
 
 #include "absl/synchronization/mutex.h"
 #include "absl/synchronization/notification.h"
+#include "absl/time/clock.h"
 
 namespace {
 
@@ -20,6 +21,23 @@
   __tsan_acquire(lock);
 }
 
+// Replaces absl::Mutex::Await(), which evaluates conditions inside the library,
+// also on other threads. Returns whether `condition` holds.
+bool AwaitUntil(absl::Mutex* mutex,
+                const absl::Condition& condition,
+                absl::Time deadline) {
+  constexpr absl::Duration kPollInterval = absl::Milliseconds(1);
+  while (!condition.Eval()) {
+    if (absl::Now() >= deadline) {
+      return false;
+    }
+    mutex->Unlock();
+    absl::SleepFor(kPollInterval);
+    mutex->Lock();
+  }
+  return true;
+}
+
 }  // namespace
 
 // The names are those that the linker option --wrap prescribes.
@@ -46,27 +64,18 @@
   RealUnlock(mutex);
 }
 
-void RealAwait(absl::Mutex*, const absl::Condition&)
-    ORIGINAL(MUTEX "5AwaitE" CONDITION);
 void WrapAwait(absl::Mutex*, const absl::Condition&)
     WRAPPED(MUTEX "5AwaitE" CONDITION);
 void WrapAwait(absl::Mutex* mutex, const absl::Condition& condition) {
-  BeforeUnlock(mutex);
-  RealAwait(mutex, condition);
-  AfterLock(mutex);
+  AwaitUntil(mutex, condition, absl::InfiniteFuture());
 }
 
-bool RealAwaitWithTimeout(absl::Mutex*, const absl::Condition&, absl::Duration)
-    ORIGINAL(MUTEX "16AwaitWithTimeoutE" CONDITION "NS0_8DurationE");
 bool WrapAwaitWithTimeout(absl::Mutex*, const absl::Condition&, absl::Duration)
     WRAPPED(MUTEX "16AwaitWithTimeoutE" CONDITION "NS0_8DurationE");
 bool WrapAwaitWithTimeout(absl::Mutex* mutex,
                           const absl::Condition& condition,
                           absl::Duration timeout) {
-  BeforeUnlock(mutex);
-  const bool met = RealAwaitWithTimeout(mutex, condition, timeout);
-  AfterLock(mutex);
-  return met;
+  return AwaitUntil(mutex, condition, absl::Now() + timeout);
 }
 
 bool RealWaitWithDeadline(absl::CondVar*, absl::Mutex*, absl::Time)
