--- a/tools/sanitize.sh
+++ b/tools/sanitize.sh
@@ -3,7 +3,7 @@
 # UndefinedBehaviorSanitizer, then under ThreadSanitizer: sanitize.sh [PRESET...]
 set -euo pipefail
 cd "$(dirname "$0")/.."
-export TSAN_OPTIONS="halt_on_error=1 second_deadlock_stack=1"
+export TSAN_OPTIONS="halt_on_error=1 second_deadlock_stack=1 suppressions=$PWD/tests/support/tsan.supp"
 export ASAN_OPTIONS="detect_stack_use_after_return=1"
 jobs="${GCW_JOBS:-$(nproc)}"
 presets=("$@")
