--- a/include/gcw/base/event_log.h
+++ b/include/gcw/base/event_log.h
@@ -46,8 +46,7 @@
 // own. A slow or stopped reader never blocks the threads that log. Lines over
 // the rate limit or the size of the queue are dropped and counted per event
 // name; the next written line of that event has the count in its field
-// "suppressed". All methods but Close() are
-// thread-safe.
+// "suppressed". All methods but Close() are thread-safe.
 class EventLog {
  public:
   // Starts the writing thread. Fails with kInternal if that is impossible.
--- a/src/direct/flow_monitor.cc
+++ b/src/direct/flow_monitor.cc
@@ -25,6 +25,7 @@
 // Callers are assumed to abandon a request that has waited for this many times
 // the target latency of its route.
 constexpr double kAbandonLatencyFactor = 4;
+
 // Whether the sequence number `a` comes after `b`, modulo 2^32.
 bool IsAfter(std::uint32_t a, std::uint32_t b) {
   return static_cast<std::int32_t>(a - b) > 0;
--- a/tests/direct/zone_loss_test.cc
+++ b/tests/direct/zone_loss_test.cc
@@ -26,6 +26,14 @@
     Restart();
   }
 
+  // Takes the daemon's own zone out of service, and runs load until its flows
+  // are spread over the other zones.
+  void TakeOwnZoneOut() {
+    zones_out = {"near"};
+    Restart();
+    RunLoad(absl::Seconds(3));
+  }
+
   // Makes all servers of `zone` silent.
   void Cut(std::string_view zone) {
     for (const BackendServer& server : servers) {
@@ -68,9 +76,7 @@
 TEST_CASE(
     "a daemon that is cut off from all zones in service is soon unready") {
   LargeFixture f;
-  f.zones_out = {"near"};
-  f.Restart();
-  f.RunLoad(absl::Seconds(3));
+  f.TakeOwnZoneOut();
   REQUIRE(f.router->can_serve());
   f.Cut("far");
   f.Cut("farther");
@@ -93,9 +99,7 @@
 // must not be sent any.
 TEST_CASE("a daemon that leaves new flows to others is not ready") {
   LargeFixture f;
-  f.zones_out = {"near"};
-  f.Restart();
-  f.RunLoad(absl::Seconds(3));
+  f.TakeOwnZoneOut();
   f.Cut("far");
   f.Cut("farther");
   const absl::Time cut = f.now;
@@ -112,9 +116,7 @@
 // daemon that found the servers of the zone one by one lost flows for seconds.
 TEST_CASE("idle servers of a zone that is cut off get few new flows") {
   LargeFixture f;
-  f.zones_out = {"near"};
-  f.Restart();
-  f.RunLoad(absl::Seconds(3));
+  f.TakeOwnZoneOut();
   f.Cut("far");
   const int served = f.RunLoad(absl::Seconds(4));
   CHECK(served >= 180);  // Of 200; half of the flows of the first 0.4 s.
@@ -137,9 +139,7 @@
 // place of the packets of callers.
 TEST_CASE("lost servers without flows are probed at a bounded rate") {
   LargeFixture f;
-  f.zones_out = {"near"};
-  f.Restart();
-  f.RunLoad(absl::Seconds(1));
+  f.TakeOwnZoneOut();
   f.Cut("far");
   f.RunLoad(absl::Seconds(70));  // Longer than flows are kept.
   f.probes_made = 0;
