direct: a daemon whose own zone serves probes no idle servers elsewhere

Change: idle servers of another zone are probed only if no server of the service in the own zone can take flows.

--- a/src/direct/server_failure_detector.cc
+++ b/src/direct/server_failure_detector.cc
@@ -1,6 +1,7 @@
 #include "src/direct/server_failure_detector.h"
 
 #include <algorithm>
+#include <span>
 #include <tuple>
 #include <utility>
 
@@ -178,9 +179,11 @@
 
 void ServerFailureDetector::SuspectIdlePeers(const ServerEntry& failed,
                                              absl::Time now) {
-  ForZonePeers(
-      failed, kIdlePeerProbes,
-      [](const ServerEntry& peer) { return peer.reach.usable(); },
+  if (failed.server.zone != zone_ && OwnZoneServes(failed.server.service)) {
+    return;
+  }
+  ForIdlePeers(
+      failed, [](const ServerEntry& peer) { return peer.reach.usable(); },
       [&](ServerEntry& peer) {
         const Reach before = peer.reach.reach();
         peer.reach.OnZonePeerFailed(now);
@@ -191,9 +194,8 @@
 
 void ServerFailureDetector::ProbeLostPeers(const ServerEntry& recovered,
                                            absl::Time now) {
-  ForZonePeers(
-      recovered, kIdlePeerProbes,
-      [](const ServerEntry& peer) { return peer.reach.lost(); },
+  ForIdlePeers(
+      recovered, [](const ServerEntry& peer) { return peer.reach.lost(); },
       [&](ServerEntry& peer) {
         if (peer.reach.probing()) {
           return false;
@@ -203,14 +205,26 @@
       });
 }
 
-void ServerFailureDetector::ForZonePeers(
+bool ServerFailureDetector::OwnZoneServes(std::string_view service) const {
+  if (zones_out_.contains(zone_)) {
+    return false;
+  }
+  const std::span<ServerEntry* const> servers = servers_.OfService(service);
+  return std::any_of(servers.begin(), servers.end(),
+                     [&](const ServerEntry* entry) {
+                       return entry->server.zone == zone_ &&
+                              entry->presence == Presence::kListed &&
+                              !entry->server.draining && entry->reach.usable();
+                     });
+}
+
+void ServerFailureDetector::ForIdlePeers(
     const ServerEntry& server,
-    std::size_t max_peers,
     absl::FunctionRef<bool(const ServerEntry&)> eligible,
     absl::FunctionRef<bool(ServerEntry&)> probe) {
   const auto& entries = servers_.entries();
   std::size_t probed = 0;
-  for (std::size_t i = 0; i < entries.size() && probed < max_peers; ++i) {
+  for (std::size_t i = 0; i < entries.size() && probed < kIdlePeerProbes; ++i) {
     peer_cursor_ = (peer_cursor_ + 1) % entries.size();
     ServerEntry& peer = *entries[peer_cursor_];
     if (&peer != &server && peer.server.zone == server.server.zone &&
--- a/src/direct/server_failure_detector.h
+++ b/src/direct/server_failure_detector.h
@@ -88,16 +88,20 @@
   // Suspects and probes a few servers without open flows in the zone of
   // `failed`, after a probe of `failed` timed out. Each of them that times out
   // too leads to more, until all servers of a zone that is cut off are known,
-  // although this daemon has sent nothing to most of them.
+  // although this daemon has sent nothing to most of them. Leaves out servers
+  // to which this daemon would send no new flows, because its own zone serves:
+  // otherwise the number of probes in the fleet would be the product of daemons
+  // and servers.
   void SuspectIdlePeers(const ServerEntry& failed, absl::Time now);
   // Probes a few lost servers in the zone of `recovered` at once, after a lost
   // server answered again.
   void ProbeLostPeers(const ServerEntry& recovered, absl::Time now);
+  // Whether a server of `service` in this daemon's own zone can take new flows.
+  bool OwnZoneServes(std::string_view service) const;
   // Calls `probe` for servers in the zone of `server` that have no open flows
-  // and are `eligible`, until it has returned true `max_peers` times. Starts
-  // after the server where the last call ended.
-  void ForZonePeers(const ServerEntry& server,
-                    std::size_t max_peers,
+  // and are `eligible`, until it has returned true kIdlePeerProbes times.
+  // Starts after the server where the last call ended.
+  void ForIdlePeers(const ServerEntry& server,
                     absl::FunctionRef<bool(const ServerEntry&)> eligible,
                     absl::FunctionRef<bool(ServerEntry&)> probe);
   // Starts a control probe of a reachable server other than `suspect`. If a
@@ -133,7 +137,7 @@
   // kControlProbeTimeout. At that time packets did not queue on this daemon's
   // own link.
   absl::Time link_verified_at_ = absl::InfinitePast();
-  // Where the next OnTick() and ForZonePeers() continue in the list of servers,
+  // Where the next OnTick() and ForIdlePeers() continue in the list of servers,
   // so that each server has its turn.
   std::size_t tick_cursor_ = 0;
   std::size_t peer_cursor_ = 0;
--- a/tests/direct/zone_loss_test.cc
+++ b/tests/direct/zone_loss_test.cc
@@ -135,6 +135,26 @@
   CHECK(f.probes_made <= 30);
 }
 
+// A daemon that has servers in its own zone sends no new flows elsewhere. If
+// every daemon probed all servers of a zone that is cut off, the number of
+// probes would be the product of daemons and servers.
+TEST_CASE("a daemon whose own zone serves probes no idle servers elsewhere") {
+  LargeFixture f;
+  f.TakeOwnZoneOut();
+  const FlowCookie cookie = f.Open(++f.port);
+  const std::string zone = f.FindServer(f.NameOf(cookie)).zone;
+  f.zones_out.clear();
+  f.router->ApplyZonesOut(f.zones_out, ++f.revision);
+  f.Cut(zone);
+  f.probes_made = 0;
+  f.Send(f.Data(f.port, cookie, 1001, 500, 100));
+  f.AdvanceTime(absl::Milliseconds(200));
+  f.Send(f.Data(f.port, cookie, 1001, 500, 100));  // A retransmission.
+  f.RunLoad(absl::Seconds(3));
+  CHECK(f.probes_made >= 2);
+  CHECK(f.probes_made <= 30);
+}
+
 // Hundreds of servers may be lost for minutes. Probes of them must not take the
 // place of the packets of callers.
 TEST_CASE("lost servers without flows are probed at a bounded rate") {
