tests: operators that race leave the checks to the main thread

Cause: MoveAddresses called CHECK on four threads at once; Catch2 counts without a lock, which ThreadSanitizer reports. The statuses are returned and checked after the threads have ended: the same checks, and that none is missing.

--- a/tests/api/races_test.cc
+++ b/tests/api/races_test.cc
@@ -130,8 +130,11 @@
   return fmt::format("10.0.8.{}:80", i + 1);
 }
 
-// Assigns random sets of addresses to services, without If-Match.
-void MoveAddresses(Operator op, std::uint64_t seed, int moves) {
+// Assigns random sets of addresses to services, without If-Match. Returns the
+// statuses of the replies. Checks nothing, since Catch2 allows checks on one
+// thread only.
+std::vector<int> MoveAddresses(Operator op, std::uint64_t seed, int moves) {
+  std::vector<int> statuses;
   std::mt19937_64 random(seed);
   for (int i = 0; i < moves; ++i) {
     json addresses = json::array();
@@ -142,9 +145,9 @@
     }
     const std::string path =
         fmt::format("/v1/services/s{}", random() % kStressServices);
-    const Reply reply = op.Patch(path, {{"addresses", addresses}});
-    CHECK((reply.status == 200 || reply.status == 409));
+    statuses.push_back(op.Patch(path, {{"addresses", addresses}}).status);
   }
+  return statuses;
 }
 
 // Replays the writes of all services in order, and checks that after each write
@@ -178,15 +181,25 @@
   }
   const Version start = fixture.platform->revision();
   fixture.platform->SetLostAnswers(0.1);
+  constexpr std::size_t kOperators = 4;
+  constexpr int kMoves = 60;
   std::vector<std::thread> operators;
-  for (std::uint64_t i = 0; i < 4; ++i) {
+  std::array<std::vector<int>, kOperators> statuses;
+  for (std::size_t i = 0; i < kOperators; ++i) {
     operators.emplace_back([&, i] {
-      MoveAddresses(fixture.MakeOperator(kValtellinaToken), i + 1, 60);
+      statuses[i] =
+          MoveAddresses(fixture.MakeOperator(kValtellinaToken), i + 1, kMoves);
     });
   }
   for (std::thread& op : operators) {
     op.join();
   }
+  for (const std::vector<int>& of_operator : statuses) {
+    CHECK(of_operator.size() == kMoves);
+    for (const int status : of_operator) {
+      CHECK((status == 200 || status == 409));
+    }
+  }
   const auto log = fixture.platform->EventsAfter("config/service/", start);
   REQUIRE(log.ok());
   CHECK(log.value().events.size() > 20);
