--- a/tests/api/races_test.cc
+++ b/tests/api/races_test.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 #include <random>
