direct_balancer: the log tells the store's epoch and the answers it ignores

Change: the client reads the epoch from the header that its format names; store_epoch_changed and stale_state_ignored (now also for the store's own answers) are logged. No decision changes. FeedName stands once.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -75,6 +75,8 @@
 // revisions.
 enum class Feed : std::uint8_t { kConfiguration, kServers, kZones };
 inline constexpr std::size_t kFeedCount = 3;
+// The name of `feed` in logs and metrics, for example "servers". Thread-safe.
+std::string_view FeedName(Feed feed);
 
 // A daemon's position among the daemons of its fleet. All daemons derive their
 // positions from the same list of names, so no two daemons have the same rank.
--- a/include/gcw/platform/api_format.h
+++ b/include/gcw/platform/api_format.h
@@ -34,6 +34,10 @@
  public:
   virtual ~ApiFormat() = default;
 
+  // The name of the response header that has the platform's epoch, a decimal
+  // number. The epoch of a platform without the header is 0.
+  virtual const char* EpochHeader() const = 0;
+
   // Encodes a call that lists the objects whose key starts with `prefix`. If
   // `after` is not empty, the listing starts with the first key after `after`.
   virtual ApiRequest List(std::string_view prefix,
--- a/include/gcw/platform/platform_client.h
+++ b/include/gcw/platform/platform_client.h
@@ -1,6 +1,7 @@
 #ifndef GCW_PLATFORM_PLATFORM_CLIENT_H_
 #define GCW_PLATFORM_PLATFORM_CLIENT_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -13,6 +14,10 @@
 
 using config::Version;
 
+// How often the platform has been restored from a copy of its data. A restored
+// platform has lost its latest changes and assigns their versions again.
+using Epoch = std::uint64_t;
+
 // An existing (not deleted) object as the platform stores it.
 using Object = config::ObjectRecord;
 
@@ -20,6 +25,7 @@
 struct Listing {
   Version revision = 0;
   std::vector<Object> objects;  // Sorted by key.
+  Epoch epoch = 0;
 };
 
 // One write or deletion of an object.
@@ -33,6 +39,7 @@
   Version revision = 0;  // The next watch continues after this revision.
   // Sorted by version. Empty if the wait ended without an event.
   std::vector<WatchEvent> events;
+  Epoch epoch = 0;
 };
 
 // Whether the platform keeps a VM or is about to remove it.
--- a/src/direct/feed_states.cc
+++ b/src/direct/feed_states.cc
@@ -10,11 +10,15 @@
     "configuration", "servers", "zones"};
 
 std::string NameOf(Feed feed) {
-  return std::string(kFeedNames[static_cast<std::size_t>(feed)]);
+  return std::string(FeedName(feed));
 }
 
 }  // namespace
 
+std::string_view FeedName(Feed feed) {
+  return kFeedNames[static_cast<std::size_t>(feed)];
+}
+
 bool FeedStates::Advance(Feed feed, Version revision) {
   State& state = of(feed);
   if (revision < state.revision) {
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -81,6 +81,9 @@
   LogHeading operator()(const ObjectUnreadable&) const {
     return {LogLevel::kWarning, kState, "object_unreadable"};
   }
+  LogHeading operator()(const StoreEpochChanged&) const {
+    return {LogLevel::kWarning, kState, "store_epoch_changed"};
+  }
   LogHeading operator()(const ReadyChanged&) const {
     return {LogLevel::kInfo, kProcess, "ready_changed"};
   }
@@ -189,6 +192,13 @@
   ordered_json operator()(const ObjectUnreadable& e) const {
     return {{"key", e.key}, {"revision", e.revision}, {"error", e.error}};
   }
+  ordered_json operator()(const StoreEpochChanged& e) const {
+    return {{"feed", e.feed},
+            {"epoch", e.epoch},
+            {"previous_epoch", e.previous_epoch},
+            {"revision", e.revision},
+            {"held", e.held}};
+  }
   ordered_json operator()(const ReadyChanged& e) const {
     return {{"ready", e.ready}, {"synced", e.synced}, {"leaving", e.leaving}};
   }
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -8,6 +8,7 @@
 
 #include "gcw/base/event_log.h"
 #include "gcw/direct/events.h"
+#include "gcw/platform/platform_client.h"
 
 namespace gcw::direct_balancer {
 
@@ -46,6 +47,16 @@
   std::string error;
 };
 
+// The platform's store was restored from an older copy: its answer for a feed
+// has another epoch than the answers before.
+struct StoreEpochChanged {
+  std::string feed;
+  platform::Epoch epoch = 0;           // Of the answer.
+  platform::Epoch previous_epoch = 0;  // Of the answers before.
+  direct::Version revision = 0;        // Of the answer.
+  direct::Version held = 0;            // Revision of this daemon's state.
+};
+
 // The answer to the routers' readiness check changed.
 struct ReadyChanged {
   bool ready = false;
@@ -88,6 +99,7 @@
                                   ProcessStopped,
                                   SettingsReloaded,
                                   ObjectUnreadable,
+                                  StoreEpochChanged,
                                   ReadyChanged,
                                   PauseNoticed,
                                   MemberChanged,
--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -41,10 +41,6 @@
     "From a flow's first packet to its caller's next one.",
     "From a request's first data to an acknowledged answer."};
 
-// Label values, indexed by direct::Feed.
-constexpr std::array<std::string_view, direct::kFeedCount> kFeedNames{
-    "configuration", "servers", "zones"};
-
 }  // namespace
 
 // Latency histograms by kind and service, and the count and sum of answer
@@ -175,7 +171,8 @@
                "Since the state held was the platform's.");
   for (std::size_t i = 0; i < direct::kFeedCount; ++i) {
     fmt::format_to(end, "gcw_state_age_seconds{{feed=\"{}\"}} {}\n",
-                   kFeedNames[i], absl::ToDoubleSeconds(router_.feed_ages[i]));
+                   direct::FeedName(static_cast<direct::Feed>(i)),
+                   absl::ToDoubleSeconds(router_.feed_ages[i]));
   }
   latency_histograms_->Render(out);
   AppendSample(out, "gcw_log_lines_total", "counter", "Log lines written.",
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -358,6 +359,7 @@
   void OnOutcome(Feed feed, const cluster::PlatformListed& listed) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "list", now);
+    LogStoreState(feed, listed.epoch, listed.revision);
     const bool published = state_published_[IndexOf(feed)];
     Perform(feed, relays_[IndexOf(feed)]->OnList(listed.id, listed.revision,
                                                  listed.objects, now));
@@ -371,6 +373,7 @@
   void OnOutcome(Feed feed, const cluster::PlatformWatched& watched) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "watch", now);
+    LogStoreState(feed, watched.epoch, watched.revision);
     Perform(feed, relays_[IndexOf(feed)]->OnWatch(watched.id, watched.revision,
                                                   watched.events, now));
   }
@@ -398,6 +401,23 @@
     Send(FeedConfirmed{feed, now, true});
   }
 
+  // Logs that the store was restored, and that its answer is older than the
+  // state held here, so that the answer will be ignored.
+  void LogStoreState(Feed feed,
+                     platform::Epoch epoch,
+                     relay::Version revision) {
+    const relay::Version held = relays_[IndexOf(feed)]->revision();
+    const std::string name(direct::FeedName(feed));
+    std::optional<platform::Epoch>& last_epoch = epochs_[IndexOf(feed)];
+    if (last_epoch.has_value() && *last_epoch != epoch) {
+      log_.Write(StoreEpochChanged{name, epoch, *last_epoch, revision, held});
+    }
+    last_epoch = epoch;
+    if (revision < held) {
+      log_.Write(direct::StaleStateIgnored{name, revision, held});
+    }
+  }
+
   // Counts one call to the platform in the metrics.
   void Count(Feed feed, std::string_view verb, ResultCode code) {
     metrics_.calls().Count(fmt::format("{} {}", verb, kPrefixes[IndexOf(feed)]),
@@ -482,6 +502,8 @@
   // to the platform's state.
   std::array<absl::Time, kFeedCount> confirmed_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
+  // The platform's epoch in its last answer for each feed.
+  std::array<std::optional<platform::Epoch>, kFeedCount> epochs_;
   // When the packet task was last sent a FeedConfirmed for each feed.
   std::array<absl::Time, kFeedCount> last_confirmed_sent_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
--- a/src/platform/flat_api_format.cc
+++ b/src/platform/flat_api_format.cc
@@ -15,6 +15,8 @@
 
 class FlatFormat : public ApiFormat {
  public:
+  const char* EpochHeader() const override { return "Store-Epoch"; }
+
   ApiRequest List(std::string_view prefix,
                   std::string_view /*after*/) const override {
     return {ApiMethod::kGet,
--- a/src/platform/http_platform_client.cc
+++ b/src/platform/http_platform_client.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <charconv>
 #include <iterator>
 #include <string>
 #include <utility>
@@ -60,8 +61,31 @@
   }
 }
 
-// Returns the body of a successful response, or the error of a failed call.
-Result<std::string> BodyOf(CallKind kind, httplib::Result result) {
+// A successful response.
+struct Answer {
+  std::string body;
+  Epoch epoch = 0;
+};
+
+// Returns the platform's epoch in the header `name`, or 0 if there is none.
+Result<Epoch> EpochOf(const httplib::Response& response, const char* name) {
+  Epoch epoch = 0;
+  if (!response.has_header(name)) {
+    return epoch;
+  }
+  const std::string text = response.get_header_value(name);
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, epoch);
+  if (parsed.ec != std::errc() || parsed.ptr != end) {
+    return Error{ResultCode::kPlatformBadAnswer, name, "is not a number"};
+  }
+  return epoch;
+}
+
+// Returns the response of a successful call, or the error of a failed one.
+Result<Answer> AnswerOf(CallKind kind,
+                        httplib::Result result,
+                        const char* epoch_header) {
   if (!result) {
     return NoAnswer(kind, result.error());
   }
@@ -70,7 +94,14 @@
                  fmt::format("the platform answered with HTTP status {}",
                              result->status)};
   }
-  return std::move(result->body);
+  const Result<Epoch> epoch = EpochOf(*result, epoch_header);
+  if (!epoch.ok()) {
+    // The platform has executed the call.
+    return kind == CallKind::kRead ? epoch.error()
+                                   : Error{ResultCode::kPlatformOutcomeUnknown,
+                                           "", ToString(epoch.error())};
+  }
+  return Answer{std::move(result->body), epoch.value()};
 }
 
 // Turns on TCP keep-alive probes, so that a dead connection is closed.
@@ -113,37 +144,24 @@
 
   // Sends one request and waits for the response. `wait` is added to the usual
   // read timeout.
-  Result<std::string> Call(const ApiRequest& request,
-                           absl::Duration wait = absl::ZeroDuration()) {
+  Result<Answer> Call(const ApiRequest& request,
+                      absl::Duration wait = absl::ZeroDuration()) {
     client_.set_read_timeout(
         absl::ToChronoMicroseconds(options_.call_timeout + wait));
-    switch (request.method) {
-      case ApiMethod::kGet:
-        return BodyOf(CallKind::kRead, client_.Get(request.target));
-      case ApiMethod::kPost:
-        return BodyOf(
-            CallKind::kWrite,
-            client_.Post(request.target, request.body, kJsonContentType));
-      case ApiMethod::kPut:
-        return BodyOf(
-            CallKind::kWrite,
-            client_.Put(request.target, request.body, kJsonContentType));
-      case ApiMethod::kDelete:
-        return BodyOf(CallKind::kWrite, client_.Delete(request.target));
-    }
-    return Error{ResultCode::kInternal, "",
-                 "unknown HTTP method of an API request"};
+    const CallKind kind =
+        request.method == ApiMethod::kGet ? CallKind::kRead : CallKind::kWrite;
+    return AnswerOf(kind, Send(request), format().EpochHeader());
   }
 
   // Makes a write and returns its version. If the platform reports success but
   // the body is invalid, the version is not known although the write took
   // effect, so the result is kPlatformOutcomeUnknown.
   Result<Version> Write(const ApiRequest& request) {
-    const Result<std::string> body = Call(request);
-    if (!body.ok()) {
-      return body.error();
+    const Result<Answer> answer = Call(request);
+    if (!answer.ok()) {
+      return answer.error();
     }
-    Result<Version> version = format().DecodeVersion(body.value());
+    Result<Version> version = format().DecodeVersion(answer.value().body);
     if (!version.ok()) {
       return Error{ResultCode::kPlatformOutcomeUnknown, "",
                    version.error().message};
@@ -156,6 +174,20 @@
   void CancelCall() { client_.stop(); }
 
  private:
+  httplib::Result Send(const ApiRequest& request) {
+    switch (request.method) {
+      case ApiMethod::kGet:
+        return client_.Get(request.target);
+      case ApiMethod::kPost:
+        return client_.Post(request.target, request.body, kJsonContentType);
+      case ApiMethod::kPut:
+        return client_.Put(request.target, request.body, kJsonContentType);
+      case ApiMethod::kDelete:
+        break;
+    }
+    return client_.Delete(request.target);
+  }
+
   HttpPlatformOptions options_;
   httplib::Client client_;
 };
@@ -174,13 +206,13 @@
   Listing merged;
   std::string after;
   do {
-    const Result<std::string> body =
+    const Result<Answer> answer =
         impl_->Call(impl_->format().List(prefix, after));
-    if (!body.ok()) {
-      return body.error();
+    if (!answer.ok()) {
+      return answer.error();
     }
     Result<ListPage> page =
-        impl_->format().DecodeListPage(prefix, body.value());
+        impl_->format().DecodeListPage(prefix, answer.value().body);
     if (!page.ok()) {
       return page.error();
     }
@@ -189,6 +221,7 @@
     // that revision also reports changes made while the later pages were read.
     if (after.empty()) {
       merged.revision = page_listing.revision;
+      merged.epoch = answer.value().epoch;
     }
     std::move(page_listing.objects.begin(), page_listing.objects.end(),
               std::back_inserter(merged.objects));
@@ -198,11 +231,11 @@
 }
 
 Result<Object> HttpPlatformClient::Get(std::string_view key) {
-  const Result<std::string> body = impl_->Call(impl_->format().Get(key));
-  if (!body.ok()) {
-    return body.error();
+  const Result<Answer> answer = impl_->Call(impl_->format().Get(key));
+  if (!answer.ok()) {
+    return answer.error();
   }
-  return impl_->format().DecodeObject(key, body.value());
+  return impl_->format().DecodeObject(key, answer.value().body);
 }
 
 Result<Version> HttpPlatformClient::Put(std::string_view key,
@@ -219,20 +252,25 @@
 Result<WatchAnswer> HttpPlatformClient::Watch(std::string_view prefix,
                                               Version after,
                                               absl::Duration wait) {
-  const Result<std::string> body =
+  const Result<Answer> answer =
       impl_->Call(impl_->format().Watch(prefix, after, wait), wait);
-  if (!body.ok()) {
-    return body.error();
+  if (!answer.ok()) {
+    return answer.error();
+  }
+  Result<WatchAnswer> watched =
+      impl_->format().DecodeWatch(prefix, answer.value().body);
+  if (watched.ok()) {
+    watched.value().epoch = answer.value().epoch;
   }
-  return impl_->format().DecodeWatch(prefix, body.value());
+  return watched;
 }
 
 Result<std::vector<Vm>> HttpPlatformClient::Vms() {
-  const Result<std::string> body = impl_->Call(impl_->format().Vms());
-  if (!body.ok()) {
-    return body.error();
+  const Result<Answer> answer = impl_->Call(impl_->format().Vms());
+  if (!answer.ok()) {
+    return answer.error();
   }
-  return impl_->format().DecodeVms(body.value());
+  return impl_->format().DecodeVms(answer.value().body);
 }
 
 void HttpPlatformClient::CancelCall() {
