fake_platform, tests: the store is restored from a copy; a daemon then misses a change

Callers saw routes served by an old configuration after the store was restored. Change: the stand-in store can be restored from a saved copy: later changes are lost, their versions are given out again, every answer carries the epoch, a watch from a version it does not have gets 410.

--- a/src/fake_platform/fake_platform.cc
+++ b/src/fake_platform/fake_platform.cc
@@ -61,6 +61,7 @@
       : options_(options),
         store_(options.max_log_events),
         stale_store_(options.max_log_events),
+        saved_copy_(options.max_log_events),
         faults_(options.limits, options.seed) {}
 
   ~Impl() {
@@ -115,6 +116,8 @@
   const Store& store() const { return store_; }
   FaultInjector& faults() { return faults_; }
   void SaveStaleStore() { stale_store_ = store_; }
+  void SaveCopy() { saved_copy_ = store_; }
+  void Restore() { store_.RestoreFrom(saved_copy_); }
   void AddVms(std::vector<platform::Vm> vms) {
     vms_.push_back({absl::Now(), std::move(vms)});
   }
@@ -157,6 +160,7 @@
     Count(kind, ip);
     const FaultDecision decision = faults_.Decide(kind, ip, absl::Now());
     WaitFor(decision.delay / 2);
+    SetEpoch(store_, response);
     switch (decision.kind) {
       case FaultDecision::Kind::kUnavailable:
         Answer(503, json::object(), response);
@@ -172,6 +176,7 @@
         break;
     }
     Serve(call, decision, response);
+    SetEpoch(StoreFor(decision), response);
     WaitFor(decision.delay / 2);
     // A partition or outage that began while the call was served also
     // suppresses its answer.
@@ -180,6 +185,13 @@
     }
   }
 
+  // Sets the header with the epoch of the store that answers.
+  void SetEpoch(const Store& store, httplib::Response* response) const {
+    response->headers.erase(options_.format->EpochHeader());
+    response->set_header(options_.format->EpochHeader(),
+                         fmt::to_string(store.epoch()));
+  }
+
   // Returns whether a partition or silent outage keeps answers from `ip`.
   bool CannotBeAnswered(std::uint32_t ip) const
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
@@ -323,6 +335,7 @@
   // The members from here to `stopping_` are guarded by `mutex_`.
   Store store_;
   Store stale_store_;
+  Store saved_copy_;
   FaultInjector faults_;
   std::vector<VmListVersion> vms_;
   std::map<CallKey, std::uint64_t> calls_;
@@ -433,6 +446,24 @@
   });
 }
 
+void FakePlatform::SaveCopy() {
+  impl_->Update([](Impl& impl) {
+    impl.SaveCopy();
+    return true;
+  });
+}
+
+void FakePlatform::Restore() {
+  impl_->Update([](Impl& impl) {
+    impl.Restore();
+    return true;
+  });
+}
+
+platform::Epoch FakePlatform::epoch() const {
+  return impl_->Inspect([](const Impl& impl) { return impl.store().epoch(); });
+}
+
 void FakePlatform::SetPartitioned(std::uint32_t client_ip, bool partitioned) {
   impl_->Update([&](Impl& impl) {
     impl.faults().SetPartitioned(client_ip, partitioned);
--- a/src/fake_platform/fake_platform.h
+++ b/src/fake_platform/fake_platform.h
@@ -80,6 +80,14 @@
   // Sets the probability that a list or get call is answered with the objects
   // that SaveStaleState() saved.
   void SetStaleReads(double probability);
+  // Saves a copy of the store as it is now, to be restored by Restore().
+  void SaveCopy();
+  // Replaces the store by the copy that SaveCopy() saved last, or by an empty
+  // store. All later changes are lost, leases included, and the epoch that each
+  // answer carries rises by one. Waiting watches fail with kPlatformCompacted.
+  void Restore();
+  // How often the store was restored.
+  platform::Epoch epoch() const;
   // Starts or ends a network partition of one client. The calls of a
   // partitioned client get no answer and have no effect.
   void SetPartitioned(std::uint32_t client_ip, bool partitioned);
--- a/src/fake_platform/flat_server_api_format.cc
+++ b/src/fake_platform/flat_server_api_format.cc
@@ -1,5 +1,6 @@
 #include <charconv>
 
+#include "gcw/platform/api_format.h"
 #include "src/fake_platform/answers.h"
 #include "src/fake_platform/server_api_format.h"
 
@@ -17,6 +18,10 @@
 
 class FlatServerFormat : public ServerApiFormat {
  public:
+  const char* EpochHeader() const override {
+    return platform::FlatApiFormat().EpochHeader();
+  }
+
   std::optional<ApiCall> Parse(const ApiHttpCall& call) const override {
     ApiCall parsed;
     parsed.key = call.param("key");
--- a/src/fake_platform/server_api_format.h
+++ b/src/fake_platform/server_api_format.h
@@ -43,6 +43,9 @@
  public:
   virtual ~ServerApiFormat() = default;
 
+  // The name of the response header that has the epoch of the store.
+  virtual const char* EpochHeader() const = 0;
+
   // Parses an HTTP request. Returns nullopt if the API does not have such a
   // call.
   virtual std::optional<ApiCall> Parse(const ApiHttpCall& call) const = 0;
--- a/src/fake_platform/store.cc
+++ b/src/fake_platform/store.cc
@@ -87,6 +87,11 @@
                  fmt::format("events up to version {} have been compacted",
                              compacted_revision_)};
   }
+  if (after > revision_) {
+    return Error{
+        ResultCode::kPlatformCompacted, "",
+        fmt::format("the latest version is {}, not {}", revision_, after)};
+  }
   WatchAnswer answer;
   answer.revision = revision_;
   const auto is_older = [](const WatchEvent& event, Version version) {
@@ -106,6 +111,13 @@
   return it == objects_.end() ? 0 : it->second.version;
 }
 
+void Store::RestoreFrom(const Store& copy) {
+  ++epoch_;
+  revision_ = copy.revision_;
+  objects_ = copy.objects_;
+  Compact();
+}
+
 void Store::Compact() {
   log_.clear();
   compacted_revision_ = revision_;
--- a/src/fake_platform/store.h
+++ b/src/fake_platform/store.h
@@ -42,13 +42,22 @@
   // Returns all objects whose key starts with `prefix`, sorted by key.
   Listing List(std::string_view prefix) const;
   // Returns the events after version `after` on keys that start with `prefix`.
-  // Fails with kPlatformCompacted if some of these events have been compacted.
+  // Fails with kPlatformCompacted if some of these events have been compacted
+  // or if no change has the version `after`, because the store was restored.
   Result<WatchAnswer> EventsAfter(std::string_view prefix, Version after) const;
 
   // Returns the version of the object at `key`, or 0 if it does not exist.
   Version VersionOf(std::string_view key) const;
   // Returns the version of the last write or deletion.
   Version revision() const { return revision_; }
+  // How often the store was restored.
+  platform::Epoch epoch() const { return epoch_; }
+
+  // Replaces all objects and the revision by those of `copy`, an earlier state
+  // of this store. Later changes are lost and their versions are assigned
+  // again. No events are kept.
+  void RestoreFrom(const Store& copy);
+
   // Discards all events so far. A watch after an older revision then fails with
   // kPlatformCompacted.
   void Compact();
@@ -59,6 +68,7 @@
   void Append(WatchEvent event);
 
   std::size_t max_log_events_;
+  platform::Epoch epoch_ = 0;
   Version revision_ = 0;
   // Events up to this version are no longer in the log.
   Version compacted_revision_ = 0;
--- a/tests/fake_platform/store_test.cc
+++ b/tests/fake_platform/store_test.cc
@@ -52,6 +52,25 @@
   CHECK(store.EventsAfter("", 4).value().events.empty());
 }
 
+TEST_CASE("a restored store has lost later changes and reuses their versions") {
+  Store store(100);
+  REQUIRE(store.Put("a", "1", 0).ok());
+  const Store copy = store;
+  REQUIRE(store.Put("b", "2", 0).ok());
+  REQUIRE(store.Put("a", "3", 1).ok());
+  store.RestoreFrom(copy);
+  CHECK(store.epoch() == 1);
+  CHECK(store.revision() == 1);
+  CHECK(store.Get("a").value().value == "1");
+  CHECK_FALSE(store.Get("b").ok());
+  CHECK(store.EventsAfter("", 3).error().code ==
+        ResultCode::kPlatformCompacted);
+  CHECK(store.Put("b", "4", 0).value() == 2);
+  CHECK(store.EventsAfter("", 1).value().events.size() == 1);
+  store.RestoreFrom(copy);
+  CHECK(store.epoch() == 2);
+}
+
 TEST_CASE("calls beyond the rate limit are refused until tokens refill") {
   FaultInjector faults({.reads_per_second = 2, .writes_per_second = 1}, 1);
   const absl::Time start = absl::FromUnixSeconds(1000);
