platform, relay: a version includes the store's epoch

What callers saw: routes served by a configuration that had been replaced, after the store was restored from an older copy (CONFIG). Cause: versions were the store's bare revisions, and a higher one counted as newer everywhere. A restore sets the counter back and gives revisions out again. The daemons dropped the restored state as a late answer, and a change that got the revision that they already held was never asked for. Evidence: store_epoch_changed (revision 22 against 23 held), 107 stale_state_ignored, then configuration 11 as revision 23 that no watch returned. Fix: the client puts the epoch of each answer, which the store raises at a restore, above the revision in one number, so that everything that compares versions orders them by time; a watch from an earlier epoch lists anew, a write on an earlier version is a conflict, an answer of an earlier epoch is refused. A slow or late answer of the same store has an epoch that is not higher, so it still turns nobody back. The stand-in answers waiting watches at a restore.

--- a/include/gcw/cluster/platform_caller.h
+++ b/include/gcw/cluster/platform_caller.h
@@ -16,15 +16,13 @@
 
 // The result of a successful list call.
 struct PlatformListed {
-  std::uint64_t id = 0;  // The id of the call.
-  platform::Epoch epoch = 0;
+  std::uint64_t id = 0;         // The id of the call.
   relay::Version revision = 0;  // The platform's revision of the objects.
   std::vector<relay::Object> objects;
 };
 // The result of a successful watch call.
 struct PlatformWatched {
-  std::uint64_t id = 0;  // The id of the call.
-  platform::Epoch epoch = 0;
+  std::uint64_t id = 0;         // The id of the call.
   relay::Version revision = 0;  // The platform's revision after the events.
   std::vector<relay::Object> events;
 };
--- a/include/gcw/config/resources.h
+++ b/include/gcw/config/resources.h
@@ -7,13 +7,14 @@
 #include <vector>
 
 #include "gcw/base/endpoint.h"
+#include "gcw/base/store_version.h"
 
 namespace gcw::config {
 
 // The version that the platform assigned to the last write of an object. The
-// platform numbers the writes of all objects with one increasing counter, so
-// the largest version in a set of objects is also the revision of the set.
-using Version = std::uint64_t;
+// versions of all objects come from one increasing sequence, so the largest
+// version in a set of objects is also the version of the set.
+using Version = StoreVersion;
 
 // The state that operators have set for a backend server.
 enum class ServerState {
--- a/include/gcw/lease/lease_store.h
+++ b/include/gcw/lease/lease_store.h
@@ -6,12 +6,13 @@
 #include <string_view>
 
 #include "gcw/base/result.h"
+#include "gcw/base/store_version.h"
 
 namespace gcw::lease {
 
 // The version of a stored object; each write of the object gives it a higher
 // one.
-using Version = std::uint64_t;
+using Version = StoreVersion;
 
 // A stored object. Version 0 means that the object does not exist.
 struct StoredObject {
--- a/include/gcw/platform/api_format.h
+++ b/include/gcw/platform/api_format.h
@@ -35,7 +35,8 @@
   virtual ~ApiFormat() = default;
 
   // The name of the response header that has the platform's epoch, a decimal
-  // number. The epoch of a platform without the header is 0.
+  // number. The epoch of a platform without the header is 0. All versions in
+  // requests and in response bodies are revisions, without the epoch.
   virtual const char* EpochHeader() const = 0;
 
   // Encodes a call that lists the objects whose key starts with `prefix`. If
--- a/include/gcw/platform/platform_client.h
+++ b/include/gcw/platform/platform_client.h
@@ -1,7 +1,6 @@
 #ifndef GCW_PLATFORM_PLATFORM_CLIENT_H_
 #define GCW_PLATFORM_PLATFORM_CLIENT_H_
 
-#include <cstdint>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,10 +13,6 @@
 
 using config::Version;
 
-// How often the platform has been restored from a copy of its data. A restored
-// platform has lost its latest changes and assigns their versions again.
-using Epoch = std::uint64_t;
-
 // An existing (not deleted) object as the platform stores it.
 using Object = config::ObjectRecord;
 
@@ -25,7 +20,6 @@
 struct Listing {
   Version revision = 0;
   std::vector<Object> objects;  // Sorted by key.
-  Epoch epoch = 0;
 };
 
 // One write or deletion of an object.
@@ -39,7 +33,6 @@
   Version revision = 0;  // The next watch continues after this revision.
   // Sorted by version. Empty if the wait ended without an event.
   std::vector<WatchEvent> events;
-  Epoch epoch = 0;
 };
 
 // Whether the platform keeps a VM or is about to remove it.
@@ -65,6 +58,11 @@
 // kPlatformBadAnswer. A write may also fail with kPlatformConflict, or with
 // kPlatformOutcomeUnknown if no answer came: the write may have taken effect or
 // may still take effect.
+//
+// All versions are StoreVersions, which include the platform's epoch. A call
+// with a version from before the latest restore of the platform fails as if the
+// object had changed since (writes, kPlatformConflict) or the events were gone
+// (watches, kPlatformCompacted).
 class PlatformClient {
  public:
   virtual ~PlatformClient() = default;
@@ -88,8 +86,9 @@
   virtual Result<Version> Delete(std::string_view key, Version if_version) = 0;
 
   // Waits at most `wait` for events after revision `after` on keys that start
-  // with `prefix`. Fails with kPlatformCompacted if the platform no longer has
-  // all events after `after`; the caller then has to list the objects again.
+  // with `prefix`; 0 stands for all events. Fails with kPlatformCompacted if
+  // the platform no longer has all events after `after`; the caller then has to
+  // list the objects again.
   virtual Result<WatchAnswer> Watch(std::string_view prefix,
                                     Version after,
                                     absl::Duration wait) = 0;
--- a/include/gcw/relay/object.h
+++ b/include/gcw/relay/object.h
@@ -5,12 +5,13 @@
 #include <string>
 #include <vector>
 
+#include "gcw/base/store_version.h"
+
 namespace gcw::relay {
 
-// The version of a change. The platform numbers the changes of all objects with
-// one counter, so a version also identifies a revision of the whole
-// configuration.
-using Version = std::uint64_t;
+// The version of a change. The versions of all objects come from one sequence,
+// so a version also identifies a state of the whole configuration.
+using Version = StoreVersion;
 
 // One version of a configuration object, as daemons exchange it, or the
 // deletion of the object.
--- a/src/cluster/platform_caller.cc
+++ b/src/cluster/platform_caller.cc
@@ -67,8 +67,7 @@
     if (!listing.ok()) {
       return PlatformFailed{call.id, listing.error().code};
     }
-    PlatformListed listed{
-        call.id, listing.value().epoch, listing.value().revision, {}};
+    PlatformListed listed{call.id, listing.value().revision, {}};
     for (const platform::Object& object : listing.value().objects) {
       listed.objects.push_back(ToRelayObject(object));
     }
@@ -80,8 +79,7 @@
     if (!answer.ok()) {
       return PlatformFailed{call.id, answer.error().code};
     }
-    PlatformWatched watched{
-        call.id, answer.value().epoch, answer.value().revision, {}};
+    PlatformWatched watched{call.id, answer.value().revision, {}};
     for (const platform::WatchEvent& event : answer.value().events) {
       watched.events.push_back(ToRelayObject(event));
     }
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -136,7 +136,8 @@
   }
   ordered_json operator()(const direct::ConfigurationApplied& e) const {
     return {{"configuration", e.configuration},
-            {"revision", e.revision},
+            {"revision", RevisionOf(e.revision)},
+            {"epoch", EpochOf(e.revision)},
             {"routes", e.routes},
             {"services", e.services}};
   }
@@ -147,7 +148,8 @@
             {"presence", PresenceName(e.presence)},
             {"draining", e.draining},
             {"cold_for_ms", MillisecondsOrNull(e.cold_for)},
-            {"revision", e.revision}};
+            {"revision", RevisionOf(e.revision)},
+            {"epoch", EpochOf(e.revision)}};
   }
   ordered_json operator()(const direct::ServerReachChanged& e) const {
     return {{"server", e.server},
@@ -157,7 +159,10 @@
             {"failed_probes", e.failed_probes}};
   }
   ordered_json operator()(const direct::ZoneChanged& e) const {
-    return {{"zone", e.zone}, {"out", e.out}, {"revision", e.revision}};
+    return {{"zone", e.zone},
+            {"out", e.out},
+            {"revision", RevisionOf(e.revision)},
+            {"epoch", EpochOf(e.revision)}};
   }
   ordered_json operator()(const direct::AdmissionChanged& e) const {
     return {{"service", e.service},
@@ -171,7 +176,11 @@
             {"away_ms", MillisecondsOrNull(e.away)}};
   }
   ordered_json operator()(const direct::StaleStateIgnored& e) const {
-    return {{"feed", e.feed}, {"offered", e.offered}, {"held", e.held}};
+    return {{"feed", e.feed},
+            {"offered", RevisionOf(e.offered)},
+            {"held", RevisionOf(e.held)},
+            {"offered_epoch", EpochOf(e.offered)},
+            {"held_epoch", EpochOf(e.held)}};
   }
   ordered_json operator()(const ProcessStarted& e) const {
     return {{"name", e.name}, {"zone", e.zone}, {"packets", e.packets}};
@@ -190,14 +199,17 @@
             {"needs_restart", e.needs_restart}};
   }
   ordered_json operator()(const ObjectUnreadable& e) const {
-    return {{"key", e.key}, {"revision", e.revision}, {"error", e.error}};
+    return {{"key", e.key},
+            {"revision", RevisionOf(e.revision)},
+            {"epoch", EpochOf(e.revision)},
+            {"error", e.error}};
   }
   ordered_json operator()(const StoreEpochChanged& e) const {
     return {{"feed", e.feed},
-            {"epoch", e.epoch},
-            {"previous_epoch", e.previous_epoch},
-            {"revision", e.revision},
-            {"held", e.held}};
+            {"epoch", EpochOf(e.answered)},
+            {"previous_epoch", EpochOf(e.held)},
+            {"revision", RevisionOf(e.answered)},
+            {"held", RevisionOf(e.held)}};
   }
   ordered_json operator()(const ReadyChanged& e) const {
     return {{"ready", e.ready}, {"synced", e.synced}, {"leaving", e.leaving}};
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -8,7 +8,6 @@
 
 #include "gcw/base/event_log.h"
 #include "gcw/direct/events.h"
-#include "gcw/platform/platform_client.h"
 
 namespace gcw::direct_balancer {
 
@@ -48,13 +47,11 @@
 };
 
 // The platform's store was restored from an older copy: its answer for a feed
-// has another epoch than the answers before.
+// has a higher epoch than this daemon's state.
 struct StoreEpochChanged {
   std::string feed;
-  platform::Epoch epoch = 0;           // Of the answer.
-  platform::Epoch previous_epoch = 0;  // Of the answers before.
-  direct::Version revision = 0;        // Of the answer.
-  direct::Version held = 0;            // Revision of this daemon's state.
+  direct::Version answered = 0;  // Version of the state in the answer.
+  direct::Version held = 0;      // Version of this daemon's state.
 };
 
 // The answer to the routers' readiness check changed.
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <array>
-#include <optional>
 #include <span>
 #include <string>
 #include <utility>
@@ -359,7 +358,7 @@
   void OnOutcome(Feed feed, const cluster::PlatformListed& listed) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "list", now);
-    LogStoreState(feed, listed.epoch, listed.revision);
+    LogStoreState(feed, listed.revision);
     const bool published = state_published_[IndexOf(feed)];
     Perform(feed, relays_[IndexOf(feed)]->OnList(listed.id, listed.revision,
                                                  listed.objects, now));
@@ -373,7 +372,7 @@
   void OnOutcome(Feed feed, const cluster::PlatformWatched& watched) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "watch", now);
-    LogStoreState(feed, watched.epoch, watched.revision);
+    LogStoreState(feed, watched.revision);
     Perform(feed, relays_[IndexOf(feed)]->OnWatch(watched.id, watched.revision,
                                                   watched.events, now));
   }
@@ -403,18 +402,14 @@
 
   // Logs that the store was restored, and that its answer is older than the
   // state held here, so that the answer will be ignored.
-  void LogStoreState(Feed feed,
-                     platform::Epoch epoch,
-                     relay::Version revision) {
+  void LogStoreState(Feed feed, relay::Version answered) {
     const relay::Version held = relays_[IndexOf(feed)]->revision();
     const std::string name(direct::FeedName(feed));
-    std::optional<platform::Epoch>& last_epoch = epochs_[IndexOf(feed)];
-    if (last_epoch.has_value() && *last_epoch != epoch) {
-      log_.Write(StoreEpochChanged{name, epoch, *last_epoch, revision, held});
+    if (held != 0 && EpochOf(answered) > EpochOf(held)) {
+      log_.Write(StoreEpochChanged{name, answered, held});
     }
-    last_epoch = epoch;
-    if (revision < held) {
-      log_.Write(direct::StaleStateIgnored{name, revision, held});
+    if (answered < held) {
+      log_.Write(direct::StaleStateIgnored{name, answered, held});
     }
   }
 
@@ -502,8 +497,6 @@
   // to the platform's state.
   std::array<absl::Time, kFeedCount> confirmed_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
-  // The platform's epoch in its last answer for each feed.
-  std::array<std::optional<platform::Epoch>, kFeedCount> epochs_;
   // When the packet task was last sent a FeedConfirmed for each feed.
   std::array<absl::Time, kFeedCount> last_confirmed_sent_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
--- a/src/fake_platform/fake_platform.cc
+++ b/src/fake_platform/fake_platform.cc
@@ -290,9 +290,11 @@
   void ServeWatch(const ApiCall& call, httplib::Response* response)
       ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_) {
     const absl::Time until = absl::Now() + std::min(call.wait, kMaxWatchWait);
+    const StoreEpoch epoch = store_.epoch();
     Result<WatchAnswer> answer = store_.EventsAfter(call.prefix, call.after);
     while (answer.ok() && answer.value().events.empty() && !stopping_ &&
-           faults_.outage() != Outage::kRefusing && absl::Now() < until) {
+           store_.epoch() == epoch && faults_.outage() != Outage::kRefusing &&
+           absl::Now() < until) {
       changed_.WaitWithDeadline(&mutex_, until);
       answer = store_.EventsAfter(call.prefix, call.after);
     }
@@ -460,7 +462,7 @@
   });
 }
 
-platform::Epoch FakePlatform::epoch() const {
+StoreEpoch FakePlatform::epoch() const {
   return impl_->Inspect([](const Impl& impl) { return impl.store().epoch(); });
 }
 
--- a/src/fake_platform/fake_platform.h
+++ b/src/fake_platform/fake_platform.h
@@ -84,10 +84,10 @@
   void SaveCopy();
   // Replaces the store by the copy that SaveCopy() saved last, or by an empty
   // store. All later changes are lost, leases included, and the epoch that each
-  // answer carries rises by one. Waiting watches fail with kPlatformCompacted.
+  // answer carries rises by one. Watches that are waiting are answered.
   void Restore();
   // How often the store was restored.
-  platform::Epoch epoch() const;
+  StoreEpoch epoch() const;
   // Starts or ends a network partition of one client. The calls of a
   // partitioned client get no answer and have no effect.
   void SetPartitioned(std::uint32_t client_ip, bool partitioned);
--- a/src/fake_platform/store.h
+++ b/src/fake_platform/store.h
@@ -51,7 +51,7 @@
   // Returns the version of the last write or deletion.
   Version revision() const { return revision_; }
   // How often the store was restored.
-  platform::Epoch epoch() const { return epoch_; }
+  StoreEpoch epoch() const { return epoch_; }
 
   // Replaces all objects and the revision by those of `copy`, an earlier state
   // of this store. Later changes are lost and their versions are assigned
@@ -68,7 +68,7 @@
   void Append(WatchEvent event);
 
   std::size_t max_log_events_;
-  platform::Epoch epoch_ = 0;
+  StoreEpoch epoch_ = 0;
   Version revision_ = 0;
   // Events up to this version are no longer in the log.
   Version compacted_revision_ = 0;
--- a/src/platform/http_platform_client.cc
+++ b/src/platform/http_platform_client.cc
@@ -5,11 +5,13 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
-#include <charconv>
 #include <iterator>
+#include <optional>
 #include <string>
 #include <utility>
 
+#include "src/platform/answer_epoch.h"
+
 namespace gcw::platform {
 namespace {
 
@@ -64,44 +66,29 @@
 // A successful response.
 struct Answer {
   std::string body;
-  Epoch epoch = 0;
+  StoreEpoch epoch = 0;
 };
 
 // Returns the platform's epoch in the header `name`, or 0 if there is none.
-Result<Epoch> EpochOf(const httplib::Response& response, const char* name) {
-  Epoch epoch = 0;
-  if (!response.has_header(name)) {
-    return epoch;
-  }
-  const std::string text = response.get_header_value(name);
-  const char* end = text.data() + text.size();
-  const auto parsed = std::from_chars(text.data(), end, epoch);
-  if (parsed.ec != std::errc() || parsed.ptr != end) {
-    return Error{ResultCode::kPlatformBadAnswer, name, "is not a number"};
-  }
-  return epoch;
+Result<StoreEpoch> ReadEpoch(const httplib::Response& response,
+                             const char* name) {
+  return response.has_header(name) ? ParseEpoch(response.get_header_value(name))
+                                   : Result<StoreEpoch>(0);
 }
 
-// Returns the response of a successful call, or the error of a failed one.
-Result<Answer> AnswerOf(CallKind kind,
-                        httplib::Result result,
-                        const char* epoch_header) {
-  if (!result) {
-    return NoAnswer(kind, result.error());
-  }
-  if (result->status < kOkStatus || result->status >= kFirstRedirectStatus) {
-    return Error{CodeOfStatus(result->status), "",
-                 fmt::format("the platform answered with HTTP status {}",
-                             result->status)};
-  }
-  const Result<Epoch> epoch = EpochOf(*result, epoch_header);
-  if (!epoch.ok()) {
-    // The platform has executed the call.
-    return kind == CallKind::kRead ? epoch.error()
-                                   : Error{ResultCode::kPlatformOutcomeUnknown,
-                                           "", ToString(epoch.error())};
-  }
-  return Answer{std::move(result->body), epoch.value()};
+// The error of a call that was answered with a status other than success.
+Error StatusError(int status) {
+  return {CodeOfStatus(status), "",
+          fmt::format("the platform answered with HTTP status {}", status)};
+}
+
+bool IsSuccess(int status) {
+  return status >= kOkStatus && status < kFirstRedirectStatus;
+}
+
+// The error of a call with a version from before the platform was restored.
+Error FromBeforeRestore(ResultCode code) {
+  return {code, "", "the platform was restored after this version"};
 }
 
 // Turns on TCP keep-alive probes, so that a dead connection is closed.
@@ -150,18 +137,41 @@
         absl::ToChronoMicroseconds(options_.call_timeout + wait));
     const CallKind kind =
         request.method == ApiMethod::kGet ? CallKind::kRead : CallKind::kWrite;
-    return AnswerOf(kind, Send(request), format().EpochHeader());
+    httplib::Result response = Send(request);
+    if (!response) {
+      return NoAnswer(kind, response.error());
+    }
+    const Result<StoreEpoch> epoch =
+        ReadEpoch(*response, format().EpochHeader());
+    const Status current = CheckEpoch(epoch);
+    if (!IsSuccess(response->status)) {
+      return StatusError(response->status);
+    }
+    if (current.ok()) {
+      return Answer{std::move(response->body), epoch.value()};
+    }
+    // A write has been executed, but its version is not known.
+    return kind == CallKind::kRead ? current.error()
+                                   : Error{ResultCode::kPlatformOutcomeUnknown,
+                                           "", current.error().message};
   }
 
-  // Makes a write and returns its version. If the platform reports success but
-  // the body is invalid, the version is not known although the write took
-  // effect, so the result is kPlatformOutcomeUnknown.
-  Result<Version> Write(const ApiRequest& request) {
+  // Makes a write on the condition that the object has the version
+  // `if_version`, and returns the version of the write. If the platform reports
+  // success but the answer is invalid, the version is not known although the
+  // write took effect, so the result is kPlatformOutcomeUnknown.
+  Result<Version> Write(const ApiRequest& request, Version if_version) {
+    if (if_version != 0 && IsBeforeRestore(if_version)) {
+      return FromBeforeRestore(ResultCode::kPlatformConflict);
+    }
     const Result<Answer> answer = Call(request);
     if (!answer.ok()) {
       return answer.error();
     }
     Result<Version> version = format().DecodeVersion(answer.value().body);
+    if (version.ok()) {
+      version = WithEpoch(answer.value().epoch, version.value());
+    }
     if (!version.ok()) {
       return Error{ResultCode::kPlatformOutcomeUnknown, "",
                    version.error().message};
@@ -169,11 +179,31 @@
     return version;
   }
 
+  // Whether `version` is from before the latest restore that this client knows
+  // of. The platform may have assigned its revision again since.
+  bool IsBeforeRestore(Version version) const {
+    return EpochOf(version) < latest_epoch_;
+  }
+
   const ApiFormat& format() const { return *options_.format; }
 
   void CancelCall() { client_.stop(); }
 
  private:
+  // Records the epoch of an answer. Fails if it cannot be read, or if the
+  // answer is from before the latest restore: it was delayed and tells nothing
+  // about the present state.
+  Status CheckEpoch(const Result<StoreEpoch>& epoch) {
+    if (!epoch.ok()) {
+      return epoch.error();
+    }
+    if (epoch.value() < latest_epoch_) {
+      return FromBeforeRestore(ResultCode::kPlatformUnavailable);
+    }
+    latest_epoch_ = epoch.value();
+    return OkStatus();
+  }
+
   httplib::Result Send(const ApiRequest& request) {
     switch (request.method) {
       case ApiMethod::kGet:
@@ -190,6 +220,8 @@
 
   HttpPlatformOptions options_;
   httplib::Client client_;
+  // The highest epoch in any answer.
+  StoreEpoch latest_epoch_ = 0;
 };
 
 std::unique_ptr<HttpPlatformClient> HttpPlatformClient::Make(
@@ -204,6 +236,7 @@
 
 Result<Listing> HttpPlatformClient::List(std::string_view prefix) {
   Listing merged;
+  std::optional<StoreEpoch> epoch;
   std::string after;
   do {
     const Result<Answer> answer =
@@ -211,6 +244,11 @@
     if (!answer.ok()) {
       return answer.error();
     }
+    if (epoch.value_or(answer.value().epoch) != answer.value().epoch) {
+      return Error{ResultCode::kPlatformUnavailable, "",
+                   "the platform was restored between two pages"};
+    }
+    epoch = answer.value().epoch;
     Result<ListPage> page =
         impl_->format().DecodeListPage(prefix, answer.value().body);
     if (!page.ok()) {
@@ -221,13 +259,12 @@
     // that revision also reports changes made while the later pages were read.
     if (after.empty()) {
       merged.revision = page_listing.revision;
-      merged.epoch = answer.value().epoch;
     }
     std::move(page_listing.objects.begin(), page_listing.objects.end(),
               std::back_inserter(merged.objects));
     after = std::move(page.value().continue_after);
   } while (!after.empty());
-  return merged;
+  return WithEpoch(*epoch, std::move(merged));
 }
 
 Result<Object> HttpPlatformClient::Get(std::string_view key) {
@@ -235,34 +272,54 @@
   if (!answer.ok()) {
     return answer.error();
   }
-  return impl_->format().DecodeObject(key, answer.value().body);
+  Result<Object> object =
+      impl_->format().DecodeObject(key, answer.value().body);
+  if (!object.ok()) {
+    return object;
+  }
+  return WithEpoch(answer.value().epoch, std::move(object).value());
 }
 
 Result<Version> HttpPlatformClient::Put(std::string_view key,
                                         std::string_view value,
                                         Version if_version) {
-  return impl_->Write(impl_->format().Put(key, value, if_version));
+  return impl_->Write(impl_->format().Put(key, value, RevisionOf(if_version)),
+                      if_version);
 }
 
 Result<Version> HttpPlatformClient::Delete(std::string_view key,
                                            Version if_version) {
-  return impl_->Write(impl_->format().Delete(key, if_version));
+  return impl_->Write(impl_->format().Delete(key, RevisionOf(if_version)),
+                      if_version);
 }
 
 Result<WatchAnswer> HttpPlatformClient::Watch(std::string_view prefix,
                                               Version after,
                                               absl::Duration wait) {
+  const bool from_start = after == 0;
+  if (!from_start && impl_->IsBeforeRestore(after)) {
+    return FromBeforeRestore(ResultCode::kPlatformCompacted);
+  }
   const Result<Answer> answer =
-      impl_->Call(impl_->format().Watch(prefix, after, wait), wait);
+      impl_->Call(impl_->format().Watch(prefix, RevisionOf(after), wait), wait);
   if (!answer.ok()) {
     return answer.error();
   }
+  const StoreEpoch epoch = answer.value().epoch;
+  // If the epochs differ, the platform has looked for the events after another
+  // change than the caller meant.
+  if (!from_start && EpochOf(after) < epoch) {
+    return FromBeforeRestore(ResultCode::kPlatformCompacted);
+  }
+  if (EpochOf(after) > epoch) {
+    return FromBeforeRestore(ResultCode::kPlatformUnavailable);
+  }
   Result<WatchAnswer> watched =
       impl_->format().DecodeWatch(prefix, answer.value().body);
-  if (watched.ok()) {
-    watched.value().epoch = answer.value().epoch;
+  if (!watched.ok()) {
+    return watched;
   }
-  return watched;
+  return WithEpoch(epoch, std::move(watched).value());
 }
 
 Result<std::vector<Vm>> HttpPlatformClient::Vms() {
--- a/tests/direct_balancer/daemon_fixture.h
+++ b/tests/direct_balancer/daemon_fixture.h
@@ -2,6 +2,7 @@
 #define GCW_TESTS_DIRECT_BALANCER_DAEMON_FIXTURE_H_
 
 #include <fmt/format.h>
+#include <httplib.h>
 #include <poll.h>
 
 #include <catch2/catch.hpp>
@@ -120,6 +121,22 @@
     return std::move(made).value();
   }
 
+  // Reads the daemon's metrics until they contain `sample`. Returns an empty
+  // string after kTimeout.
+  std::string MetricsWith(std::uint32_t daemon, std::string_view sample) const {
+    const Endpoint metrics = SettingsOf(daemon).metrics;
+    httplib::Client client(IpToString(metrics.ip), metrics.port);
+    const absl::Time deadline = absl::Now() + kTimeout;
+    while (absl::Now() < deadline) {
+      const auto answer = client.Get("/metrics");
+      if (answer && answer->body.find(sample) != std::string::npos) {
+        return answer->body;
+      }
+      absl::SleepFor(absl::Milliseconds(10));
+    }
+    return {};
+  }
+
   // A packet that a daemon forwarded to a server.
   struct ReceivedPacket {
     std::size_t server = 0;  // Index of the server that received it.
--- a/tests/direct_balancer/daemon_test.cc
+++ b/tests/direct_balancer/daemon_test.cc
@@ -28,23 +28,6 @@
   return false;
 }
 
-// Reads the daemon's metrics until they contain `sample`. Fails the test after
-// kTimeout.
-std::string MetricsWith(const Settings& settings, std::string_view sample) {
-  httplib::Client client(IpToString(settings.metrics.ip),
-                         settings.metrics.port);
-  const absl::Time deadline = absl::Now() + kTimeout;
-  while (absl::Now() < deadline) {
-    const auto answer = client.Get("/metrics");
-    if (answer && answer->body.find(sample) != std::string::npos) {
-      return answer->body;
-    }
-    absl::SleepFor(absl::Milliseconds(10));
-  }
-  FAIL("no sample " << sample);
-  return {};
-}
-
 TEST_CASE("a forwarded packet carries the server's number and a cookie") {
   DaemonFixture fixture;
   fixture.AddServer();
@@ -196,7 +179,7 @@
   }
   // The daemon publishes the state of its servers once per second.
   const std::string text =
-      MetricsWith(fixture.SettingsOf(0), "gcw_server_flows{server=\"i-0001\"");
+      fixture.MetricsWith(0, "gcw_server_flows{server=\"i-0001\"");
   CHECK(text.find(fmt::format("gcw_packets_total{{reason=\"placed\"}} {}\n",
                               placed)) != std::string::npos);
   CHECK(text.find("gcw_daemons 1\n") != std::string::npos);
--- a/tests/direct_balancer/store_restore_test.cc
+++ b/tests/direct_balancer/store_restore_test.cc
@@ -35,42 +35,34 @@
               .ok());
 }
 
-// Opens flows to the route with this port until one reaches a server. Returns
-// false after `timeout`.
-bool RouteIsServed(DaemonFixture& fixture,
-                   std::uint32_t daemon,
-                   std::uint16_t route,
-                   absl::Duration timeout = kTimeout) {
-  static std::uint16_t caller_port = 20'000;
-  const absl::Time deadline = absl::Now() + timeout;
-  while (absl::Now() < deadline) {
-    direct::Packet syn = fixture.MakeSyn(++caller_port);
-    syn.flow.service.port = route;
-    fixture.SendPacket(daemon, syn);
-    if (fixture.NextPacket(absl::Milliseconds(50))) {
-      return true;
-    }
-  }
-  return false;
+// Waits until the daemon has the configuration with this version in force.
+// Returns false after kTimeout.
+bool IsInForce(const DaemonFixture& fixture,
+               std::uint32_t daemon,
+               int version) {
+  return !fixture
+              .MetricsWith(daemon, fmt::format("gcw_configuration_version {}\n",
+                                               version))
+              .empty();
 }
 
 // The restored store assigns versions again. A daemon took the new changes for
 // those that it had read under the same versions, and served the old
 // configuration for good.
-TEST_CASE("a change under a version that a restore gave out again is in force",
-          "[known-red][!mayfail]") {
+TEST_CASE(
+    "a change under a version that a restore gave out again is in force") {
   DaemonFixture fixture;
   fixture.AddServer();
   const auto daemon = fixture.StartDaemon(0);
-  REQUIRE(RouteIsServed(fixture, 0, kFirstRoute));
+  REQUIRE(IsInForce(fixture, 0, 1));
   fixture.platform->SaveCopy();
   WriteConfiguration(fixture, 2, {kFirstRoute});
   WriteConfiguration(fixture, 3, {kFirstRoute, kSecondRoute});
-  REQUIRE(RouteIsServed(fixture, 0, kSecondRoute));
+  REQUIRE(IsInForce(fixture, 0, 3));
   fixture.platform->Restore();
   WriteConfiguration(fixture, 3, {kFirstRoute, kSecondRoute});
   WriteConfiguration(fixture, 4, {kFirstRoute, kThirdRoute});
-  CHECK(RouteIsServed(fixture, 0, kThirdRoute));
+  CHECK(IsInForce(fixture, 0, 4));
 }
 
 }  // namespace
--- a/tests/platform/http_platform_client_test.cc
+++ b/tests/platform/http_platform_client_test.cc
@@ -8,6 +8,7 @@
 
 #include "absl/time/clock.h"
 #include "src/fake_platform/fake_platform.h"
+#include "src/platform/answer_epoch.h"
 #include "src/platform/platform_json.h"
 
 namespace gcw::platform {
@@ -143,6 +144,90 @@
   CHECK(client->Get("a").value().value == "2");
 }
 
+// A restored platform gives revisions out again. A client that compared only
+// them took new changes for those that it knew.
+TEST_CASE("versions from after a restore are higher than all from before") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  REQUIRE(client->Put("a", "1", 0).ok());
+  platform->SaveCopy();
+  const Version lost = client->Put("b", "2", 0).value();
+  platform->Restore();
+  const Listing listing = client->List("").value();
+  CHECK(listing.revision > lost);
+  REQUIRE(listing.objects.size() == 1);
+  CHECK(listing.objects[0].version > lost);
+  CHECK(listing.objects[0].created > lost);
+  const Version again = client->Put("c", "3", 0).value();
+  CHECK(again > listing.revision);
+  CHECK(RevisionOf(again) == RevisionOf(lost));
+  CHECK(client->Get("c").value().version == again);
+  const auto events = client->Watch("", listing.revision, absl::ZeroDuration());
+  REQUIRE(events.ok());
+  REQUIRE(events.value().events.size() == 1);
+  CHECK(events.value().events[0].object.version == again);
+}
+
+TEST_CASE("a watch of a version from before a restore fails as compacted") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  REQUIRE(client->Put("a", "1", 0).ok());
+  platform->SaveCopy();
+  const Version lost = client->Put("a", "2", 1).value();
+  platform->Restore();
+  // The platform has a change with this revision, but it is another change.
+  REQUIRE(platform->Put("a", "3", 1).ok());
+  for (int i = 0; i < 2; ++i) {
+    CHECK(client->Watch("", lost, absl::ZeroDuration()).error().code ==
+          ResultCode::kPlatformCompacted);
+  }
+  // All events that the platform has can still be asked for.
+  CHECK(client->Watch("", 0, absl::ZeroDuration()).error().code ==
+        ResultCode::kPlatformCompacted);
+}
+
+// Another client's value can have the same revision as the lost one had.
+TEST_CASE("a write on a version from before a restore is a conflict") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  REQUIRE(client->Put("a", "1", 0).ok());
+  platform->SaveCopy();
+  const Version lost = client->Put("a", "2", 1).value();
+  platform->Restore();
+  REQUIRE(platform->Put("a", "3", 1).value() == RevisionOf(lost));
+  REQUIRE(client->Get("a").ok());
+  CHECK(client->Put("a", "4", lost).error().code ==
+        ResultCode::kPlatformConflict);
+  CHECK(client->Delete("a", lost).error().code ==
+        ResultCode::kPlatformConflict);
+  CHECK(platform->Get("a").value().value == "3");
+}
+
+TEST_CASE("an answer from before a restore that arrives late is refused") {
+  const auto platform = MakePlatform();
+  const auto client = MakeClient(*platform);
+  REQUIRE(client->Put("a", "1", 0).ok());
+  platform->SaveCopy();
+  platform->SaveStaleState();
+  platform->Restore();
+  REQUIRE(client->List("").ok());
+  platform->SetStaleReads(1);
+  CHECK(client->List("").error().code == ResultCode::kPlatformUnavailable);
+  CHECK(client->Get("a").error().code == ResultCode::kPlatformUnavailable);
+}
+
+TEST_CASE("an epoch that is no number or too large is a bad answer") {
+  CHECK(ParseEpoch("17").value() == 17);
+  CHECK(ParseEpoch(std::to_string(kMaxStoreEpoch)).value() == kMaxStoreEpoch);
+  for (const std::string text :
+       {"", "x", "-1", "1 ", "2, 2", "1e3", "99999999999999999999"}) {
+    INFO(text);
+    CHECK(ParseEpoch(text).error().code == ResultCode::kPlatformBadAnswer);
+  }
+  CHECK_FALSE(ParseEpoch(std::to_string(kMaxStoreEpoch + 1)).ok());
+  CHECK_FALSE(WithEpoch(1, Version{kMaxRevision + 1}).ok());
+}
+
 TEST_CASE("the VM list is returned") {
   const auto platform = MakePlatform();
   const auto client = MakeClient(*platform);
--- a/tests/relay/cluster.h
+++ b/tests/relay/cluster.h
@@ -299,6 +299,13 @@
           const Version at = platform_mode == PlatformMode::kStale
                                  ? stale_revision
                                  : platform.revision();
+          if (EpochOf(at) > EpochOf(call.after)) {
+            HandleInput(node, [&](VersionedRelay& r) {
+              return r.OnCallFailed(call.id, ResultCode::kPlatformCompacted,
+                                    now_);
+            });
+            return;
+          }
           const auto events = platform_mode == PlatformMode::kWatchStalled
                                   ? std::vector<Object>()
                                   : platform.Changes(call.after, at);
--- a/tests/relay/fake_platform.h
+++ b/tests/relay/fake_platform.h
@@ -1,6 +1,7 @@
 #ifndef GCW_TESTS_RELAY_FAKE_PLATFORM_H_
 #define GCW_TESTS_RELAY_FAKE_PLATFORM_H_
 
+#include <algorithm>
 #include <map>
 #include <string>
 #include <vector>
@@ -40,11 +41,26 @@
     history_[revision_] = live_;
   }
 
+  // Restores the objects as of `revision`. The changes since then are lost, and
+  // the epoch rises.
+  void Restore(Version revision) {
+    const StoreEpoch epoch = EpochOf(revision_) + 1;
+    live_ = At(revision);
+    for (auto& [key, object] : live_) {
+      object.version = MakeStoreVersion(epoch, RevisionOf(object.version));
+      object.created = MakeStoreVersion(epoch, RevisionOf(object.created));
+    }
+    revision_ = MakeStoreVersion(epoch, RevisionOf(revision));
+    restored_at_ = revision_;
+    history_[revision_] = live_;
+  }
+
   // The version of the last write of any object.
   Version revision() const { return revision_; }
   // The version of the last change in the configuration.
   Version last_change() const {
-    return changes_.empty() ? 0 : changes_.rbegin()->first;
+    return std::max(restored_at_,
+                    changes_.empty() ? 0 : changes_.rbegin()->first);
   }
 
   std::vector<Object> List() const { return ListAt(revision_); }
@@ -81,6 +97,7 @@
   }
 
   Version revision_ = 0;
+  Version restored_at_ = 0;
   State live_;
   std::map<Version, Object> changes_;
   std::map<Version, State> history_;
