--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -2,11 +2,11 @@
 
 #include <algorithm>
 #include <array>
-#include <map>
 #include <set>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
+#include "src/direct/active_configuration.h"
 #include "src/direct/admission_table.h"
 #include "src/direct/feed_states.h"
 #include "src/direct/flow_monitor.h"
@@ -36,6 +36,7 @@
   explicit Impl(const RouterOptions& options)
       : options_(options),
         feeds_(&events_),
+        configuration_(&events_),
         admission_table_(options.seed, &events_),
         servers_(options.lapse_grace, &events_),
         failure_detector_(options.zone, servers_, zones_out_, &events_),
@@ -50,23 +51,9 @@
     if (!feeds_.Advance(Feed::kConfiguration, revision)) {
       return;
     }
-    if (configuration == configuration_) {
-      return;
-    }
-    configuration_ = configuration;
-    routes_.clear();
-    for (std::size_t i = 0; i < configuration_.routes.size(); ++i) {
-      routes_[configuration_.routes[i].address] = i;
-    }
-    services_.clear();
-    for (const Service& service : configuration_.services) {
-      services_[service.name] = service;
+    if (configuration_.Apply(configuration, revision)) {
+      admission_table_.SetServices(configuration_.services());
     }
-    admission_table_.SetServices(configuration_.services);
-    events_.push_back(ConfigurationApplied{
-        configuration_.version, revision,
-        static_cast<std::uint32_t>(configuration_.routes.size()),
-        static_cast<std::uint32_t>(configuration_.services.size())});
   }
 
   void ApplyServerList(std::span<const ServerReportPtr> reports,
@@ -112,16 +99,16 @@
     if (!synced()) {
       return {.action = Action::kDrop, .reason = Reason::kNotSynced};
     }
-    const auto route = routes_.find(packet.flow.service);
-    if (route == routes_.end()) {
+    const Route* route = configuration_.FindRoute(packet.flow.service);
+    if (route == nullptr) {
       flows_.Erase(packet.flow);
       return Refuse(packet, Reason::kUnknownRoute, nullptr,
                     absl::ZeroDuration(), now);
     }
     if (packet.syn) {
-      return HandleSyn(packet, configuration_.routes[route->second], now);
+      return HandleSyn(packet, *route, now);
     }
-    return HandleNonSyn(packet, configuration_.routes[route->second], now);
+    return HandleNonSyn(packet, *route, now);
   }
 
   void OnTick(absl::Time now) {
@@ -138,7 +125,8 @@
     last_sweep_ = now;
     failure_detector_.DecayDemand();
     placer_.Expire(now);
-    flows_.Expire(configuration_.flow_idle_timeout, options_.max_flow_age, now);
+    flows_.Expire(configuration_.flow_idle_timeout(), options_.max_flow_age,
+                  now);
     servers_.OnTick(options_.max_flow_age, feeds_.confirmed(Feed::kServers),
                     now);
     absl::erase_if(unknown_cookies_, [&](const auto& item) {
@@ -179,9 +167,9 @@
     for (std::size_t i = 0; i < kFeedCount; ++i) {
       stats.feed_ages[i] = feeds_.Age(static_cast<Feed>(i), now);
     }
-    stats.configuration = configuration_.version;
+    stats.configuration = configuration_.version();
     stats.flows = flows_.size();
-    stats.routes = routes_.size();
+    stats.routes = configuration_.route_count();
     stats.untracked = untracked_;
     for (const auto& entry : servers_.entries()) {
       const std::string_view state =
@@ -201,7 +189,7 @@
   }
 
   HeldState HeldStateAt(absl::Time now) const {
-    return {configuration_.version, ServersAge(now)};
+    return {configuration_.version(), ServersAge(now)};
   }
 
   // Handles a SYN that opens a flow, and SYNs that the caller retransmitted or
@@ -231,7 +219,7 @@
     if (avoid != nullptr) {
       name = avoid->server.service;
     }
-    const auto service = services_.find(name);
+    const Service* service = configuration_.FindService(name);
     failure_detector_.CountDemand(name);
     // A retransmitted SYN is always admitted: a server may already have opened
     // its flow.
@@ -240,9 +228,8 @@
       return RefuseOverloaded(packet, name, now);
     }
     Placement placement;
-    if (service != services_.end()) {
-      placement =
-          placer_.Choose(servers_, service->second, zones_out_, avoid, now);
+    if (service != nullptr) {
+      placement = placer_.Choose(servers_, *service, zones_out_, avoid, now);
     }
     if (placement.server == nullptr) {
       flows_.Erase(packet.flow);
@@ -258,7 +245,7 @@
                                  .repeat = packet.acknowledged,
                                  .server_flows = placement.server->open_flows,
                                  .candidates = placement.candidates,
-                                 .configuration = configuration_.version,
+                                 .configuration = configuration_.version(),
                                  .servers_age = ServersAge(now)});
     return Forward(*placement.server, reason);
   }
@@ -420,7 +407,7 @@
                     .server = server == nullptr ? "" : server->server.name,
                     .cookie = packet.cookie,
                     .evidence_age = evidence_age,
-                    .configuration = configuration_.version,
+                    .configuration = configuration_.version(),
                     .servers_age = ServersAge(now)});
     return {.action = drop ? Action::kDrop : Action::kReset, .reason = reason};
   }
@@ -428,10 +415,7 @@
   const RouterOptions options_;
   std::vector<Event> events_;
   FeedStates feeds_;
-  Configuration configuration_;
-  // Indices into `configuration_.routes`, by the address that callers use.
-  absl::flat_hash_map<Endpoint, std::size_t> routes_;
-  std::map<std::string, Service, std::less<>> services_;
+  ActiveConfiguration configuration_;
   AdmissionTable admission_table_;
   std::set<std::string, std::less<>> zones_out_;
   ServerTable servers_;
