direct: a configuration that a restore brought back is not put in force

What callers would see: once a daemon takes over the state of a restored store, it puts the older configuration of the copy in force until the operators have written theirs again; routes that were added are refused (CONFIG, a confirmed change comes back older). Cause: the store's order of changes was taken for the operators' order. After a restore the latest state of the store can be an older decision of the operators. Fix: a configuration from a later epoch is ignored while its version number, which the operators raise with each change, is lower than the one in force, and older_configuration_ignored is logged. In one epoch the store's order decides, as before.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -155,7 +155,9 @@
 
   // ApplyConfiguration(), ApplyServerList() and ApplyZonesOut() replace one
   // kind of state. A state with an older store revision than the current one is
-  // ignored and reported as StaleStateIgnored.
+  // ignored and reported as StaleStateIgnored. After the store was restored
+  // from an older copy (its epoch has risen), a configuration with a lower
+  // version number than the one in force is ignored too.
   void ApplyConfiguration(const Configuration& configuration, Version revision);
   // `reports` holds all entries of the store as of `revision`. A server that
   // has no entry any more counts as gone if it was draining. Otherwise it
--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -174,6 +174,15 @@
   Version held = 0;     // Revision of the current state.
 };
 
+// The store was restored from an older copy and has a configuration that is
+// older than the one in force. It was ignored; the operators are expected to
+// write the newer one again.
+struct OlderConfigurationIgnored {
+  Version offered = 0;   // Configuration::version in the store.
+  Version held = 0;      // Configuration::version in force.
+  Version revision = 0;  // The store's.
+};
+
 using Event = std::variant<FlowOpened,
                            FlowRefused,
                            FlowStalled,
@@ -183,7 +192,8 @@
                            ZoneChanged,
                            AdmissionChanged,
                            FeedChanged,
-                           StaleStateIgnored>;
+                           StaleStateIgnored,
+                           OlderConfigurationIgnored>;
 
 }  // namespace gcw::direct
 
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -65,6 +65,9 @@
   LogHeading operator()(const direct::StaleStateIgnored&) const {
     return {LogLevel::kWarning, kState, "stale_state_ignored"};
   }
+  LogHeading operator()(const direct::OlderConfigurationIgnored&) const {
+    return {LogLevel::kWarning, kState, "older_configuration_ignored"};
+  }
   LogHeading operator()(const ProcessStarted&) const {
     return {LogLevel::kInfo, kProcess, "process_started"};
   }
@@ -182,6 +185,12 @@
             {"offered_epoch", EpochOf(e.offered)},
             {"held_epoch", EpochOf(e.held)}};
   }
+  ordered_json operator()(const direct::OlderConfigurationIgnored& e) const {
+    return {{"offered", e.offered},
+            {"held", e.held},
+            {"revision", RevisionOf(e.revision)},
+            {"epoch", EpochOf(e.revision)}};
+  }
   ordered_json operator()(const ProcessStarted& e) const {
     return {{"name", e.name}, {"zone", e.zone}, {"packets", e.packets}};
   }
