direct: a zone that was out before a restore of the store stays out

What callers would see: new flows to servers of a zone that operators had taken out of service (EVAC), from the restore until the operators have written it again. Cause: the restored store may have lost the operators' entry, and the daemons took its list as the operators' latest word. Fix: zones that were out before the restore stay out until the restored store lists them or 10 s have passed; a zone that the restored store lists is out at once, since it may be a new decision. The zones stand in a module of their own.

--- a/bench/direct_decision.cc
+++ b/bench/direct_decision.cc
@@ -42,7 +42,7 @@
   configuration.routes = {{kRoute, "route", {{"service", 1}}}};
   configuration.services = {{"service", 0, 10}};
   router->ApplyConfiguration(configuration, 1);
-  router->ApplyZonesOut({}, 1);
+  router->ApplyZonesOut({}, 1, absl::UnixEpoch());
   std::vector<ServerReportPtr> reports;
   for (std::uint32_t i = 0; i < count; ++i) {
     BackendServer server;
--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -27,6 +27,10 @@
   // platform, this takes two seconds for entries that expire while the platform
   // is unavailable.
   absl::Duration lapse_grace = absl::Milliseconds(2500);
+  // How long what was read before the store was restored from an older copy
+  // stays in force where the restored store disagrees. Its writers are expected
+  // to write again within this time what the store has lost.
+  absl::Duration restore_grace = absl::Seconds(10);
   // Flows older than this are removed from the flow table, and servers that
   // have been gone for longer from the server table.
   absl::Duration max_flow_age = absl::Seconds(60);
@@ -166,8 +170,12 @@
                        Version revision,
                        absl::Time now);
   // `zones` are the availability zones that operators have taken out of
-  // service. Their servers get no new flows.
-  void ApplyZonesOut(std::span<const std::string> zones, Version revision);
+  // service. Their servers get no new flows. After the store was restored from
+  // an older copy, a zone that was out stays out for
+  // RouterOptions::restore_grace.
+  void ApplyZonesOut(std::span<const std::string> zones,
+                     Version revision,
+                     absl::Time now);
 
   // Sets this daemon's position among the daemons that share the rate limits of
   // cold servers (slow start). After the first call, cold servers get no flows
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <set>
 #include <utility>
 
 #include "absl/container/flat_hash_map.h"
@@ -15,6 +14,7 @@
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
 #include "src/direct/server_table.h"
+#include "src/direct/zones_out.h"
 
 namespace gcw::direct {
 namespace {
@@ -38,8 +38,9 @@
         feeds_(&events_),
         configuration_(&events_),
         admission_table_(options.seed, &events_),
+        zones_out_(options.restore_grace, &events_),
         servers_(options.lapse_grace, &events_),
-        failure_detector_(options.zone, servers_, zones_out_, &events_),
+        failure_detector_(options.zone, servers_, zones_out_.names(), &events_),
         flows_(options.max_flows),
         flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
                       &events_),
@@ -64,22 +65,12 @@
     }
   }
 
-  void ApplyZonesOut(std::span<const std::string> zones, Version revision) {
-    if (!feeds_.Advance(Feed::kZones, revision)) {
-      return;
-    }
-    const std::set<std::string, std::less<>> out(zones.begin(), zones.end());
-    for (const std::string& zone : out) {
-      if (!zones_out_.contains(zone)) {
-        events_.push_back(ZoneChanged{zone, true, revision});
-      }
-    }
-    for (const std::string& zone : zones_out_) {
-      if (!out.contains(zone)) {
-        events_.push_back(ZoneChanged{zone, false, revision});
-      }
+  void ApplyZonesOut(std::span<const std::string> zones,
+                     Version revision,
+                     absl::Time now) {
+    if (feeds_.Advance(Feed::kZones, revision)) {
+      zones_out_.Apply(zones, revision, now);
     }
-    zones_out_ = out;
   }
 
   void SetFleetPosition(const FleetPosition& position, absl::Time now) {
@@ -123,6 +114,7 @@
       return;
     }
     last_sweep_ = now;
+    zones_out_.OnTick(now);
     failure_detector_.DecayDemand();
     placer_.Expire(now);
     flows_.Expire(configuration_.flow_idle_timeout(), options_.max_flow_age,
@@ -229,7 +221,8 @@
     }
     Placement placement;
     if (service != nullptr) {
-      placement = placer_.Choose(servers_, *service, zones_out_, avoid, now);
+      placement =
+          placer_.Choose(servers_, *service, zones_out_.names(), avoid, now);
     }
     if (placement.server == nullptr) {
       flows_.Erase(packet.flow);
@@ -417,7 +410,7 @@
   FeedStates feeds_;
   ActiveConfiguration configuration_;
   AdmissionTable admission_table_;
-  std::set<std::string, std::less<>> zones_out_;
+  ZonesOut zones_out_;
   ServerTable servers_;
   ServerFailureDetector failure_detector_;
   FlowTable flows_;
@@ -462,8 +455,9 @@
   impl_->SetFleetPosition(position, now);
 }
 void DirectRouter::ApplyZonesOut(std::span<const std::string> zones,
-                                 Version revision) {
-  impl_->ApplyZonesOut(zones, revision);
+                                 Version revision,
+                                 absl::Time now) {
+  impl_->ApplyZonesOut(zones, revision, now);
 }
 void DirectRouter::OnFeedConfirmed(Feed feed, absl::Time confirmed) {
   impl_->OnFeedConfirmed(feed, confirmed);
--- /dev/null
+++ b/src/direct/zones_out.cc
@@ -0,0 +1,47 @@
+#include "src/direct/zones_out.h"
+
+#include <utility>
+
+namespace gcw::direct {
+
+void ZonesOut::Apply(std::span<const std::string> zones,
+                     Version revision,
+                     absl::Time now) {
+  // Before the first list there is nothing to retain.
+  if (EpochOf(revision) > EpochOf(revision_)) {
+    retained_ = names_;
+    retained_until_ = now + restore_grace_;
+  }
+  revision_ = revision;
+  listed_ = Names(zones.begin(), zones.end());
+  for (const std::string& zone : listed_) {
+    // From now on the store decides when the zone returns.
+    retained_.erase(zone);
+  }
+  Update();
+}
+
+void ZonesOut::OnTick(absl::Time now) {
+  if (!retained_.empty() && now >= retained_until_) {
+    retained_.clear();
+    Update();
+  }
+}
+
+void ZonesOut::Update() {
+  Names names = listed_;
+  names.insert(retained_.begin(), retained_.end());
+  for (const std::string& zone : names) {
+    if (!names_.contains(zone)) {
+      events_->push_back(ZoneChanged{zone, true, revision_});
+    }
+  }
+  for (const std::string& zone : names_) {
+    if (!names.contains(zone)) {
+      events_->push_back(ZoneChanged{zone, false, revision_});
+    }
+  }
+  names_ = std::move(names);
+}
+
+}  // namespace gcw::direct
--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -211,8 +211,8 @@
   void Handle(const ServersListed& m, absl::Time now) {
     router_->ApplyServerList(m.reports, m.revision, now);
   }
-  void Handle(const ZonesOutRead& m, absl::Time /*now*/) {
-    router_->ApplyZonesOut(m.zones, m.revision);
+  void Handle(const ZonesOutRead& m, absl::Time now) {
+    router_->ApplyZonesOut(m.zones, m.revision, now);
   }
   void Handle(const FeedConfirmed& m, absl::Time now) {
     if (m.by_platform) {
--- a/tests/direct/cold_fleet_test.cc
+++ b/tests/direct/cold_fleet_test.cc
@@ -48,7 +48,7 @@
       auto made = DirectRouter::Make({.zone = "near", .seed = i + 1});
       REQUIRE(made.ok());
       made.value()->ApplyConfiguration(configuration, 1);
-      made.value()->ApplyZonesOut({}, 1);
+      made.value()->ApplyZonesOut({}, 1, absl::UnixEpoch());
       made.value()->ApplyServerList(reports, 1, kStart);
       made.value()->SetFleetPosition({daemons, i}, kStart);
       routers_.push_back(std::move(made).value());
--- a/tests/direct/failure_detection_test.cc
+++ b/tests/direct/failure_detection_test.cc
@@ -159,7 +159,7 @@
   f.zones_out = {"near"};
   f.Restart();
   const FlowCookie cookie = OpenTwoAndWait(f);  // In zone "far".
-  f.router->ApplyZonesOut({}, ++f.revision);
+  f.router->ApplyZonesOut({}, ++f.revision, f.now);
   f.silent = {f.FindServer("f1").address, f.FindServer("f2").address,
               f.FindServer("p2").address};
   const absl::Time cut = f.now;
@@ -173,7 +173,7 @@
   f.silent.clear();
   f.AdvanceTime(absl::Seconds(1));
   const std::vector<std::string> out{"near"};
-  f.router->ApplyZonesOut(out, ++f.revision);
+  f.router->ApplyZonesOut(out, ++f.revision, f.now);
   CHECK(f.NameOf(f.Open(3))[0] == 'f');
 }
 
--- a/tests/direct/flow_test.cc
+++ b/tests/direct/flow_test.cc
@@ -209,7 +209,7 @@
   f.router = std::move(made).value();
   f.revision = 0;
   f.router->ApplyConfiguration(f.configuration, ++f.revision);
-  f.router->ApplyZonesOut({}, ++f.revision);
+  f.router->ApplyZonesOut({}, ++f.revision, f.now);
   f.SendServerList();
   f.Open(1);
   CHECK(f.NameOf(f.Open(2)) != "");
--- a/tests/direct/router_fixture.h
+++ b/tests/direct/router_fixture.h
@@ -32,7 +32,7 @@
     REQUIRE(made.ok());
     router = std::move(made).value();
     router->ApplyConfiguration(configuration, ++revision);
-    router->ApplyZonesOut(zones_out, ++revision);
+    router->ApplyZonesOut(zones_out, ++revision, now);
     SendServerList();
     events.clear();
   }
--- a/tests/direct/server_test.cc
+++ b/tests/direct/server_test.cc
@@ -140,12 +140,12 @@
   RouterFixture f;
   const FlowCookie cookie = f.Open(1);
   const std::vector<std::string> out{"near"};
-  f.router->ApplyZonesOut(out, ++f.revision);
+  f.router->ApplyZonesOut(out, ++f.revision, f.now);
   for (std::uint16_t port = 2; port < 20; ++port) {
     CHECK(f.NameOf(f.Open(port))[0] == 'f');
   }
   CHECK(f.Send(f.Data(1, cookie)).action == Action::kForward);
-  f.router->ApplyZonesOut({}, ++f.revision);
+  f.router->ApplyZonesOut({}, ++f.revision, f.now);
   CHECK(f.NameOf(f.Open(30))[0] == 'n');
 }
 
--- a/tests/direct/store_restore_test.cc
+++ b/tests/direct/store_restore_test.cc
@@ -53,5 +53,44 @@
   CHECK(f.Send(f.Syn(1, kNewRoute)).action == Action::kReset);
 }
 
+// A restored store may have lost that a zone was taken out of service, until
+// the operators have written it again.
+TEST_CASE(
+    "a zone that was out before a restore stays out until it is written") {
+  RouterFixture f;
+  const std::vector<std::string> near{"near"};
+  const std::vector<std::string> far{"far"};
+  f.router->ApplyZonesOut(near, ++f.revision, f.now);
+  REQUIRE(f.NameOf(f.Open(1))[0] == 'f');
+  Restore(f);
+  f.router->ApplyZonesOut({}, ++f.revision, f.now);
+  f.AdvanceTime(absl::Seconds(2));
+  for (std::uint16_t port = 2; port < 20; ++port) {
+    CHECK(f.NameOf(f.Open(port))[0] == 'f');
+  }
+  SECTION("once it is written again, the store decides") {
+    f.router->ApplyZonesOut(near, ++f.revision, f.now);
+    CHECK(f.NameOf(f.Open(30))[0] == 'f');
+    f.router->ApplyZonesOut({}, ++f.revision, f.now);
+    CHECK(f.NameOf(f.Open(31))[0] == 'n');
+  }
+  SECTION("if it is not written again, it is put back after some time") {
+    f.AdvanceTime(absl::Seconds(10));
+    CHECK(f.NameOf(f.Open(30))[0] == 'n');
+  }
+  SECTION("another zone can be taken out meanwhile") {
+    f.router->ApplyZonesOut(far, ++f.revision, f.now);
+    CHECK(f.Send(f.Syn(30)).reason == Reason::kNoServer);
+  }
+}
+
+TEST_CASE("a zone that a restore brought back out of service gets no flows") {
+  RouterFixture f;
+  Restore(f);
+  const std::vector<std::string> near{"near"};
+  f.router->ApplyZonesOut(near, ++f.revision, f.now);
+  CHECK(f.NameOf(f.Open(1))[0] == 'f');
+}
+
 }  // namespace
 }  // namespace gcw::direct
--- a/tests/direct/zone_loss_test.cc
+++ b/tests/direct/zone_loss_test.cc
@@ -144,7 +144,7 @@
   const FlowCookie cookie = f.Open(++f.port);
   const std::string zone = f.FindServer(f.NameOf(cookie)).zone;
   f.zones_out.clear();
-  f.router->ApplyZonesOut(f.zones_out, ++f.revision);
+  f.router->ApplyZonesOut(f.zones_out, ++f.revision, f.now);
   f.Cut(zone);
   f.probes_made = 0;
   f.Send(f.Data(f.port, cookie, 1001, 500, 100));
