direct: reports of servers from before a restore of the store are no news

What callers would see: new flows on a server that drains (DRAIN) or that has left, and resets of flows whose server had been started again under its name (FLOW). Cause: the restored store holds older reports of servers under the latest version; a daemon applied them as the servers' latest word. A server that reports a later start is taken at its word at once. Test: three of the four new tests in tests/direct/store_restore_test.cc failed before (drain lost, server that had left, restarted server); the fourth holds that a real restart still counts at once.

--- a/include/gcw/direct/resources.h
+++ b/include/gcw/direct/resources.h
@@ -72,6 +72,9 @@
   std::string zone;
   std::uint32_t slots = 1;  // Requests that the server can run at once.
   bool draining = false;    // Keeps its open flows and gets no new ones.
+  // Rises with each report of the incarnation; 0 if the server does not number
+  // its reports.
+  std::uint64_t report_number = 0;
   // How long the server stays cold (gets new flows at a limited rate: slow
   // start), from the time of the report.
   absl::Duration cold_for = absl::ZeroDuration();
@@ -79,6 +82,10 @@
   bool operator==(const BackendServer&) const = default;
 };
 
+// Whether two reports say the same of a server: they are equal except for
+// report_number. Thread-safe.
+bool SameState(const BackendServer& a, const BackendServer& b);
+
 // The cookie of an incarnation: the same on all daemons and never 0.
 // Thread-safe.
 FlowCookie CookieOf(const BackendServer& server);
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -39,7 +39,7 @@
         configuration_(&events_),
         admission_table_(options.seed, &events_),
         zones_out_(options.restore_grace, &events_),
-        servers_(options.lapse_grace, &events_),
+        servers_(options.lapse_grace, options.restore_grace, &events_),
         failure_detector_(options.zone, servers_, zones_out_.names(), &events_),
         flows_(options.max_flows),
         flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
--- a/src/direct/resources.cc
+++ b/src/direct/resources.cc
@@ -1,11 +1,20 @@
 #include "gcw/direct/resources.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "gcw/base/hash.h"
 
 namespace gcw::direct {
 
+bool SameState(const BackendServer& a, const BackendServer& b) {
+  const auto state = [](const BackendServer& s) {
+    return std::tie(s.name, s.number, s.incarnation, s.service, s.address,
+                    s.zone, s.slots, s.draining, s.cold_for);
+  };
+  return state(a) == state(b);
+}
+
 FlowCookie CookieOf(const BackendServer& server) {
   const std::uint64_t hash =
       MixHash(server.number, static_cast<std::uint64_t>(server.incarnation));
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -1,22 +1,32 @@
 #include "src/direct/server_table.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "absl/container/flat_hash_set.h"
 
 namespace gcw::direct {
 
-ServerTable::ServerTable(absl::Duration lapse_grace, std::vector<Event>* events)
-    : lapse_grace_(lapse_grace), events_(events) {}
+ServerTable::ServerTable(absl::Duration lapse_grace,
+                         absl::Duration restore_grace,
+                         std::vector<Event>* events)
+    : lapse_grace_(lapse_grace),
+      restore_grace_(restore_grace),
+      events_(events) {}
 
 void ServerTable::ApplyList(std::span<const ServerReportPtr> reports,
                             Version revision,
                             absl::Time now) {
+  if (EpochOf(revision) > EpochOf(revision_)) {
+    restore_grace_end_ = now + restore_grace_;
+  }
+  revision_ = revision;
+  deferred_reports_.clear();
   absl::flat_hash_set<std::string_view> listed;
   listed.reserve(reports.size());
   for (const ServerReportPtr& report : reports) {
     listed.insert(report->name);
-    Apply(*report, now);
+    Apply(report, now);
   }
   for (const auto& entry : entries_) {
     if (!listed.contains(entry->server.name)) {
@@ -40,11 +50,34 @@
                                  : std::span<ServerEntry* const>(it->second);
 }
 
-void ServerTable::Apply(const ServerReport& report, absl::Time now) {
+bool ServerTable::IsFromRestoredCopy(const ServerReport& report,
+                                     const ServerEntry& entry) {
+  if (EpochOf(report.revision) == EpochOf(entry.revision)) {
+    return false;
+  }
+  const auto order = [](const BackendServer& s) {
+    return std::pair(s.incarnation, s.report_number);
+  };
+  if (!report.readable || order(report.server) < order(entry.server)) {
+    return true;
+  }
+  // A server that has left makes no more reports, and a report does not change.
+  return order(report.server) == order(entry.server) &&
+         (entry.presence == Presence::kGone ||
+          !SameState(report.server, entry.server));
+}
+
+void ServerTable::Apply(const ServerReportPtr& shared_report, absl::Time now) {
+  const ServerReport& report = *shared_report;
   ServerEntry* entry = FindByName(report.name);
   if (entry != nullptr && report.revision < entry->revision) {
     return;  // The report is older than the entry.
   }
+  if (entry != nullptr && now < restore_grace_end_ &&
+      IsFromRestoredCopy(report, *entry)) {
+    deferred_reports_.push_back(shared_report);
+    return;
+  }
   if (!report.readable) {
     if (entry != nullptr) {
       entry->revision = report.revision;
@@ -86,9 +119,10 @@
 void ServerTable::Update(ServerEntry& entry,
                          const ServerReport& report,
                          absl::Time now) {
-  const bool unchanged =
-      entry.server == report.server && entry.presence == Presence::kListed;
+  const bool unchanged = SameState(entry.server, report.server) &&
+                         entry.presence == Presence::kListed;
   entry.revision = report.revision;
+  entry.server.report_number = report.server.report_number;
   if (unchanged) {
     return;
   }
@@ -143,6 +177,12 @@
 void ServerTable::OnTick(absl::Duration retention,
                          absl::Time confirmed,
                          absl::Time now) {
+  if (now >= restore_grace_end_ && !deferred_reports_.empty()) {
+    for (const ServerReportPtr& report : std::exchange(deferred_reports_, {})) {
+      Apply(report, now);
+    }
+    IndexServices();
+  }
   for (const auto& entry : entries_) {
     if (entry->presence == Presence::kLapsed &&
         confirmed >= entry->presence_since + lapse_grace_) {
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -51,20 +51,26 @@
 class ServerTable {
  public:
   // `lapse_grace` is how long an entry that vanished from the store without a
-  // drain may take to reappear before the server counts as gone. `events` must
-  // outlive the table.
-  ServerTable(absl::Duration lapse_grace, std::vector<Event>* events);
+  // drain may take to reappear before the server counts as gone.
+  // `restore_grace` is how long a restored store may hold older reports than
+  // this table. `events` must outlive the table.
+  ServerTable(absl::Duration lapse_grace,
+              absl::Duration restore_grace,
+              std::vector<Event>* events);
 
   // Replaces the list of servers by `reports`, all entries of the store as of
-  // `revision`.
+  // `revision`. After a restore of the store, reports that are older than those
+  // of the table, by the servers' own numbers, take effect only if the servers
+  // have not reported again within the restore grace.
   void ApplyList(std::span<const ServerReportPtr> reports,
                  Version revision,
                  absl::Time now);
 
   // Marks entries that vanished without a drain (lapsed) as gone if they were
   // still missing when the server list was last confirmed (at `confirmed`), at
-  // least `lapse_grace` after they vanished. Removes entries that have been
-  // gone for `retention` and have no flows.
+  // least `lapse_grace` after they vanished. Applies reports whose restore
+  // grace has ended. Removes entries that have been gone for `retention` and
+  // have no flows.
   void OnTick(absl::Duration retention, absl::Time confirmed, absl::Time now);
 
   // The newest incarnation of the server `name`, or null.
@@ -80,7 +86,11 @@
   std::span<ServerEntry* const> OfService(std::string_view service) const;
 
  private:
-  void Apply(const ServerReport& report, absl::Time now);
+  void Apply(const ServerReportPtr& report, absl::Time now);
+  // Whether the store was restored since the entry was reported, and `report`
+  // is no news about the server.
+  static bool IsFromRestoredCopy(const ServerReport& report,
+                                 const ServerEntry& entry);
   // Marks the server `name` as gone if it was draining, otherwise as lapsed,
   // because the server list of `revision` has no entry for it.
   void MarkMissing(std::string_view name, Version revision, absl::Time now);
@@ -92,7 +102,12 @@
   void IndexServices();
 
   const absl::Duration lapse_grace_;
+  const absl::Duration restore_grace_;
   std::vector<Event>* const events_;
+  Version revision_ = 0;  // Of the last list.
+  // The reports of the last list that wait until `restore_grace_end_`.
+  std::vector<ServerReportPtr> deferred_reports_;
+  absl::Time restore_grace_end_ = absl::InfinitePast();
   std::vector<std::unique_ptr<ServerEntry>> entries_;
   std::map<std::string, ServerEntry*, std::less<>> by_name_;
   absl::flat_hash_map<FlowCookie, ServerEntry*> by_cookie_;
--- a/tests/direct/router_fixture.h
+++ b/tests/direct/router_fixture.h
@@ -53,7 +53,8 @@
   }
 
   // Gives the router the server list of the store, which holds `servers`.
-  void SendServerList() {
+  void SendServerList() { SendServerList(servers); }
+  void SendServerList(const std::vector<BackendServer>& servers) {
     std::vector<ServerReportPtr> reports;
     ++revision;
     for (const BackendServer& server : servers) {
--- a/tests/direct/store_restore_test.cc
+++ b/tests/direct/store_restore_test.cc
@@ -92,5 +92,98 @@
   CHECK(f.NameOf(f.Open(1))[0] == 'f');
 }
 
+// The servers of a RouterFixture before and after a restore of the store.
+struct ServersFixture : RouterFixture {
+  // Sets the state of n1 in its next report and sends the list.
+  void ReportN1(bool draining) {
+    FindServer("n1").draining = draining;
+    ++FindServer("n1").report_number;
+    SendServerList();
+  }
+  // Whether any of the next flows is placed on n1.
+  bool N1GetsFlows() {
+    bool found = false;
+    for (int i = 0; i < 20; ++i) {
+      found = found || NameOf(Open(++port)) == "n1";
+    }
+    return found;
+  }
+  // Restores the store with `copy` as its server list.
+  void RestoreServers(const std::vector<BackendServer>& copy) {
+    Restore(*this);
+    SendServerList(copy);
+  }
+
+  std::uint16_t port = 100;
+};
+
+// The copy may be from before a server began to drain. Until the server has
+// reported again, it must not get new flows.
+TEST_CASE("a draining server gets no flows after a restore lost its drain") {
+  ServersFixture f;
+  f.ReportN1(false);
+  const std::vector<BackendServer> copy = f.servers;
+  REQUIRE(f.N1GetsFlows());
+  f.ReportN1(true);
+  REQUIRE_FALSE(f.N1GetsFlows());
+  f.RestoreServers(copy);
+  CHECK_FALSE(f.N1GetsFlows());
+  f.AdvanceTime(absl::Seconds(2));
+  CHECK_FALSE(f.N1GetsFlows());
+  SECTION("a later report of the server counts") {
+    f.ReportN1(false);
+    CHECK(f.N1GetsFlows());
+  }
+  SECTION("without a later report the store's entry counts in the end") {
+    f.AdvanceTime(absl::Seconds(10));
+    CHECK(f.N1GetsFlows());
+  }
+}
+
+TEST_CASE("a server that left before a restore does not return with the copy") {
+  ServersFixture f;
+  f.ReportN1(true);
+  const std::vector<BackendServer> copy = f.servers;
+  f.RemoveServer("n1");
+  REQUIRE(f.EventsOf<ServerChanged>().back().presence == Presence::kGone);
+  std::vector<BackendServer> ready = copy;
+  ready[0].draining = false;
+  --ready[0].report_number;
+  f.RestoreServers(ready);
+  CHECK_FALSE(f.N1GetsFlows());
+  CHECK(f.EventsOf<ServerChanged>().back().presence == Presence::kGone);
+}
+
+// The copy may be from before a server was started again under the same name.
+TEST_CASE(
+    "flows of a restarted server survive a restore to before its restart") {
+  ServersFixture f;
+  const std::vector<BackendServer> copy = f.servers;
+  f.FindServer("n1").incarnation += 1000;
+  f.SendServerList();
+  FlowCookie cookie = 0;
+  while (f.NameOf(cookie) != "n1") {
+    cookie = f.Open(++f.port);
+  }
+  f.RestoreServers(copy);
+  f.AdvanceTime(absl::Seconds(1));
+  CHECK(f.resets.empty());
+  CHECK(f.Send(f.Data(f.port, cookie)).action == Action::kForward);
+  CHECK(f.N1GetsFlows());
+}
+
+// A later start has the higher time, so a restart during the restore counts.
+TEST_CASE("a server that restarts beside a restore loses its flows at once") {
+  ServersFixture f;
+  FlowCookie cookie = 0;
+  while (f.NameOf(cookie) != "n1") {
+    cookie = f.Open(++f.port);
+  }
+  f.FindServer("n1").incarnation += 1000;
+  f.RestoreServers(f.servers);
+  f.AdvanceTime(absl::Milliseconds(100));
+  CHECK(f.resets.size() == 1);
+}
+
 }  // namespace
 }  // namespace gcw::direct
