direct: a draining server that a restored store lost is not gone yet

What callers would see: resets of all flows of a server that drains and still serves them, when the copy is from before the server had registered (FLOW). Cause: a missing entry of a draining server means that it has left, but a restored store misses entries of servers that are still there. Fix: an entry that was read before the restore lapses and counts as gone only after the lapse grace, like any other missing entry.

--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -146,10 +146,11 @@
   // The entry keeps its revision, so that a report of the same revision can
   // mark the server as listed again. A server drains before it leaves. The
   // entry of any other server may have expired because the store was
-  // unavailable or the server could not reach the store.
-  SetPresence(*entry,
-              entry->server.draining ? Presence::kGone : Presence::kLapsed,
-              now);
+  // unavailable or the server could not reach the store, and any entry may be
+  // missing from a restored store.
+  const bool restored = EpochOf(revision) > EpochOf(entry->revision);
+  const bool left = entry->server.draining && !restored;
+  SetPresence(*entry, left ? Presence::kGone : Presence::kLapsed, now);
 }
 
 void ServerTable::SetPresence(ServerEntry& entry,
--- a/tests/direct/store_restore_test.cc
+++ b/tests/direct/store_restore_test.cc
@@ -140,6 +140,27 @@
   }
 }
 
+// The flows of a server that drains live on until the server has left.
+TEST_CASE("a draining server that a restore lost keeps its flows") {
+  ServersFixture f;
+  std::vector<BackendServer> copy = f.servers;
+  std::erase_if(copy, [](const BackendServer& s) { return s.name == "n1"; });
+  FlowCookie cookie = 0;
+  while (f.NameOf(cookie) != "n1") {
+    cookie = f.Open(++f.port);
+  }
+  f.ReportN1(true);
+  f.RestoreServers(copy);
+  f.AdvanceTime(absl::Milliseconds(500));
+  CHECK(f.resets.empty());
+  CHECK(f.Send(f.Data(f.port, cookie)).action == Action::kForward);
+  // The server reports again.
+  f.SendServerList();
+  f.AdvanceTime(absl::Seconds(5));
+  CHECK(f.resets.empty());
+  CHECK_FALSE(f.N1GetsFlows());
+}
+
 TEST_CASE("a server that left before a restore does not return with the copy") {
   ServersFixture f;
   f.ReportN1(true);
