lease: a restore of the store ends the term and no lease is taken at once

What users would see: two members act as the holder at the same time after the store was restored (for gcw-balancer: two writers of a zone's status). Fix: answers tell the store's epoch. When it rises the holder ends its term, and for a lease duration nobody takes a lease that looks free or its own. At epoch 0 nothing changes.

--- a/include/gcw/lease/lease.h
+++ b/include/gcw/lease/lease.h
@@ -69,8 +69,10 @@
 // A lease with fenced writes, stored in one object of a versioned store. The
 // holder renews it by conditional writes; another member takes over after it
 // has seen the object unchanged for the lease duration on its own clock. Clocks
-// of different members are never compared. A term is the time from acquiring
-// the lease to losing or releasing it.
+// of different members are never compared. A restore of the store from an older
+// copy (its epoch rises) ends the term, and since the store may have lost
+// leases, none is acquired for the lease duration afterwards. A term is the
+// time from acquiring the lease to losing or releasing it.
 //
 // A state machine without I/O: OnTick() returns the store call to make, at most
 // one at a time, and OnRead() and OnPut() take its result. Not thread-safe.
--- a/include/gcw/lease/lease_store.h
+++ b/include/gcw/lease/lease_store.h
@@ -18,6 +18,7 @@
 struct StoredObject {
   Version version = 0;
   std::string json;
+  StoreEpoch epoch = 0;  // The store's, also if the object does not exist.
 };
 
 // The versioned store that holds leases and guarded objects. Implementations
--- a/include/gcw/platform/http_platform_client.h
+++ b/include/gcw/platform/http_platform_client.h
@@ -47,6 +47,7 @@
                             Version after,
                             absl::Duration wait) override;
   Result<std::vector<Vm>> Vms() override;
+  StoreEpoch epoch() const override;
 
   // Cancels the call that is in progress, if any. The call returns as if no
   // answer had come. Thread-safe.
--- a/include/gcw/platform/platform_client.h
+++ b/include/gcw/platform/platform_client.h
@@ -93,6 +93,9 @@
                                     Version after,
                                     absl::Duration wait) = 0;
 
+  // The highest epoch of the platform in any answer so far; 0 before the first.
+  virtual StoreEpoch epoch() const = 0;
+
   // Returns the VMs of the deployment. The list lags behind their actual state.
   virtual Result<std::vector<Vm>> Vms() = 0;
 };
--- a/src/balancer/status_writer_task.cc
+++ b/src/balancer/status_writer_task.cc
@@ -40,10 +40,11 @@
   Result<lease::StoredObject> Read(std::string_view key) override {
     auto object = client_.Get(key);
     if (object.ok()) {
-      return lease::StoredObject{object.value().version, object.value().value};
+      return lease::StoredObject{object.value().version, object.value().value,
+                                 client_.epoch()};
     }
     if (object.error().code == ResultCode::kNotFound) {
-      return lease::StoredObject{};
+      return lease::StoredObject{0, "", client_.epoch()};
     }
     return object.error();
   }
--- a/src/lease/lease.cc
+++ b/src/lease/lease.cc
@@ -68,6 +68,8 @@
   std::optional<StoreCall> GuardedCall();
   void BeginLeaseWrite(WriteType type, Version if_version, absl::Time now);
   void AdvanceTime(absl::Time now);
+  void ObserveEpoch(StoreEpoch answered, absl::Time now);
+  bool MayHaveUnseenHolder(absl::Time now) const;
 
   void OnLeaseRead(const StoredObject& object, absl::Time now);
   bool ResolvePendingWrite(Version version,
@@ -128,6 +130,10 @@
   // Whether the outcome of `pending_write` must be read before it is retried.
   bool read_needed = true;
   std::optional<Observation> observation;
+  // The store's epoch, nullopt before the first answer, and since when it is
+  // known.
+  std::optional<StoreEpoch> epoch;
+  absl::Time epoch_since = absl::InfinitePast();
   absl::Time next_read = absl::InfinitePast();
   // After a failed call, no call is made before this time.
   absl::Time backoff_until = absl::InfinitePast();
@@ -145,6 +151,7 @@
   if (backwards) {
     LoseLease();
     observation.reset();
+    epoch_since = now;
     next_read = now;
     backoff_until = now;
   }
@@ -153,6 +160,30 @@
   }
 }
 
+// Records the epoch of an answer. If the store was restored, it may have lost
+// this member's lease, and the lease of another member that this one does not
+// know of: the term ends and the observation starts anew.
+void Lease::State::ObserveEpoch(StoreEpoch answered, absl::Time now) {
+  if (epoch && answered <= *epoch) {
+    return;
+  }
+  const bool restored = epoch.has_value();
+  epoch = answered;
+  epoch_since = now;
+  if (restored) {
+    LoseLease();
+    pending_write.reset();
+    observation.reset();
+    next_read = now;
+  }
+}
+
+// Whether another member may hold a lease that the store has lost in a restore.
+// Such a lease expires within the lease duration.
+bool Lease::State::MayHaveUnseenHolder(absl::Time now) const {
+  return epoch.value_or(0) != 0 && now - epoch_since < options.duration;
+}
+
 std::optional<StoreCall> Lease::State::Tick(absl::Time now) {
   AdvanceTime(now);
   if (call_id || now < backoff_until) {
@@ -255,16 +286,17 @@
 }
 
 // Records the lease as read by a member that does not hold it, and starts to
-// acquire it if it is free, names this member as its holder, or has been
-// unchanged for the lease duration.
+// acquire it if it is free or names this member as its holder, and no holder
+// can be unseen, or if it has been unchanged for the lease duration.
 void Lease::State::ObserveLease(Version version,
                                 const LeaseRecord& record,
                                 absl::Time now) {
   if (!observation || observation->version != version) {
     observation = Observation{version, record, now};
   }
-  const bool available = version == 0 || record.released ||
-                         record.holder == options.holder ||
+  const bool free =
+      version == 0 || record.released || record.holder == options.holder;
+  const bool available = (free && !MayHaveUnseenHolder(now)) ||
                          now - observation->first_seen >= options.duration;
   if (available && !release_requested) {
     BeginLeaseWrite(WriteType::kAcquire, version, now);
@@ -386,6 +418,7 @@
     return;
   }
   state_->OnCallSucceeded();
+  state_->ObserveEpoch(result.value().epoch, now);
   if (state_->call_target == CallTarget::kLease) {
     state_->OnLeaseRead(result.value(), now);
   } else if (state_->token != 0) {
@@ -409,8 +442,8 @@
   } else {
     state_->OnCallFailed(now);
   }
-  // The answer is processed before the expiry check, so that a write that took
-  // effect is reported as such even if the lease expired in the meantime.
+  // The answer is processed before the checks that may end the term, so that a
+  // write that took effect is reported as such even then.
   if (state_->call_target == CallTarget::kLease) {
     if (state_->pending_write) {
       state_->OnLeasePut(result, now);
@@ -419,6 +452,9 @@
     state_->OnGuardedAnswer(
         state_->guarded_objects[state_->call_guarded_index].OnPut(result));
   }
+  if (result.ok()) {
+    state_->ObserveEpoch(EpochOf(result.value()), now);
+  }
   state_->AdvanceTime(now);
 }
 
--- a/src/platform/http_platform_client.cc
+++ b/src/platform/http_platform_client.cc
@@ -186,6 +186,7 @@
   }
 
   const ApiFormat& format() const { return *options_.format; }
+  StoreEpoch epoch() const { return latest_epoch_; }
 
   void CancelCall() { client_.stop(); }
 
@@ -330,6 +331,10 @@
   return impl_->format().DecodeVms(answer.value().body);
 }
 
+StoreEpoch HttpPlatformClient::epoch() const {
+  return impl_->epoch();
+}
+
 void HttpPlatformClient::CancelCall() {
   impl_->CancelCall();
 }
--- a/tests/lease/lease_simulation.h
+++ b/tests/lease/lease_simulation.h
@@ -99,6 +99,19 @@
     return status;
   }
 
+  // Saves the present objects as the copy that Restore() brings back.
+  void SaveCopy() {
+    copy_ = objects_;
+    copy_revision_ = revision_;
+  }
+  // Restores the store from the copy: later writes are lost, and their
+  // revisions are assigned again in the next epoch.
+  void Restore() {
+    objects_ = copy_;
+    revision_ = copy_revision_;
+    ++epoch_;
+  }
+
   // A paused candidate neither ticks nor receives answers.
   void Pause(Candidate& candidate) { candidate.paused = true; }
   void Resume(Candidate& candidate) {
@@ -224,7 +237,12 @@
       return Error{ResultCode::kPlatformUnavailable, "", ""};
     }
     const auto it = objects_.find(call.key);
-    return it == objects_.end() ? StoredObject() : it->second;
+    StoredObject object = it == objects_.end() ? StoredObject() : it->second;
+    object.epoch = epoch_;
+    if (object.version != 0) {
+      object.version = MakeStoreVersion(epoch_, object.version);
+    }
+    return object;
   }
 
   Result<Version> PutObject(const StoreCall& call) {
@@ -246,7 +264,7 @@
 
   Result<Version> Apply(const StoreCall& call) {
     StoredObject& object = objects_[call.key];
-    if (object.version != call.if_version) {
+    if (object.version != RevisionOf(call.if_version)) {
       return Error{ResultCode::kPlatformConflict, "", ""};
     }
     if (call.key == kGuardedKey) {
@@ -260,16 +278,20 @@
         applied_.push_back(after.data);
       }
     }
-    object = StoredObject{++version_, call.json};
-    return version_;
+    object = StoredObject{++revision_, call.json};
+    return MakeStoreVersion(epoch_, revision_);
   }
 
   std::mt19937_64 random_;
   absl::Time now_ = absl::FromUnixSeconds(1'000'000);
   std::vector<std::unique_ptr<Candidate>> candidates_;
   std::multimap<absl::Time, std::function<void()>> queue_;
+  // The versions of the stored objects are revisions, without the epoch.
   std::map<std::string, StoredObject> objects_;
-  Version version_ = 0;
+  std::uint64_t revision_ = 0;
+  std::map<std::string, StoredObject> copy_;
+  std::uint64_t copy_revision_ = 0;
+  StoreEpoch epoch_ = 0;
   std::vector<std::string> applied_;
   std::uint64_t calls_ = 0;
 };
--- a/tests/platform/conditional_write_test.cc
+++ b/tests/platform/conditional_write_test.cc
@@ -69,6 +69,7 @@
     return store_->EventsAfter(prefix, after);
   }
   Result<std::vector<Vm>> Vms() override { return std::vector<Vm>{}; }
+  StoreEpoch epoch() const override { return store_->epoch(); }
 
   // Applies the late writes that have not yet reached the store.
   void DeliverLateWrites() {
