platform: an unanswered deletion is not taken as made because of a restore

What operators would see: a deletion whose answer was lost is reported as done, although the restored store has the object and serves it. Cause: the write recognises its deletion by an object that was created later; after a restore every version is from a later epoch, so each object looks created anew. Fix: `created` counts only within one epoch; else the intent decides again, and the deletion is made under the present version. Test: "an unanswered deletion is not taken as made because of a restore" failed before. A second test holds that an unanswered write before a restore stays unknown (it passed before).

--- a/src/platform/conditional_write.cc
+++ b/src/platform/conditional_write.cc
@@ -122,8 +122,12 @@
   // object has been read and found not to have the operation id.
   WriteStep ResolveUnansweredWrite() {
     if (unanswered_->is_delete) {
+      // A restored platform gives all objects new versions, so another
+      // `created` then says nothing.
       const bool is_gone =
-          !current_.has_value() || current_->created > unanswered_->created;
+          !current_.has_value() ||
+          (current_->created > unanswered_->created &&
+           EpochOf(current_->created) == EpochOf(unanswered_->created));
       return is_gone ? WriteStep(Finish{WriteOutcome{0, true, false}})
                      : Evaluate();
     }
--- a/tests/platform/conditional_write_test.cc
+++ b/tests/platform/conditional_write_test.cc
@@ -351,6 +351,50 @@
   CHECK(std::get<Finish>(step).result.value() == WriteOutcome{1, true, true});
 }
 
+// A restore gives every object new versions. A deletion whose answer was lost
+// was reported as made, although the restored platform has the object.
+TEST_CASE("an unanswered deletion is not taken as made because of a restore") {
+  const absl::Time now = absl::UnixEpoch();
+  const auto object = [](StoreEpoch epoch) {
+    return Object{kKey, MakeStoreVersion(epoch, 7), MakeStoreVersion(epoch, 5),
+                  R"({"op":"x"})"};
+  };
+  const WriteRequest request = {
+      .key = kKey, .op = "delete", .intent = [](const Object*) {
+        return Result<DesiredState>(DesiredState{});
+      }};
+  ConditionalWrite write(request, FastOptions(), 1, now);
+  write.Start();
+  write.OnObject(object(0), now);
+  write.OnWritten(MakeError(ResultCode::kPlatformOutcomeUnknown), now);
+  write.OnPaused(now);
+  const WriteStep step = write.OnObject(object(1), now);
+  REQUIRE(std::holds_alternative<DeleteObject>(step));
+  CHECK(std::get<DeleteObject>(step).if_version == object(1).version);
+}
+
+// The platform may have made the write before it was restored and lost it, or
+// it may make it yet.
+TEST_CASE("an unanswered write before a restore has an unknown outcome") {
+  Store store(100);
+  REQUIRE(store.Put(kKey, R"({"op":"first"})", 0).ok());
+  const absl::Time now = absl::UnixEpoch();
+  ConditionalWrite write(OverwriteRequest("op"), FastOptions(), 1, now);
+  write.Start();
+  write.OnObject(store.Get(kKey), now);
+  write.OnWritten(MakeError(ResultCode::kPlatformOutcomeUnknown), now);
+  write.OnPaused(now);
+  Object restored = store.Get(kKey).value();
+  restored.version = MakeStoreVersion(1, restored.version);
+  const WriteStep search = write.OnObject(restored, now);
+  REQUIRE(std::holds_alternative<ReadEvents>(search));
+  // The client answers a watch of a version from before a restore like this.
+  const WriteStep end =
+      write.OnEvents(MakeError(ResultCode::kPlatformCompacted), now);
+  CHECK(std::get<Finish>(end).result.error().code ==
+        ResultCode::kPlatformOutcomeUnknown);
+}
+
 TEST_CASE("a write that cannot be verified has an unknown outcome") {
   const absl::Time now = absl::UnixEpoch();
   ConditionalWrite write(CreateRequest(), FastOptions(), 1, now);
