--- a/src/cli/commands.cc
+++ b/src/cli/commands.cc
@@ -44,9 +44,10 @@
   return has_version ? answer.at("version").get<Version>() : 0;
 }
 
-bool IsInForce(const json& status, Version version) {
+// The version that all daemons have in force according to `status`, or 0.
+Version VersionInForce(const json& status) {
   const json in_force = status.value("in_force_everywhere", json());
-  return in_force.is_number_unsigned() && in_force.get<Version>() >= version;
+  return in_force.is_number_unsigned() ? in_force.get<Version>() : 0;
 }
 
 // The unreachable zones, and the daemons that have not applied `version`.
@@ -78,7 +79,15 @@
   platform::Backoff poll_backoff(kStatusPollBackoff, version);
   while (absl::Now() < deadline) {
     const Result<json> status = session.api->Get("/v1/status");
-    if (status.ok() && IsInForce(status.value(), version)) {
+    const Version in_force = status.ok() ? VersionInForce(status.value()) : 0;
+    if (EpochOf(in_force) > EpochOf(version)) {
+      return Error{
+          ResultCode::kWaitTimedOut, "",
+          fmt::format("version {} is accepted, but the platform has been "
+                      "restored since; check whether the change is still there",
+                      version)};
+    }
+    if (in_force >= version) {
       *session.out << fmt::format("version {} is in force everywhere\n",
                                   version);
       return OkStatus();
--- a/tests/cli/cli_test.cc
+++ b/tests/cli/cli_test.cc
@@ -212,16 +212,40 @@
   CHECK(Run(fixture, kTaysideToken, {"list", "services"}).code == 0);
 }
 
+// Writes a status of zone tirano whose only daemon has `revision` in force.
+void ReportRevision(ApiFixture& fixture, Version revision) {
+  const json value = {
+      {"at", absl::ToUnixMillis(absl::Now())},
+      {"daemons", {{{"name", "entry1"}, {"revision", revision}}}}};
+  const auto old = fixture.platform->Get("status/zone/tirano");
+  const Version version = old.ok() ? old.value().version : 0;
+  fixture.platform->Put("status/zone/tirano", value.dump(), version).ok();
+}
+
+// The restored platform has lost the accepted change. Its later versions are
+// higher, so the command took the change for one that is in force.
+TEST_CASE("waiting tells that a restore may have lost the change") {
+  ApiFixture fixture;
+  ReportRevision(fixture, 1);
+  fixture.platform->SaveCopy();
+  std::thread restore([&] {
+    absl::SleepFor(absl::Milliseconds(500));
+    fixture.platform->Restore();
+    ReportRevision(fixture, MakeStoreVersion(1, fixture.platform->revision()));
+  });
+  const Outcome outcome =
+      Run(fixture, kPoolToken,
+          {"zone", "out", "tirano", "--wait", "--wait-seconds", "10"});
+  restore.join();
+  CHECK(outcome.code == Number(ResultCode::kWaitTimedOut));
+  CHECK(Contains(outcome.err, "restored"));
+}
+
 TEST_CASE(
     "waiting ends when all daemons have the version, or names those behind") {
   ApiFixture fixture;
   const auto report = [&](Version revision) {
-    const json value = {
-        {"at", absl::ToUnixMillis(absl::Now())},
-        {"daemons", {{{"name", "entry1"}, {"revision", revision}}}}};
-    const auto old = fixture.platform->Get("status/zone/tirano");
-    const Version version = old.ok() ? old.value().version : 0;
-    fixture.platform->Put("status/zone/tirano", value.dump(), version).ok();
+    ReportRevision(fixture, revision);
   };
   report(1);
   const Outcome late =
