direct_balancer: a stale answer of the store does not confirm the state

What callers would see: servers counted as gone, or flows with an unknown cookie reset, on the word of a store that answers with an older state than the daemon's; servers_age_ms was near 0 all through the incident. Cause: every answered call confirmed the state held, also one that the relay then drops because it is older. Fix: an answer confirms only if it is not older than the state held.

--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -357,8 +357,7 @@
 
   void OnOutcome(Feed feed, const cluster::PlatformListed& listed) {
     const absl::Time now = kernel::MonotonicNow();
-    OnCallAnswered(feed, "list", now);
-    LogStoreState(feed, listed.revision);
+    OnCallAnswered(feed, "list", listed.revision, now);
     const bool published = state_published_[IndexOf(feed)];
     Perform(feed, relays_[IndexOf(feed)]->OnList(listed.id, listed.revision,
                                                  listed.objects, now));
@@ -371,8 +370,7 @@
 
   void OnOutcome(Feed feed, const cluster::PlatformWatched& watched) {
     const absl::Time now = kernel::MonotonicNow();
-    OnCallAnswered(feed, "watch", now);
-    LogStoreState(feed, watched.revision);
+    OnCallAnswered(feed, "watch", watched.revision, now);
     Perform(feed, relays_[IndexOf(feed)]->OnWatch(watched.id, watched.revision,
                                                   watched.events, now));
   }
@@ -390,11 +388,18 @@
     }
   }
 
-  // The platform answered a call for `feed`; `verb` names the call in the
-  // metrics.
-  void OnCallAnswered(Feed feed, std::string_view verb, absl::Time now) {
+  // The platform answered a call for `feed` with its state as of `answered`;
+  // `verb` names the call in the metrics. The answer has not been applied yet.
+  void OnCallAnswered(Feed feed,
+                      std::string_view verb,
+                      relay::Version answered,
+                      absl::Time now) {
     Count(feed, verb, ResultCode::kOk);
     watcher_health_.OnCallAnswered(feed);
+    LogStoreState(feed, answered);
+    if (answered < relays_[IndexOf(feed)]->revision()) {
+      return;  // The answer is stale: it does not confirm the state held here.
+    }
     confirmed_[IndexOf(feed)] = now;
     last_confirmed_sent_[IndexOf(feed)] = now;
     Send(FeedConfirmed{feed, now, true});
--- a/tests/direct_balancer/state_task_test.cc
+++ b/tests/direct_balancer/state_task_test.cc
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <atomic>
+
 #include "absl/synchronization/notification.h"
 #include "gcw/base/event_log.h"
 #include "src/direct_balancer/messages.h"
@@ -34,6 +36,64 @@
   absl::Notification released_;
 };
 
+// Stands in for the packet task. Counts the confirmations of the configuration
+// by the platform.
+class CountingSink : public kernel::Sink<PacketMessage> {
+ public:
+  bool Send(PacketMessage message) override {
+    if (const auto* read = std::get_if<ConfigurationRead>(&message)) {
+      configuration = read->configuration.version;
+    }
+    if (const auto* confirmed = std::get_if<FeedConfirmed>(&message)) {
+      confirmations += confirmed->by_platform &&
+                       confirmed->feed == direct::Feed::kConfiguration;
+    }
+    return true;
+  }
+
+  std::atomic<std::uint64_t> configuration = 0;  // The latest version.
+  std::atomic<int> confirmations = 0;
+};
+
+// An answer that is older than the state says nothing about its age. Servers
+// counted as gone because such answers confirmed that their entries were
+// missing.
+TEST_CASE("a stale answer of the platform does not confirm the state") {
+  DaemonFixture fixture;
+  auto log = EventLog::Make({.level = LogLevel::kError});
+  REQUIRE(log.ok());
+  EventWriter writer(*log.value());
+  Metrics metrics;
+  kernel::Kernel kernel;
+  const auto sink = std::make_shared<CountingSink>();
+  REQUIRE(kernel.Register<PacketMessage>(kPacketService, sink).ok());
+  StateTask task(fixture.SettingsOf(0), 1, kernel, writer, metrics);
+  REQUIRE(task.Start().ok());
+  const auto has_configuration = [&](std::uint64_t version) {
+    const absl::Time deadline = absl::Now() + kTimeout;
+    while (sink->configuration != version && absl::Now() < deadline) {
+      absl::SleepFor(absl::Milliseconds(5));
+    }
+    return sink->configuration == version;
+  };
+  REQUIRE(has_configuration(1));
+  fixture.platform->SaveStaleState();
+  REQUIRE(
+      fixture.platform
+          ->Put("config/main", R"({"version":2,"routes":[],"services":[]})", 1)
+          .ok());
+  REQUIRE(has_configuration(2));
+  absl::SleepFor(absl::Milliseconds(300));
+  // The next watch fails, and the list that follows has the stale state.
+  fixture.platform->SetStaleReads(1);
+  sink->confirmations = 0;
+  REQUIRE(fixture.platform->Put("other/object", "1", 0).ok());
+  fixture.platform->Compact();
+  absl::SleepFor(absl::Milliseconds(700));
+  CHECK(sink->confirmations == 0);
+  CHECK(sink->configuration == 2);
+}
+
 // The state thread may be in the middle of its work when the daemon ends. It
 // called a platform caller that was already destroyed, and the daemon crashed
 // at the end of a graceful shutdown.
