direct_balancer: a watch of dropped events is no loss of the store

Cause: kPlatformCompacted was reported to the router as a failure of the store. Fix: it is not; the calls are still counted by their result in the metrics.

--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -378,14 +378,14 @@
   void OnOutcome(Feed feed, const cluster::PlatformFailed& failed) {
     const absl::Time now = kernel::MonotonicNow();
     Count(feed, "call", failed.code);
-    Send(FeedFailed{feed, failed.code});
-    Perform(feed,
-            relays_[IndexOf(feed)]->OnCallFailed(failed.id, failed.code, now));
     // The platform answers kPlatformCompacted to a watch from a version whose
     // events it has dropped, so it is reachable.
     if (failed.code != ResultCode::kPlatformCompacted) {
+      Send(FeedFailed{feed, failed.code});
       watcher_health_.OnCallFailed(feed, now);
     }
+    Perform(feed,
+            relays_[IndexOf(feed)]->OnCallFailed(failed.id, failed.code, now));
   }
 
   // The platform answered a call for `feed` with its state as of `answered`;
--- a/tests/direct_balancer/state_task_test.cc
+++ b/tests/direct_balancer/state_task_test.cc
@@ -36,8 +36,8 @@
   absl::Notification released_;
 };
 
-// Stands in for the packet task. Counts the confirmations of the configuration
-// by the platform.
+// Stands in for the packet task. Counts the confirmations by the platform and
+// the reports of failed calls for the configuration.
 class CountingSink : public kernel::Sink<PacketMessage> {
  public:
   bool Send(PacketMessage message) override {
@@ -48,11 +48,13 @@
       confirmations += confirmed->by_platform &&
                        confirmed->feed == direct::Feed::kConfiguration;
     }
+    failures += std::holds_alternative<FeedFailed>(message);
     return true;
   }
 
   std::atomic<std::uint64_t> configuration = 0;  // The latest version.
   std::atomic<int> confirmations = 0;
+  std::atomic<int> failures = 0;
 };
 
 // An answer that is older than the state says nothing about its age. Servers
@@ -92,6 +94,8 @@
   absl::SleepFor(absl::Milliseconds(700));
   CHECK(sink->confirmations == 0);
   CHECK(sink->configuration == 2);
+  // A platform that answers, if only that its events are gone, is not lost.
+  CHECK(sink->failures == 0);
 }
 
 // The state thread may be in the middle of its work when the daemon ends. It
