soak: restores of the store from an older copy

Cause: the soak had no restored store, so it could not find this class of faults. Change: a fault copies the store and brings the copy back up to 6 s later; the operators write again at once, the servers 1.5 s later.

--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -113,6 +113,62 @@
   out_zones_.erase(zone);
 }
 
+config::Version Deployment::StoredVersion(const std::string& key) const {
+  const auto object = store_->Get(key);
+  return object.ok() ? object.value().version : 0;
+}
+
+void Deployment::RestoreStore() {
+  store_->Restore();
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    servers_[i].version = StoredVersion(StoreKey(i));
+  }
+  WriteOperatorsStateAgain();
+}
+
+void Deployment::WriteOperatorsStateAgain() {
+  const std::string key(adapter::kConfigurationKey);
+  const auto written =
+      store_->Put(key, configuration_text_, StoredVersion(key));
+  if (written.ok()) {
+    configuration_version_ = written.value();
+  }
+  for (std::size_t zone = 0; zone < kZones; ++zone) {
+    const std::string zone_key = adapter::ZoneOutKey(topology_.zones[zone]);
+    const config::Version version = StoredVersion(zone_key);
+    const auto out = out_zones_.find(zone);
+    if (out == out_zones_.end()) {
+      (void)store_->Delete(zone_key, version);
+    } else if (version == 0) {
+      out->second.version = store_->Put(zone_key, "{}", 0).value();
+    } else {
+      out->second.version = version;
+    }
+  }
+}
+
+void Deployment::WriteServersAgain() {
+  std::set<std::string> present;
+  for (std::size_t i = 0; i < servers_.size(); ++i) {
+    const ServerRecord& record = servers_[i];
+    const bool has_left =
+        !record.up && record.draining_since != absl::InfiniteFuture();
+    if (!has_left) {
+      present.insert(StoreKey(i));
+    }
+    if (record.up) {
+      PutServerEntry(i);
+    } else if (has_left) {
+      DeleteServerEntry(i);
+    }
+  }
+  for (const auto& entry : store_->List(adapter::kServersPrefix).objects) {
+    if (!present.contains(entry.key)) {
+      (void)store_->Delete(entry.key, entry.version);
+    }
+  }
+}
+
 bool Deployment::IsOptional(const direct::FlowKey& flow) {
   return flow.service == kOptionalService;
 }
@@ -162,10 +218,11 @@
     configuration.routes.push_back({kOptionalService, "b", {{"s", 1}}});
   }
   configuration.services.push_back({.name = "s"});
-  const auto written = store_->Put(adapter::kConfigurationKey,
-                                   adapter::EncodeConfiguration(configuration),
-                                   configuration_version_);
+  std::string text = adapter::EncodeConfiguration(configuration);
+  const auto written =
+      store_->Put(adapter::kConfigurationKey, text, configuration_version_);
   if (written.ok()) {
+    configuration_text_ = std::move(text);
     configuration_version_ = written.value();
     optional_route_ = with_optional_route;
     routes_changed_at_ = loop_->now();
@@ -213,6 +270,7 @@
   entry.address = record.address;
   entry.zone = topology_.zones[record.zone];
   entry.slots = kServerSlots;
+  entry.report_number = ++record.reports;
   entry.draining = record.draining_since != absl::InfiniteFuture();
   const auto written = store_->Put(
       StoreKey(server), adapter::EncodeServer(entry), record.version);
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -41,6 +41,7 @@
   bool up = true;  // While false, the server drops all packets.
   absl::Time draining_since = absl::InfiniteFuture();
   config::Version version = 0;  // Of the store entry; 0 if there is none.
+  std::uint64_t reports = 0;    // Writes of the store entry so far.
 
   // Whether the server is up, has a store entry and is not draining.
   bool in_service() const {
@@ -105,6 +106,12 @@
   void RestartServer(std::size_t server);
   // Writes a new configuration version with or without the optional route.
   void WriteConfiguration(bool with_optional_route);
+  // Restores the store from the copy that was saved last. The operators write
+  // again at once what it has lost.
+  void RestoreStore();
+  // Writes again what the store has lost of the servers' entries in a restore,
+  // and removes entries of servers that have left.
+  void WriteServersAgain();
   // Takes the zone out of service. Returns false without effect if the zone is
   // out already or only one zone is still in service.
   bool TakeZoneOut(std::size_t zone);
@@ -154,6 +161,11 @@
   // The key of the server's entry in the store.
   std::string StoreKey(std::size_t server) const;
 
+  // The version of the store's object `key`; 0 if there is none.
+  config::Version StoredVersion(const std::string& key) const;
+  // Writes the latest configuration and the zones out of service again.
+  void WriteOperatorsStateAgain();
+
   // Passes a caller's packet through the link to the daemon that Fleet::Route()
   // picks.
   void OnCallerPacket(std::size_t caller, const adapter::EndHostPacket& end);
@@ -188,6 +200,7 @@
   std::vector<std::unique_ptr<lab::UdpPort>> caller_ports_;
   std::vector<CallerRecord> callers_;
   std::uint64_t configuration_number_ = 0;  // `version` in the configuration.
+  std::string configuration_text_;          // As stored.
   // Version of the store entry that holds the configuration.
   config::Version configuration_version_ = 0;
   bool optional_route_ = false;
--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -18,6 +18,8 @@
 constexpr absl::Duration kMinZoneOutDuration = absl::Seconds(5);
 // Time from the end of a store outage until lapsed server entries are back.
 constexpr absl::Duration kLapsedEntryAbsence = absl::Milliseconds(1500);
+// How long the store is down before it comes back restored.
+constexpr absl::Duration kRestoreOutage = absl::Milliseconds(500);
 constexpr lab::LinkFaults kLossyLinks{.loss = 0.05, .duplicate = 0.05};
 
 lab::LinkFaults SlowLinks() {
@@ -97,6 +99,8 @@
       return TakeZoneOut(zone, fault.duration + kMinZoneOutDuration);
     case FaultKind::kChangeRoutes:
       return deployment_.WriteConfiguration(!deployment_.optional_route());
+    case FaultKind::kStoreRestored:
+      return RestoreStore(fault.duration);
     case FaultKind::kCount:
       return;
   }
@@ -172,6 +176,22 @@
   });
 }
 
+void FaultInjector::RestoreStore(absl::Duration age) {
+  deployment_.store().SaveCopy();
+  Impair({"store"}, age + kRestoreOutage, [this] {
+    deployment_.RestoreStore();
+    if (--active_outages_ == 0) {
+      deployment_.store().SetOutage(fake_platform::Outage::kNone);
+    }
+    deployment_.loop().After(kLapsedEntryAbsence,
+                             [this] { deployment_.WriteServersAgain(); });
+  });
+  deployment_.loop().After(age, [this] {
+    ++active_outages_;
+    deployment_.store().SetOutage(fake_platform::Outage::kRefusing);
+  });
+}
+
 void FaultInjector::SlowStore(absl::Duration duration) {
   deployment_.store().SetDelay({.base = absl::Milliseconds(300)});
   Impair({"store"}, duration, [this] { deployment_.store().SetDelay({}); });
--- a/src/soak/fault_injector.h
+++ b/src/soak/fault_injector.h
@@ -44,6 +44,9 @@
   void CutZoneOneWay(std::size_t zone, absl::Duration duration);
   // For odd `fault.target`, every third server's store entry also lapses.
   void StartStoreOutage(fake_platform::Outage outage, const Fault& fault);
+  // Copies the store now. `age` later the store is down for a moment and comes
+  // back with the copy; the operators and the servers then write again.
+  void RestoreStore(absl::Duration age);
   void SlowStore(absl::Duration duration);
   void DegradeServerLinks(const lab::LinkFaults& faults,
                           absl::Duration duration);
--- a/src/soak/plan.cc
+++ b/src/soak/plan.cc
@@ -11,13 +11,12 @@
 namespace {
 
 constexpr auto kFaultNames = std::to_array<std::string_view>(
-    {"kill_daemon",      "pause_daemon",     "stop_daemon",
-     "reload_daemon",    "kill_all",         "store_refuses",
-     "store_silent",     "store_slow",       "store_forgets",
-     "cut_from_store",   "reset_from_store", "cut_zone",
-     "cut_zone_one_way", "lossy_servers",    "slow_servers",
-     "crash_server",     "dark_server",      "drain_server",
-     "zone_out",         "change_routes"});
+    {"kill_daemon",      "pause_daemon",   "stop_daemon",      "reload_daemon",
+     "kill_all",         "store_refuses",  "store_silent",     "store_slow",
+     "store_forgets",    "cut_from_store", "reset_from_store", "cut_zone",
+     "cut_zone_one_way", "lossy_servers",  "slow_servers",     "crash_server",
+     "dark_server",      "drain_server",   "zone_out",         "change_routes",
+     "store_restored"});
 static_assert(kFaultNames.size() ==
               static_cast<std::size_t>(FaultKind::kCount));
 
@@ -28,6 +27,13 @@
 constexpr absl::Duration kMinDuration = absl::Milliseconds(600);
 constexpr absl::Duration kMeanExtraDuration = absl::Seconds(2);
 constexpr absl::Duration kMaxDuration = absl::Seconds(6);
+// The kinds that are drawn at random: all but restores of the store, which have
+// a rate of their own.
+constexpr auto kRandomKinds =
+    static_cast<std::uint64_t>(FaultKind::kStoreRestored);
+constexpr absl::Duration kMeanRestoreGap = absl::Seconds(6);
+// Makes the random numbers of restores independent of those of other faults.
+constexpr std::uint64_t kRestoreSeedOffset = 0x9e3779b97f4a7c15;
 // Targets are drawn below this and taken modulo the number of candidates.
 constexpr std::uint64_t kTargetRange = 1 << 16;
 // A series repeats a fault on consecutive targets, kSeriesGap apart.
@@ -35,6 +41,23 @@
 constexpr int kSeriesLength = 3;
 constexpr absl::Duration kSeriesGap = absl::Milliseconds(700);
 
+void AddRestores(std::uint64_t seed,
+                 absl::Duration end,
+                 std::vector<Fault>& plan) {
+  lab::Random random(seed + kRestoreSeedOffset);
+  absl::Duration start = kFaultFreeStart + random.Exponential(kMeanRestoreGap);
+  while (start < end) {
+    Fault fault;
+    fault.start = start;
+    fault.kind = FaultKind::kStoreRestored;
+    fault.duration =
+        std::min({kMinDuration + random.Exponential(kMeanExtraDuration),
+                  kMaxDuration, end - start});
+    plan.push_back(fault);
+    start += fault.duration + random.Exponential(kMeanRestoreGap);
+  }
+}
+
 }  // namespace
 
 std::string_view FaultName(FaultKind kind) {
@@ -47,7 +70,9 @@
                      fault.target, absl::ToDoubleSeconds(fault.duration));
 }
 
-std::vector<Fault> GeneratePlan(std::uint64_t seed, absl::Duration length) {
+std::vector<Fault> GeneratePlan(std::uint64_t seed,
+                                absl::Duration length,
+                                bool restores) {
   lab::Random random(seed);
   std::vector<Fault> plan;
   const absl::Duration end = length - kFaultFreeEnd;
@@ -55,8 +80,7 @@
   while (start < end) {
     Fault fault;
     fault.start = start;
-    fault.kind = static_cast<FaultKind>(
-        random.Below(static_cast<std::uint64_t>(FaultKind::kCount)));
+    fault.kind = static_cast<FaultKind>(random.Below(kRandomKinds));
     fault.target = random.Below(kTargetRange);
     fault.duration =
         std::min({kMinDuration + random.Exponential(kMeanExtraDuration),
@@ -69,6 +93,9 @@
     }
     start += random.Exponential(kMeanGap);
   }
+  if (restores) {
+    AddRestores(seed, end, plan);
+  }
   std::stable_sort(
       plan.begin(), plan.end(),
       [](const Fault& a, const Fault& b) { return a.start < b.start; });
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -33,6 +33,7 @@
   kDrainServer,     // A server drains, stops and returns under another id.
   kZoneOut,         // Operators take a zone out of service and return it.
   kChangeRoutes,    // Operators add or remove the optional route.
+  kStoreRestored,   // The store goes back to a copy that is `duration` old.
   kCount,           // Number of kinds; not a fault.
 };
 
@@ -58,9 +59,12 @@
 // Returns the faults of a run that lasts `length`, ordered by start time.
 // Faults occur singly, in series and overlapping. None starts during
 // kFaultFreeStart or kFaultFreeEnd, but faults of a series and kinds with a
-// fixed time may still end during the first seconds of kFaultFreeEnd. Returns
-// equal plans for equal arguments. Thread-safe.
-std::vector<Fault> GeneratePlan(std::uint64_t seed, absl::Duration length);
+// fixed time may still end during the first seconds of kFaultFreeEnd. With
+// `restores`, the plan of the same seed without them gets restores of the store
+// in addition. Returns equal plans for equal arguments. Thread-safe.
+std::vector<Fault> GeneratePlan(std::uint64_t seed,
+                                absl::Duration length,
+                                bool restores);
 
 // Time without faults before the first fault starts, so that all daemons are
 // running and ready, and at the end of the run, so that recovery is checked.
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -9,10 +9,10 @@
 namespace {
 
 TEST_CASE("equal seeds give equal plans and different seeds different plans") {
-  CHECK(GeneratePlan(7, absl::Seconds(60)) ==
-        GeneratePlan(7, absl::Seconds(60)));
-  CHECK(GeneratePlan(7, absl::Seconds(60)) !=
-        GeneratePlan(8, absl::Seconds(60)));
+  CHECK(GeneratePlan(7, absl::Seconds(60), true) ==
+        GeneratePlan(7, absl::Seconds(60), true));
+  CHECK(GeneratePlan(7, absl::Seconds(60), true) !=
+        GeneratePlan(8, absl::Seconds(60), true));
 }
 
 TEST_CASE(
@@ -20,7 +20,7 @@
   std::set<FaultKind> kinds;
   bool overlap = false;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    const auto plan = GeneratePlan(seed, absl::Seconds(60));
+    const auto plan = GeneratePlan(seed, absl::Seconds(60), true);
     for (std::size_t i = 0; i < plan.size(); ++i) {
       kinds.insert(plan[i].kind);
       CHECK(plan[i].start >= kFaultFreeStart);
@@ -33,6 +33,16 @@
   CHECK(overlap);
 }
 
+TEST_CASE("restores are added to a plan without changing its other faults") {
+  const auto plain = GeneratePlan(49, absl::Seconds(60), false);
+  auto with_restores = GeneratePlan(49, absl::Seconds(60), true);
+  CHECK(with_restores.size() > plain.size());
+  std::erase_if(with_restores, [](const Fault& fault) {
+    return fault.kind == FaultKind::kStoreRestored;
+  });
+  CHECK(with_restores == plain);
+}
+
 TEST_CASE("a component is settled 4 s after its last impairment ended") {
   Impairments impairments;
   const absl::Time start = absl::UnixEpoch();
--- a/tests/soak/short_run_test.cc
+++ b/tests/soak/short_run_test.cc
@@ -18,6 +18,7 @@
 // Deployment::TakeZoneOut() now prevents that, so the seed is not run.
 constexpr std::uint64_t kKnownRedSeed = 49;  // See KNOWN-RED.txt.
 constexpr std::uint64_t kSeeds[] = {1, 51};
+constexpr std::uint64_t kRestoreSeeds[] = {2, 3};
 
 // Lengths with which the seeds failed; the plan depends on the length as well.
 absl::Duration LengthOf(std::uint64_t seed) {
@@ -32,13 +33,14 @@
 }
 
 // Runs one seed and checks that no invariant is violated.
-void RunSeed(std::uint64_t seed) {
+void RunSeed(std::uint64_t seed, bool restores = false) {
   const std::string dir = "/tmp/gcw-soak-test-" + std::to_string(getpid()) +
                           "-" + std::to_string(seed);
   std::filesystem::create_directories(dir);
   SoakOptions options;
   options.seed = seed;
   options.length = LengthOf(seed);
+  options.restores = restores;
   options.program = std::string(GCW_BIN_DIR) + "/gcw-direct";
   options.work_dir = dir;
   const auto report = RunSoak(options);
@@ -64,6 +66,12 @@
   }
 }
 
+TEST_CASE("short soak runs with restores of the store violate no invariant") {
+  for (const std::uint64_t seed : kRestoreSeeds) {
+    RunSeed(seed, true);
+  }
+}
+
 TEST_CASE(
     "a short soak run with overlapping store outages violates no invariant",
     "[known-red][!mayfail]") {
--- a/tools/gcw-soak/main.cc
+++ b/tools/gcw-soak/main.cc
@@ -75,6 +75,8 @@
   app.add_option("--minutes", minutes, "then run further seeds for this long");
   app.add_option("--length", seconds, "length of one run in seconds")
       ->check(CLI::Range(15.0, 3600.0));
+  app.add_flag("--restores,!--no-restores", options.restores,
+               "restore the store from older copies during the runs");
   app.add_option("--daemons", options.daemons_per_zone,
                  "daemons in each of 3 availability zones")
       ->check(CLI::Range(1, 60));
