routing, dispatch: a restore of the platform creates no server anew

Cause: the version at which a server was created tells its incarnations apart; a restore puts every version into the next epoch, so all servers looked created anew. Fix: a creation is known by its revision alone, which the copy keeps. Order still goes by the whole version.

--- a/include/gcw/config/resources.h
+++ b/include/gcw/config/resources.h
@@ -98,6 +98,11 @@
   // incarnations apart.
   Version created = 0;
 
+  // Identifies the creation of the server object among those of the same name.
+  // Unlike `created`, it stays the same when the platform is restored, which
+  // gives all objects new versions but creates none. Thread-safe.
+  std::uint64_t creation() const { return RevisionOf(created); }
+
   bool operator==(const BackendServer&) const = default;
 };
 
--- a/src/dispatch/server_state.cc
+++ b/src/dispatch/server_state.cc
@@ -31,8 +31,8 @@
 
 void ServerState::Configure(const config::BackendServer& server,
                             absl::Time now) {
-  const bool recreated =
-      server.created != server_.created || server.address != server_.address;
+  const bool recreated = server.creation() != server_.creation() ||
+                         server.address != server_.address;
   server_ = server;
   if (recreated) {
     incarnation_ = 0;
--- a/src/routing/identity.cc
+++ b/src/routing/identity.cc
@@ -18,7 +18,7 @@
   const std::uint64_t address =
       (std::uint64_t{server.address.ip} << 16) | server.address.port;
   const std::uint64_t name = StableHash(server.name, kServerSeed);
-  return MixHash(MixHash(name, server.created), address) | 1;
+  return MixHash(MixHash(name, server.creation()), address) | 1;
 }
 
 }  // namespace gcw::routing
