--- a/src/lab/config_writer.cc
+++ b/src/lab/config_writer.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cassert>
+#include <map>
+#include <set>
 #include <utility>
 
 namespace gcw::lab {
@@ -97,8 +99,8 @@
   const auto version = platform_.Delete(key, versions_[key]);
   assert(version.ok());
   versions_.erase(key);
-  last_version_ = version.value();
-  on_accepted_(last_version_);
+  values_.erase(key);
+  OnAcceptedRevision(version.value());
 }
 
 void ConfigWriter::CreateServer(ServerIndex server, ServiceIndex service) {
@@ -111,11 +113,41 @@
   const std::string key = config::KeyOf(config::IdOf(resource));
   const std::string value =
       config::EncodeStored(fmt::format("lab-{}", ++operations_), resource);
+  Put(key, value);
+}
+
+void ConfigWriter::Put(const std::string& key, const std::string& value) {
   const auto version = platform_.Put(key, value, versions_[key]);
   assert(version.ok());
   versions_[key] = version.value();
-  last_version_ = version.value();
+  values_[key] = value;
+  OnAcceptedRevision(version.value());
+}
+
+void ConfigWriter::OnAcceptedRevision(std::uint64_t revision) {
+  last_version_ = MakeStoreVersion(platform_.epoch(), revision);
   on_accepted_(last_version_);
 }
 
+void ConfigWriter::WriteAgain() {
+  versions_.clear();
+  std::set<std::string> unchanged;
+  for (const auto& object : platform_.List(config::kConfigPrefix).objects) {
+    const auto value = values_.find(object.key);
+    if (value == values_.end()) {
+      (void)platform_.Delete(object.key, object.version);
+      continue;
+    }
+    versions_[object.key] = object.version;
+    if (value->second == object.value) {
+      unchanged.insert(object.key);
+    }
+  }
+  for (const auto& [key, value] : std::map(values_)) {
+    if (!unchanged.contains(key)) {
+      Put(key, value);
+    }
+  }
+}
+
 }  // namespace gcw::lab
--- a/src/lab/config_writer.h
+++ b/src/lab/config_writer.h
@@ -43,19 +43,29 @@
   // Writes a server that DeleteServer() deleted and adds it to `service`.
   void CreateServer(ServerIndex server, ServiceIndex service);
 
+  // Writes again what the platform has lost in a restore, and deletes what it
+  // has brought back.
+  void WriteAgain();
+
   // The store version of the last write; 0 before the first write.
   config::Version last_version() const { return last_version_; }
 
  private:
   // Writes `resource` to the store in place of the resource's last version.
   void Write(const config::Resource& resource);
+  // Writes `value` to `key`, whose present revision is in `versions_`.
+  void Put(const std::string& key, const std::string& value);
+  // Reports that the store has accepted a write as `revision`.
+  void OnAcceptedRevision(std::uint64_t revision);
 
   const Topology& topology_;
   fake_platform::FakePlatform& platform_;
   OnAccepted on_accepted_;
   std::uint64_t operations_ = 0;
   config::Version last_version_ = 0;
-  std::map<std::string, config::Version> versions_;  // Last version by key.
+  // Revisions and values of the objects in the store, by key.
+  std::map<std::string, config::Version> versions_;
+  std::map<std::string, std::string> values_;
   std::map<ServerIndex, config::BackendServer> servers_;
   std::map<ServiceIndex, config::Service> services_;
 };
--- a/src/lab/event_player.cc
+++ b/src/lab/event_player.cc
@@ -110,6 +110,13 @@
     case EventKind::kPlatformUp:
       SetOutage(event);
       return true;
+    case EventKind::kPlatformCopy:
+      platform.SaveCopy();
+      return true;
+    case EventKind::kPlatformRestore:
+      platform.Restore();
+      WriteWhenPossible([this] { context_.config->WriteAgain(); });
+      return true;
     case EventKind::kPlatformSlow:
       platform.SetDelay({event.delay, event.jitter});
       ScheduleEnd(event.length, [&platform] { platform.SetDelay({}); });
--- a/src/lab/event_reader.cc
+++ b/src/lab/event_reader.cc
@@ -57,6 +57,8 @@
     {"heal", EventKind::kHeal, kNone},
     {"platform_down", EventKind::kPlatformDown, kLength | kSilent},
     {"platform_up", EventKind::kPlatformUp, kNone},
+    {"platform_copy", EventKind::kPlatformCopy, kNone},
+    {"platform_restore", EventKind::kPlatformRestore, kNone},
     {"platform_slow", EventKind::kPlatformSlow, kDelay | kLength},
     {"lost_answers", EventKind::kLostAnswers, kShare | kLength},
     {"stale_reads", EventKind::kStaleReads, kShare | kLength},
--- a/src/lab/scenario.h
+++ b/src/lab/scenario.h
@@ -31,6 +31,8 @@
   kHeal,
   kPlatformDown,
   kPlatformUp,
+  kPlatformCopy,
+  kPlatformRestore,
   kPlatformSlow,
   kLostAnswers,
   kStaleReads,
