soak: servers write again only what differs, and a change follows each restore

Change: servers write only lost or different entries, the operators change the configuration 1 s after each restore.

--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -8,6 +8,7 @@
 #include "gcw/base/hash.h"
 #include "platform/object_format.h"
 #include "platform/packet_header.h"
+#include "platform/resource_codec.h"
 #include "platform/stand_in_form.h"
 #include "platform/stand_in_objects.h"
 
@@ -156,7 +157,7 @@
     if (!has_left) {
       present.insert(StoreKey(i));
     }
-    if (record.up) {
+    if (record.up && !IsEntryCurrent(i)) {
       PutServerEntry(i);
     } else if (has_left) {
       DeleteServerEntry(i);
@@ -262,18 +263,36 @@
   return adapter::ServerKey(servers_[server].number);
 }
 
-void Deployment::PutServerEntry(std::size_t server) {
-  ServerRecord& record = servers_[server];
+direct::BackendServer Deployment::EntryOf(std::size_t server) const {
+  const ServerRecord& record = servers_[server];
   direct::BackendServer entry;
+  entry.name = StoreKey(server).substr(adapter::kServersPrefix.size());
+  entry.number = record.number;
   entry.incarnation = static_cast<std::int64_t>(record.incarnation);
+  entry.report_number = record.reports;
   entry.service = "s";
   entry.address = record.address;
   entry.zone = topology_.zones[record.zone];
   entry.slots = kServerSlots;
-  entry.report_number = ++record.reports;
   entry.draining = record.draining_since != absl::InfiniteFuture();
+  return entry;
+}
+
+bool Deployment::IsEntryCurrent(std::size_t server) const {
+  const direct::BackendServer entry = EntryOf(server);
+  const auto stored = store_->Get(StoreKey(server));
+  if (!stored.ok()) {
+    return false;
+  }
+  const auto decoded = adapter::DecodeServer(entry.name, stored.value().value);
+  return decoded.ok() && direct::SameState(decoded.value(), entry);
+}
+
+void Deployment::PutServerEntry(std::size_t server) {
+  ServerRecord& record = servers_[server];
+  ++record.reports;
   const auto written = store_->Put(
-      StoreKey(server), adapter::EncodeServer(entry), record.version);
+      StoreKey(server), adapter::EncodeServer(EntryOf(server)), record.version);
   if (written.ok()) {
     record.version = written.value();
   }
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -13,6 +13,7 @@
 
 #include "absl/time/time.h"
 #include "gcw/base/result.h"
+#include "gcw/direct/resources.h"
 #include "platform/stand_in_packet.h"
 #include "src/fake_platform/fake_platform.h"
 #include "src/lab/event_loop.h"
@@ -166,6 +167,11 @@
   // Writes the latest configuration and the zones out of service again.
   void WriteOperatorsStateAgain();
 
+  // The entry that the server would report now.
+  direct::BackendServer EntryOf(std::size_t server) const;
+  // Whether the store's entry of the server says what the server would report.
+  bool IsEntryCurrent(std::size_t server) const;
+
   // Passes a caller's packet through the link to the daemon that Fleet::Route()
   // picks.
   void OnCallerPacket(std::size_t caller, const adapter::EndHostPacket& end);
--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -20,6 +20,8 @@
 constexpr absl::Duration kLapsedEntryAbsence = absl::Milliseconds(1500);
 // How long the store is down before it comes back restored.
 constexpr absl::Duration kRestoreOutage = absl::Milliseconds(500);
+// Time from a restore to the operators' next change.
+constexpr absl::Duration kChangeAfterRestore = absl::Seconds(1);
 constexpr lab::LinkFaults kLossyLinks{.loss = 0.05, .duplicate = 0.05};
 
 lab::LinkFaults SlowLinks() {
@@ -183,6 +185,10 @@
     if (--active_outages_ == 0) {
       deployment_.store().SetOutage(fake_platform::Outage::kNone);
     }
+    // The next change gets a version that the store has assigned before.
+    deployment_.loop().After(kChangeAfterRestore, [this] {
+      deployment_.WriteConfiguration(!deployment_.optional_route());
+    });
     deployment_.loop().After(kLapsedEntryAbsence,
                              [this] { deployment_.WriteServersAgain(); });
   });
