direct: a server that is missing from the store keeps its flows while it lives

Cause: an entry that stays missing for 2.5 s was taken as proof that the server has ended. The platform says that a missing server is to be treated as gone, which holds for new flows; an open flow needs evidence.

Now its flows end when it left after a drain, refuses a probe (made when it becomes gone, if it has flows), leaves data unanswered for 0.5 s while no flow of it advances, or a server that started later has its address. The last one is known at once, also for idle flows.

Two tests of a missing entry now let the server refuse connections, since a server that accepts them may live; they check the reset without a packet besides. Five tests failed before: the two, and those of a living server, of an address that answers probes but no data, of a server that ends later, and of an address in use again.

--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -20,7 +20,7 @@
   kEstablished,      // Forwarded to the server of its flow.
   kPlaced,           // SYN, forwarded to a newly chosen server.
   kPlacedAgain,      // Retransmitted SYN; placed anew, elsewhere if possible.
-  kStillAnswering,   // Forwarded: no store entry, but the server answers.
+  kStillAnswering,   // Forwarded: no store entry, but the server may live.
   kUnknownRoute,     // Reset: no route has the destination address.
   kNoServer,         // Reset: no server can take a new flow.
   kOverloaded,       // Reset: the service is overloaded.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -23,6 +23,9 @@
 // this time counts as up to date. Watch calls to the store return every few
 // seconds, and several daemons may relay their results.
 constexpr absl::Duration kFeedFreshness = absl::Seconds(10);
+// A flow is reset if its server is gone from the store and answers no data on
+// any flow for this time. Callers retransmit their data meanwhile.
+constexpr absl::Duration kGoneAnswerTimeout = absl::Milliseconds(500);
 // How often expired flows, servers and unknown cookies are removed.
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
 // Maximum number of cookies in received packets to remember that match no known
@@ -108,7 +111,9 @@
     failure_detector_.OnTick(now);
     const HeldState state = HeldStateAt(now);
     for (const auto& entry : servers_.entries()) {
-      flow_resetter_.ResetFlowsIfGone(*entry, state, now);
+      if (servers_.HasEnded(*entry)) {
+        flow_resetter_.ResetFlowsOfEnded(*entry, state, now);
+      }
     }
     if (now - last_sweep_ < kSweepInterval) {
       return;
@@ -333,7 +338,7 @@
         FlowTable::Close(*flow);
       }
     }
-    const Decision decision = ForwardOrRefuse(packet, *server, now);
+    const Decision decision = ForwardOrRefuse(packet, flow, *server, now);
     if (packet.rst || decision.action == Action::kReset) {
       flows_.Erase(packet.flow);
     }
@@ -341,21 +346,32 @@
   }
 
   // Forwards a packet of an established flow, or resets the flow if its server
-  // `server` is gone or unreachable.
+  // `server` has ended or is unreachable. `flow` is null if it is not tracked.
   Decision ForwardOrRefuse(const Packet& packet,
+                           const Flow* flow,
                            const ServerEntry& server,
                            absl::Time now) {
-    const bool gone = IsGone(server);
-    // The store removes a server's entry if the server's heartbeats don't
-    // arrive, even if callers still reach the server.
-    if (gone && server.reach.last_progress() > server.presence_since) {
-      return Forward(server, Reason::kStillAnswering);
-    }
-    if (gone || failure_detector_.ShouldResetFlows(server, now)) {
+    const bool answers = server.reach.last_progress() > server.presence_since;
+    const bool ended = servers_.HasEnded(server) && !answers;
+    if (ended || IsUnanswered(flow, server, now) ||
+        failure_detector_.ShouldResetFlows(server, now)) {
       return Refuse(packet, UnusableReason(server), &server,
                     now - UnusableSince(server), now);
     }
-    return Forward(server, Reason::kEstablished);
+    // The store removes a server's entry if the server's heartbeats don't
+    // arrive, even if callers still reach the server.
+    return Forward(server, IsGone(server) ? Reason::kStillAnswering
+                                          : Reason::kEstablished);
+  }
+
+  // Whether `server`, which is gone from the store, leaves the data of `flow`
+  // unanswered. Its address may accept probes and yet belong to another server.
+  static bool IsUnanswered(const Flow* flow,
+                           const ServerEntry& server,
+                           absl::Time now) {
+    return server.presence == Presence::kGone && flow != nullptr &&
+           flow->waiting && now - flow->waiting_since >= kGoneAnswerTimeout &&
+           server.reach.last_progress() <= flow->waiting_since;
   }
 
   // Refuses a packet whose cookie matches no known server. The packet is
--- a/src/direct/flow_resetter.cc
+++ b/src/direct/flow_resetter.cc
@@ -13,7 +13,7 @@
   if (server.presence == Presence::kRestarted) {
     return Reason::kServerRestarted;
   }
-  if (server.presence == Presence::kGone) {
+  if (server.presence == Presence::kGone || !server.reach.lost()) {
     return Reason::kServerGone;
   }
   return server.reach.reach() == Reach::kRefuses ? Reason::kServerRefuses
@@ -21,7 +21,8 @@
 }
 
 absl::Time UnusableSince(const ServerEntry& server) {
-  return IsGone(server) ? server.presence_since : server.reach.since();
+  return IsGone(server) || !server.reach.lost() ? server.presence_since
+                                                : server.reach.since();
 }
 
 void FlowResetter::ResetFlowsOf(const ServerEntry& server,
@@ -47,15 +48,12 @@
   }
 }
 
-void FlowResetter::ResetFlowsIfGone(ServerEntry& server,
-                                    const HeldState& state,
-                                    absl::Time now) {
-  const bool gone =
-      server.presence == Presence::kRestarted ||
-      (server.presence == Presence::kGone && server.server.draining);
+void FlowResetter::ResetFlowsOfEnded(ServerEntry& server,
+                                     const HeldState& state,
+                                     absl::Time now) {
   const bool no_later_progress =
       server.reach.last_progress() <= server.presence_since;
-  if (gone && no_later_progress && !server.flows_reset) {
+  if (no_later_progress && !server.flows_reset) {
     server.flows_reset = true;
     ResetFlowsOf(server, state, now);
   }
--- a/src/direct/flow_resetter.h
+++ b/src/direct/flow_resetter.h
@@ -17,14 +17,14 @@
   absl::Duration servers_age;
 };
 
-// Whether `server` has left the store for good or was replaced by another
-// incarnation.
+// Whether `server` counts as gone from the store or was replaced by another
+// incarnation. It gets no new flows.
 bool IsGone(const ServerEntry& server);
-// Why the flows of `server` are reset. Precondition: `server` is gone or
-// unreachable.
+// Why the flows of `server` are reset. Precondition: `server` is missing from
+// the store, was replaced or is unreachable.
 Reason UnusableReason(const ServerEntry& server);
-// When `server` became gone or unreachable, which is the reason for resetting
-// its flows.
+// When `server` became missing or unreachable, which is the reason for
+// resetting its flows.
 absl::Time UnusableSince(const ServerEntry& server);
 
 // Resets the flows of servers that are lost, so that the callers' next requests
@@ -41,13 +41,11 @@
                     const HeldState& state,
                     absl::Time now);
 
-  // Resets the flows of a server that drained and left, or that restarted. Does
-  // so only once per server. A server whose entry in the store vanished without
-  // a drain may still run: each of its flows is decided on when the next packet
-  // of the flow arrives.
-  void ResetFlowsIfGone(ServerEntry& server,
-                        const HeldState& state,
-                        absl::Time now);
+  // Resets the flows of a server that has ended (ServerTable::HasEnded()),
+  // unless it has answered since. Does so only once per server.
+  void ResetFlowsOfEnded(ServerEntry& server,
+                         const HeldState& state,
+                         absl::Time now);
 
   // Returns the resets to send since the last call.
   std::vector<FlowReset> TakeResets();
--- a/src/direct/reachability.cc
+++ b/src/direct/reachability.cc
@@ -47,6 +47,12 @@
   }
 }
 
+void Reachability::OnGone(absl::Time now) {
+  if (reach_ == Reach::kGood) {
+    SetReach(Reach::kSuspect, now);
+  }
+}
+
 void Reachability::OnZonePeerFailed(absl::Time now) {
   if (reach_ == Reach::kGood && now - last_contact() >= kRecentProgress) {
     SetReach(Reach::kSuspect, now);
--- a/src/direct/reachability.h
+++ b/src/direct/reachability.h
@@ -23,6 +23,8 @@
 
   // Data or a SYN that was sent to the server is unanswered.
   void OnUnanswered(absl::Time now);
+  // The store has no entry of the server any more.
+  void OnGone(absl::Time now);
   // A probe of another server in the same zone timed out.
   void OnZonePeerFailed(absl::Time now);
 
--- a/src/direct/server_failure_detector.cc
+++ b/src/direct/server_failure_detector.cc
@@ -56,6 +56,7 @@
   for (std::size_t i = 0; i < entries.size(); ++i) {
     const std::size_t index = (tick_cursor_ + i) % entries.size();
     ServerEntry& entry = *entries[index];
+    SuspectIfGone(entry, now);
     const bool lost_idle = entry.reach.lost() && entry.open_flows == 0;
     if (lost_idle && lost_idle_probes == kLostIdleProbesPerTick) {
       continue;
@@ -262,11 +263,24 @@
   StartProbeIfDue(server, now);
 }
 
+void ServerFailureDetector::SuspectIfGone(ServerEntry& server, absl::Time now) {
+  const bool flows_at_stake = server.open_flows > 0 &&
+                              server.presence == Presence::kGone &&
+                              !servers_.HasEnded(server);
+  if (!flows_at_stake || server.reach.last_contact() > server.presence_since) {
+    return;
+  }
+  const Reach before = server.reach.reach();
+  server.reach.OnGone(now);
+  ReportReachChange(server, before, now);
+}
+
 bool ServerFailureDetector::StartProbeIfDue(ServerEntry& server,
                                             absl::Time now) {
-  const bool gone = server.presence == Presence::kGone ||
-                    server.presence == Presence::kRestarted;
-  if (gone || !server.reach.WantsProbe(now)) {
+  const bool gone_and_lost =
+      server.presence == Presence::kGone && server.reach.lost();
+  if (gone_and_lost || servers_.HasEnded(server) ||
+      !server.reach.WantsProbe(now)) {
     return false;
   }
   StartProbe(server, now);
--- a/src/direct/server_failure_detector.h
+++ b/src/direct/server_failure_detector.h
@@ -78,6 +78,9 @@
   bool ServesMostDemand() const;
 
  private:
+  // Suspects a server that is gone from the store but has open flows, unless it
+  // has responded since: a probe then decides whether it has ended.
+  void SuspectIfGone(ServerEntry& server, absl::Time now);
   // Starts a probe if the server wants one now. Returns whether it did.
   bool StartProbeIfDue(ServerEntry& server, absl::Time now);
   void StartProbe(ServerEntry& server, absl::Time now);
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -113,9 +113,18 @@
     owner = entry.get();
   }
   entries_.push_back(std::move(entry));
+  IndexAddress(*entries_.back());
   ReportChange(*entries_.back(), now);
 }
 
+void ServerTable::IndexAddress(ServerEntry& entry) {
+  ServerEntry*& latest = by_address_[entry.server.address];
+  if (latest == nullptr ||
+      latest->server.incarnation <= entry.server.incarnation) {
+    latest = &entry;
+  }
+}
+
 void ServerTable::Update(ServerEntry& entry,
                          const ServerReport& report,
                          absl::Time now) {
@@ -127,6 +136,7 @@
     return;
   }
   entry.server = report.server;
+  IndexAddress(entry);
   entry.cold_until = now + report.server.cold_for;
   entry.presence = Presence::kListed;
   entry.presence_since = now;
@@ -206,6 +216,9 @@
     if (by_cookie != by_cookie_.end() && by_cookie->second == entry.get()) {
       by_cookie_.erase(by_cookie);
     }
+    absl::erase_if(by_address_, [&](const auto& item) {
+      return item.second == entry.get();
+    });
     return true;
   });
   if (entries_.size() != before) {
@@ -218,6 +231,23 @@
   return it == by_name_.end() ? nullptr : it->second;
 }
 
+bool ServerTable::HasEnded(const ServerEntry& server) const {
+  if (server.presence == Presence::kRestarted ||
+      (server.presence == Presence::kGone && server.server.draining)) {
+    return true;
+  }
+  if (!server.missing()) {
+    return false;
+  }
+  if (server.presence == Presence::kGone &&
+      server.reach.reach() == Reach::kRefuses) {
+    return true;
+  }
+  const auto latest = by_address_.find(server.server.address);
+  return latest != by_address_.end() && latest->second != &server &&
+         latest->second->presence == Presence::kListed;
+}
+
 ServerEntry* ServerTable::FindByCookie(FlowCookie cookie) {
   const auto it = by_cookie_.find(cookie);
   return it == by_cookie_.end() ? nullptr : it->second;
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -11,6 +11,7 @@
 
 #include "absl/container/flat_hash_map.h"
 #include "absl/time/time.h"
+#include "gcw/base/endpoint.h"
 #include "gcw/direct/direct_router.h"
 #include "gcw/direct/events.h"
 #include "src/direct/reachability.h"
@@ -19,6 +20,11 @@
 
 // One incarnation of a backend server, with this daemon's state about it.
 struct ServerEntry {
+  // Whether the store has no entry of this incarnation any more.
+  bool missing() const {
+    return presence == Presence::kLapsed || presence == Presence::kGone;
+  }
+
   BackendServer server;
   FlowCookie cookie = 0;
   Version revision = 0;  // Of the last report that was applied.
@@ -81,6 +87,11 @@
   const std::vector<std::unique_ptr<ServerEntry>>& entries() const {
     return entries_;
   }
+  // Whether `server` has ended: it left the store after a drain, runs as
+  // another incarnation, or is missing and either refuses connections or has
+  // left its address to a server that started later. A server that is merely
+  // missing may still serve its open flows.
+  bool HasEnded(const ServerEntry& server) const;
   // The entries of one service. The span is valid until the next call of
   // ApplyList() or OnTick().
   std::span<ServerEntry* const> OfService(std::string_view service) const;
@@ -98,6 +109,8 @@
   void Update(ServerEntry& entry, const ServerReport& report, absl::Time now);
   void SetPresence(ServerEntry& entry, Presence presence, absl::Time now);
   void ReportChange(const ServerEntry& entry, absl::Time now);
+  // Makes `entry` the server at its address, if it is the latest one there.
+  void IndexAddress(ServerEntry& entry);
   // Rebuilds `by_service_`.
   void IndexServices();
 
@@ -111,6 +124,8 @@
   std::vector<std::unique_ptr<ServerEntry>> entries_;
   std::map<std::string, ServerEntry*, std::less<>> by_name_;
   absl::flat_hash_map<FlowCookie, ServerEntry*> by_cookie_;
+  // The server that started last at each address.
+  absl::flat_hash_map<Endpoint, ServerEntry*> by_address_;
   std::map<std::string, std::vector<ServerEntry*>, std::less<>> by_service_;
 };
 
--- a/tests/direct/server_test.cc
+++ b/tests/direct/server_test.cc
@@ -63,7 +63,9 @@
 TEST_CASE("a missing entry does not count as gone while the store is away") {
   RouterFixture f;
   const FlowCookie cookie = f.Open(1);
-  f.RemoveServer(f.NameOf(cookie));
+  const BackendServer server = f.FindServer(f.NameOf(cookie));
+  f.RemoveServer(server.name);
+  f.refusing.push_back(server.address);
   f.store_answers = false;
   f.AdvanceTime(absl::Seconds(10));
   CHECK(f.Send(f.Data(1, cookie)).action == Action::kForward);
@@ -76,11 +78,79 @@
 TEST_CASE("an entry that stays missing counts as gone") {
   RouterFixture f;
   const FlowCookie cookie = f.Open(1);
-  f.RemoveServer(f.NameOf(cookie));
+  const BackendServer server = f.FindServer(f.NameOf(cookie));
+  f.RemoveServer(server.name);
+  f.refusing.push_back(server.address);
   f.AdvanceTime(absl::Seconds(4));
+  CHECK(f.resets.size() == 1);
   CHECK(f.Send(f.Data(1, cookie)).reason == Reason::kServerGone);
 }
 
+// The entry of a living server can be missing for long, for example after a
+// restore of the store. Its flows were reset after a few seconds.
+TEST_CASE("a living server whose entry stays missing keeps its flows") {
+  RouterFixture f;
+  const FlowCookie cookie = f.Open(1);
+  const std::string name = f.NameOf(cookie);
+  f.RemoveServer(name);
+  for (int i = 0; i < 5; ++i) {
+    f.AdvanceTime(absl::Seconds(4));
+    CHECK(f.Send(f.Data(1, cookie)).action == Action::kForward);
+    // The server's answer.
+    f.Send(f.Data(1, cookie, 1101, 600 + i, 0));
+  }
+  CHECK(f.resets.empty());
+  for (std::uint16_t port = 2; port < 20; ++port) {
+    CHECK(f.Open(port) != cookie);
+  }
+}
+
+// A server without an entry that has ended must be given up although another
+// program accepts connections at its address.
+TEST_CASE("a gone server that answers probes but no data loses its flows") {
+  RouterFixture f;
+  const FlowCookie cookie = f.Open(1);
+  f.RemoveServer(f.NameOf(cookie));
+  f.AdvanceTime(absl::Seconds(4));
+  REQUIRE(f.Send(f.Data(1, cookie)).action == Action::kForward);
+  f.AdvanceTime(absl::Milliseconds(600));
+  const Decision decision = f.Send(f.Data(1, cookie));
+  CHECK(decision.action == Action::kReset);
+  CHECK(decision.reason == Reason::kServerGone);
+}
+
+// A server that answered after its entry had gone, and then ended, left its
+// flows without an answer.
+TEST_CASE("a gone server that ends later loses its flows") {
+  RouterFixture f;
+  const FlowCookie cookie = f.Open(1);
+  const BackendServer server = f.FindServer(f.NameOf(cookie));
+  f.RemoveServer(server.name);
+  f.AdvanceTime(absl::Seconds(4));
+  REQUIRE(f.Send(f.Data(1, cookie)).action == Action::kForward);
+  // The server's answer.
+  f.Send(f.Data(1, cookie, 1101, 900, 0));
+  f.refusing.push_back(server.address);
+  f.AdvanceTime(absl::Seconds(1));
+  f.Send(f.Data(1, cookie, 1101, 900));
+  f.AdvanceTime(absl::Milliseconds(200));
+  f.Send(f.Data(1, cookie, 1101, 900));
+  f.AdvanceTime(absl::Milliseconds(100));
+  CHECK(f.resets.size() == 1);
+}
+
+// Addresses are assigned again after a server has ended.
+TEST_CASE("idle flows of a server whose address is in use again are reset") {
+  RouterFixture f;
+  const BackendServer first = f.FindServer(f.NameOf(f.Open(1)));
+  f.RemoveServer(first.name);
+  f.servers.push_back(RouterFixture::Server("p9", 99, "photos", "near"));
+  f.servers.back().address = first.address;
+  f.SendServerList();
+  f.AdvanceTime(absl::Milliseconds(100));
+  CHECK(f.resets.size() == 1);
+}
+
 TEST_CASE("a server without an entry keeps its flows while it answers") {
   RouterFixture f;
   const FlowCookie cookie = f.Open(1);
