direct_balancer: the log tells each restore once, and which reports wait

Operators saw store_epoch_changed for the feed of zones every 2.5 s for the rest of a daemon's life, and read each line as another restore. Cause: the line compared an answer's epoch with that of the relay's revision, and a feed without objects keeps its revision when the store is restored. The revision itself is right and is what peers are told: nothing has changed, so there is nothing to send. Now the state task remembers the latest epoch in an answer.

--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -183,6 +183,16 @@
   Version revision = 0;  // The store's.
 };
 
+// The store was restored and has a report of a server that is older than the
+// one this daemon holds. It takes effect only if the server does not report
+// again.
+struct ServerReportDeferred {
+  std::string server;
+  Presence presence = Presence::kListed;  // Of the server, before and after.
+  bool draining = false;                  // According to the deferred report.
+  Version revision = 0;                   // The store's, of that report.
+};
+
 using Event = std::variant<FlowOpened,
                            FlowRefused,
                            FlowStalled,
@@ -193,7 +203,8 @@
                            AdmissionChanged,
                            FeedChanged,
                            StaleStateIgnored,
-                           OlderConfigurationIgnored>;
+                           OlderConfigurationIgnored,
+                           ServerReportDeferred>;
 
 }  // namespace gcw::direct
 
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -75,6 +75,9 @@
   }
   if (entry != nullptr && now < restore_grace_end_ &&
       IsFromRestoredCopy(report, *entry)) {
+    events_->push_back(ServerReportDeferred{entry->server.name, entry->presence,
+                                            report.server.draining,
+                                            report.revision});
     deferred_reports_.push_back(shared_report);
     return;
   }
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -68,6 +68,9 @@
   LogHeading operator()(const direct::OlderConfigurationIgnored&) const {
     return {LogLevel::kWarning, kState, "older_configuration_ignored"};
   }
+  LogHeading operator()(const direct::ServerReportDeferred&) const {
+    return {LogLevel::kWarning, kState, "server_report_deferred"};
+  }
   LogHeading operator()(const ProcessStarted&) const {
     return {LogLevel::kInfo, kProcess, "process_started"};
   }
@@ -191,6 +194,13 @@
             {"revision", RevisionOf(e.revision)},
             {"epoch", EpochOf(e.revision)}};
   }
+  ordered_json operator()(const direct::ServerReportDeferred& e) const {
+    return {{"server", e.server},
+            {"presence", PresenceName(e.presence)},
+            {"draining", e.draining},
+            {"revision", RevisionOf(e.revision)},
+            {"epoch", EpochOf(e.revision)}};
+  }
   ordered_json operator()(const ProcessStarted& e) const {
     return {{"name", e.name}, {"zone", e.zone}, {"packets", e.packets}};
   }
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -405,12 +405,16 @@
     Send(FeedConfirmed{feed, now, true});
   }
 
-  // Logs that the store was restored, and that its answer is older than the
-  // state held here, so that the answer will be ignored.
+  // Logs once for each feed that the store was restored, and that its answer is
+  // older than the state held here, so that the answer will be ignored.
   void LogStoreState(Feed feed, relay::Version answered) {
     const relay::Version held = relays_[IndexOf(feed)]->revision();
     const std::string name(direct::FeedName(feed));
-    if (held != 0 && EpochOf(answered) > EpochOf(held)) {
+    // A feed without changes keeps its revision from before the restore.
+    StoreEpoch& logged = logged_epochs_[IndexOf(feed)];
+    const StoreEpoch known = std::max(logged, EpochOf(held));
+    logged = std::max(known, EpochOf(answered));
+    if (held != 0 && logged > known) {
       log_.Write(StoreEpochChanged{name, answered, held});
     }
     if (answered < held) {
@@ -502,6 +506,8 @@
   // to the platform's state.
   std::array<absl::Time, kFeedCount> confirmed_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
+  // The store's latest epoch in an answer for each feed.
+  std::array<StoreEpoch, kFeedCount> logged_epochs_{};
   // When the packet task was last sent a FeedConfirmed for each feed.
   std::array<absl::Time, kFeedCount> last_confirmed_sent_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
--- a/tests/direct_balancer/state_task_test.cc
+++ b/tests/direct_balancer/state_task_test.cc
@@ -2,7 +2,11 @@
 
 #include <catch2/catch.hpp>
 
+#include <array>
 #include <atomic>
+#include <cstdio>
+#include <memory>
+#include <string_view>
 
 #include "absl/synchronization/notification.h"
 #include "gcw/base/event_log.h"
@@ -57,6 +61,17 @@
   std::atomic<int> failures = 0;
 };
 
+// The number of lines of `file` that contain `text`.
+int CountLines(std::FILE& file, std::string_view text) {
+  std::rewind(&file);
+  std::array<char, 4096> line{};
+  int count = 0;
+  while (std::fgets(line.data(), line.size(), &file) != nullptr) {
+    count += std::string_view(line.data()).find(text) != std::string_view::npos;
+  }
+  return count;
+}
+
 // An answer that is older than the state says nothing about its age. Servers
 // counted as gone because such answers confirmed that their entries were
 // missing.
@@ -98,6 +113,32 @@
   CHECK(sink->failures == 0);
 }
 
+// A feed without objects keeps its revision when the store is restored. Each of
+// the store's answers for it then read like another restore in the log.
+TEST_CASE("a restore of the store is logged once for each feed") {
+  DaemonFixture fixture;
+  const std::unique_ptr<std::FILE, int (*)(std::FILE*)> file(std::tmpfile(),
+                                                             std::fclose);
+  REQUIRE(file != nullptr);
+  auto log = EventLog::Make({.descriptor = fileno(file.get())});
+  REQUIRE(log.ok());
+  EventWriter writer(*log.value());
+  Metrics metrics;
+  kernel::Kernel kernel;
+  const auto sink = std::make_shared<CountingSink>();
+  REQUIRE(kernel.Register<PacketMessage>(kPacketService, sink).ok());
+  StateTask task(fixture.SettingsOf(0), 1, kernel, writer, metrics);
+  REQUIRE(task.Start().ok());
+  absl::SleepFor(kRetryDue);
+  fixture.platform->SaveCopy();
+  fixture.platform->Restore();
+  // Two watches of each feed are answered in this time.
+  absl::SleepFor(absl::Seconds(6));
+  log.value()->Close();
+  CHECK(CountLines(*file, R"("event":"store_epoch_changed","feed":"zones")") ==
+        1);
+}
+
 // The state thread may be in the middle of its work when the daemon ends. It
 // called a platform caller that was already destroyed, and the daemon crashed
 // at the end of a graceful shutdown.
