direct_balancer: a lower number written after a restore is put in force

Operators saw nothing of it yet; found by reading, shown by a daemon test. A change reaches a daemon, its answer to the operators is lost, the store comes back from an older copy. What the operators write next may have a lower number than the lost change. It was confirmed, and the daemon ignored it until a higher number came or it restarted: a confirmed change that is not in force.

Cause: the daemon compared numbers for as long as the epoch lasts. Only the first state of an epoch can be the copy; a later change of the object is the operators' own. Such a change is now put in force after 2 s, unless they go on to write the higher number again (they may write all lost changes one by one). If it is what the daemon reads first in the epoch, it cannot be told from the copy and is still ignored.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -159,9 +159,7 @@
 
   // ApplyConfiguration(), ApplyServerList() and ApplyZonesOut() replace one
   // kind of state. A state with an older store revision than the current one is
-  // ignored and reported as StaleStateIgnored. After the store was restored
-  // from an older copy (its epoch has risen), a configuration with a lower
-  // version number than the one in force is ignored too.
+  // ignored and reported as StaleStateIgnored.
   void ApplyConfiguration(const Configuration& configuration, Version revision);
   // `reports` holds all entries of the store as of `revision`. A server that
   // has no entry any more counts as gone if it was draining. Otherwise it
@@ -177,6 +175,15 @@
                      Version revision,
                      absl::Time now);
 
+  // Adds servers that other daemons have read and that the store lacks. They
+  // get no new flows, but their open flows go on. Servers that are known
+  // already are left as they are.
+  void AddMissingServers(std::span<const ServerReportPtr> reports,
+                         absl::Time now);
+  // Keeps zones out of service until `until` that a restored store does not
+  // list, although other daemons have read that they are out.
+  void KeepZonesOut(std::span<const std::string> zones, absl::Time until);
+
   // Sets this daemon's position among the daemons that share the rate limits of
   // cold servers (slow start). After the first call, cold servers get no flows
   // for a second, while the daemons discover each other. Precondition:
--- a/src/direct/active_configuration.cc
+++ b/src/direct/active_configuration.cc
@@ -4,13 +4,6 @@
 
 bool ActiveConfiguration::Apply(const Configuration& configuration,
                                 Version revision) {
-  const bool restored = EpochOf(revision) > EpochOf(revision_);
-  if (restored && configuration.version < configuration_.version) {
-    events_->push_back(OlderConfigurationIgnored{
-        configuration.version, configuration_.version, revision});
-    return false;
-  }
-  revision_ = revision;
   if (configuration == configuration_) {
     return false;
   }
--- a/src/direct/active_configuration.h
+++ b/src/direct/active_configuration.h
@@ -22,9 +22,7 @@
   explicit ActiveConfiguration(std::vector<Event>* events) : events_(events) {}
 
   // Puts `configuration`, which the store has as of `revision`, in force.
-  // Returns whether it differs from the one in force until now. Ignores a
-  // configuration that a restore of the store has brought back: one that the
-  // operators have replaced, as its version number shows.
+  // Returns whether it differs from the one in force until now.
   bool Apply(const Configuration& configuration, Version revision);
 
   // The route of a service address, or null. Valid until the next Apply().
@@ -43,7 +41,6 @@
  private:
   std::vector<Event>* const events_;
   Configuration configuration_;
-  Version revision_ = 0;  // The store's, of `configuration_`.
   // Indices into `configuration_.routes`, by the address that callers use.
   absl::flat_hash_map<Endpoint, std::size_t> routes_;
   // Indices into `configuration_.services`, by name.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -76,6 +76,14 @@
     }
   }
 
+  void AddMissingServers(std::span<const ServerReportPtr> reports,
+                         absl::Time now) {
+    servers_.AddMissing(reports, now);
+  }
+  void KeepZonesOut(std::span<const std::string> zones, absl::Time until) {
+    zones_out_.Keep(zones, until);
+  }
+
   void SetFleetPosition(const FleetPosition& position, absl::Time now) {
     placer_.SetFleetPosition(position, now);
   }
@@ -475,6 +483,14 @@
                                  absl::Time now) {
   impl_->ApplyZonesOut(zones, revision, now);
 }
+void DirectRouter::AddMissingServers(std::span<const ServerReportPtr> reports,
+                                     absl::Time now) {
+  impl_->AddMissingServers(reports, now);
+}
+void DirectRouter::KeepZonesOut(std::span<const std::string> zones,
+                                absl::Time until) {
+  impl_->KeepZonesOut(zones, until);
+}
 void DirectRouter::OnFeedConfirmed(Feed feed, absl::Time confirmed) {
   impl_->OnFeedConfirmed(feed, confirmed);
 }
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -89,22 +89,35 @@
     return;
   }
   if (entry == nullptr) {
-    Add(report, now);
+    Add(report, Presence::kListed, now);
     return;
   }
   if (entry->cookie != CookieOf(report.server)) {
     SetPresence(*entry, Presence::kRestarted, now);
-    Add(report, now);
+    Add(report, Presence::kListed, now);
     return;
   }
   Update(*entry, report, now);
 }
 
-void ServerTable::Add(const ServerReport& report, absl::Time now) {
+void ServerTable::AddMissing(std::span<const ServerReportPtr> reports,
+                             absl::Time now) {
+  for (const ServerReportPtr& report : reports) {
+    if (FindByName(report->name) == nullptr) {
+      Add(*report, Presence::kGone, now);
+    }
+  }
+  IndexServices();
+}
+
+void ServerTable::Add(const ServerReport& report,
+                      Presence presence,
+                      absl::Time now) {
   auto entry = std::make_unique<ServerEntry>();
   entry->server = report.server;
   entry->cookie = CookieOf(report.server);
   entry->revision = report.revision;
+  entry->presence = presence;
   entry->presence_since = now;
   entry->cold_until = now + report.server.cold_for;
   by_name_[report.server.name] = entry.get();
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -72,6 +72,10 @@
                  Version revision,
                  absl::Time now);
 
+  // Adds servers that the store lacks and of which other daemons have told, as
+  // gone. Known servers stay as they are.
+  void AddMissing(std::span<const ServerReportPtr> reports, absl::Time now);
+
   // Marks entries that vanished without a drain (lapsed) as gone if they were
   // still missing when the server list was last confirmed (at `confirmed`), at
   // least `lapse_grace` after they vanished. Applies reports whose restore
@@ -105,7 +109,7 @@
   // Marks the server `name` as gone if it was draining, otherwise as lapsed,
   // because the server list of `revision` has no entry for it.
   void MarkMissing(std::string_view name, Version revision, absl::Time now);
-  void Add(const ServerReport& report, absl::Time now);
+  void Add(const ServerReport& report, Presence presence, absl::Time now);
   void Update(ServerEntry& entry, const ServerReport& report, absl::Time now);
   void SetPresence(ServerEntry& entry, Presence presence, absl::Time now);
   void ReportChange(const ServerEntry& entry, absl::Time now);
--- a/src/direct/zones_out.cc
+++ b/src/direct/zones_out.cc
@@ -1,5 +1,6 @@
 #include "src/direct/zones_out.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gcw::direct {
@@ -21,6 +22,16 @@
   Update();
 }
 
+void ZonesOut::Keep(std::span<const std::string> zones, absl::Time until) {
+  for (const std::string& zone : zones) {
+    if (!listed_.contains(zone)) {
+      retained_.insert(zone);
+      retained_until_ = std::max(retained_until_, until);
+    }
+  }
+  Update();
+}
+
 void ZonesOut::OnTick(absl::Time now) {
   if (!retained_.empty() && now >= retained_until_) {
     retained_.clear();
--- a/src/direct/zones_out.h
+++ b/src/direct/zones_out.h
@@ -26,6 +26,8 @@
   void Apply(std::span<const std::string> zones,
              Version revision,
              absl::Time now);
+  // Keeps `zones` out of service until `until`, or until the store lists them.
+  void Keep(std::span<const std::string> zones, absl::Time until);
   // Puts zones back in service whose grace has ended.
   void OnTick(absl::Time now);
 
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -90,6 +90,9 @@
   LogHeading operator()(const StoreEpochChanged&) const {
     return {LogLevel::kWarning, kState, "store_epoch_changed"};
   }
+  LogHeading operator()(const RetainedStateTold&) const {
+    return {LogLevel::kInfo, kState, "retained_state_told"};
+  }
   LogHeading operator()(const ReadyChanged&) const {
     return {LogLevel::kInfo, kProcess, "ready_changed"};
   }
@@ -230,6 +233,14 @@
             {"revision", RevisionOf(e.answered)},
             {"held", RevisionOf(e.held)}};
   }
+  ordered_json operator()(const RetainedStateTold& e) const {
+    return {{"feed", e.feed},
+            {"from", e.from},
+            {"objects", e.objects},
+            {"age_ms", MillisecondsOrNull(e.age)},
+            {"revision", RevisionOf(e.store_version)},
+            {"epoch", EpochOf(e.store_version)}};
+  }
   ordered_json operator()(const ReadyChanged& e) const {
     return {{"ready", e.ready}, {"synced", e.synced}, {"leaving", e.leaving}};
   }
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -54,6 +54,16 @@
   direct::Version held = 0;      // Version of this daemon's state.
 };
 
+// Another daemon told what it still honours although the store lacks it.
+struct RetainedStateTold {
+  std::string feed;
+  std::string from;  // The other daemon.
+  std::size_t objects = 0;
+  absl::Duration age;  // Since the other daemon noticed it.
+  // The version of the store's state that lacks the objects.
+  direct::Version store_version = 0;
+};
+
 // The answer to the routers' readiness check changed.
 struct ReadyChanged {
   bool ready = false;
@@ -97,6 +107,7 @@
                                   SettingsReloaded,
                                   ObjectUnreadable,
                                   StoreEpochChanged,
+                                  RetainedStateTold,
                                   ReadyChanged,
                                   PauseNoticed,
                                   MemberChanged,
--- a/src/direct_balancer/messages.h
+++ b/src/direct_balancer/messages.h
@@ -33,6 +33,18 @@
   direct::Version revision = 0;
 };
 
+// Servers that a peer has read and that the store lacks.
+struct MissingServersTold {
+  std::vector<direct::ServerReportPtr> reports;
+};
+
+// Zones that a peer keeps out of service although a restored store does not
+// list them.
+struct ZonesOutTold {
+  std::vector<std::string> zones;
+  absl::Time until;  // By kernel::MonotonicNow().
+};
+
 // This daemon's state of `feed` was equal to the platform's at `confirmed`.
 struct FeedConfirmed {
   direct::Feed feed = direct::Feed::kServers;
@@ -57,6 +69,8 @@
 using PacketMessage = std::variant<ConfigurationRead,
                                    ServersListed,
                                    ZonesOutRead,
+                                   MissingServersTold,
+                                   ZonesOutTold,
                                    FeedConfirmed,
                                    FeedFailed,
                                    FleetChanged>;
--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -214,6 +214,12 @@
   void Handle(const ZonesOutRead& m, absl::Time now) {
     router_->ApplyZonesOut(m.zones, m.revision, now);
   }
+  void Handle(const MissingServersTold& m, absl::Time now) {
+    router_->AddMissingServers(m.reports, now);
+  }
+  void Handle(const ZonesOutTold& m, absl::Time /*now*/) {
+    router_->KeepZonesOut(m.zones, m.until);
+  }
   void Handle(const FeedConfirmed& m, absl::Time now) {
     if (m.by_platform) {
       router_->OnStoreAnswer(m.feed, now);
--- a/src/direct_balancer/peer_message.cc
+++ b/src/direct_balancer/peer_message.cc
@@ -10,8 +10,11 @@
 namespace {
 
 // The first byte is the message type: the number of the feed for a
-// StateMessage, or this value for WatchUnavailable.
+// StateMessage, that number plus kFirstRetained for a RetainedMessage, or
+// kWatchUnavailable.
 constexpr std::uint8_t kWatchUnavailable = 3;
+constexpr std::uint8_t kFirstRetained = 4;
+constexpr std::uint8_t kTypeCount = kFirstRetained + direct::kFeedCount;
 static_assert(kWatchUnavailable == direct::kFeedCount);
 // Flag in the first byte: the bytes that follow are compressed.
 constexpr std::uint8_t kCompressed = 0x80;
@@ -20,7 +23,7 @@
 constexpr std::size_t kMinCompressedBytes = 1024;
 // Limit of a decompressed message.
 constexpr std::size_t kMaxMessageBytes = 2 << 20;
-// StateMessage::age follows the first byte: milliseconds, big-endian.
+// The age follows the first byte: milliseconds, big-endian.
 constexpr std::size_t kAgeBytes = 4;
 // Stands for an age of InfiniteDuration.
 constexpr std::uint32_t kInfiniteAge = 0xffffffff;
@@ -39,32 +42,40 @@
   return {ResultCode::kMalformedMessage, "", message};
 }
 
-Result<PeerMessage> DecodeState(direct::Feed feed,
-                                std::span<const std::uint8_t> bytes) {
+// Decodes a message with an age. The objects of a RetainedMessage are encoded
+// as a full relay update to the version of the store.
+Result<PeerMessage> DecodeAged(std::uint8_t type,
+                               std::span<const std::uint8_t> bytes) {
   if (bytes.size() < kAgeBytes) {
     return Malformed("the age is cut off");
   }
+  const absl::Duration age =
+      DecodeAge(boost::endian::load_big_u32(bytes.data()));
   auto message = relay::Decode(bytes.subspan(kAgeBytes));
   if (!message.ok()) {
     return message.error();
   }
+  if (type < kFirstRetained) {
+    return PeerMessage(StateMessage{static_cast<direct::Feed>(type), age,
+                                    std::move(message).value()});
+  }
+  auto* update = std::get_if<relay::Update>(&message.value());
+  if (update == nullptr) {
+    return Malformed("not an update");
+  }
   return PeerMessage(
-      StateMessage{feed, DecodeAge(boost::endian::load_big_u32(bytes.data())),
-                   std::move(message).value()});
+      RetainedMessage{static_cast<direct::Feed>(type - kFirstRetained), age,
+                      update->to, std::move(update->objects)});
 }
 
-}  // namespace
-
-std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message) {
-  const auto* state = std::get_if<StateMessage>(&message);
-  if (state == nullptr) {
-    return {kWatchUnavailable};
-  }
+// Encodes a message with an age.
+std::vector<std::uint8_t> EncodeAged(std::uint8_t type,
+                                     absl::Duration age,
+                                     const relay::Message& message) {
   std::vector<std::uint8_t> bytes(kAgeBytes);
-  boost::endian::store_big_u32(bytes.data(), EncodeAge(state->age));
-  const std::vector<std::uint8_t> relayed = relay::Encode(state->message);
+  boost::endian::store_big_u32(bytes.data(), EncodeAge(age));
+  const std::vector<std::uint8_t> relayed = relay::Encode(message);
   bytes.insert(bytes.end(), relayed.begin(), relayed.end());
-  auto type = static_cast<std::uint8_t>(state->feed);
   if (bytes.size() >= kMinCompressedBytes) {
     type |= kCompressed;
     bytes = Compress(bytes);
@@ -73,6 +84,28 @@
   return bytes;
 }
 
+std::vector<std::uint8_t> EncodeRetained(const RetainedMessage& retained) {
+  relay::Update update;
+  update.full = true;
+  update.to = retained.store_version;
+  update.objects = retained.objects;
+  const auto feed = static_cast<std::uint8_t>(retained.feed);
+  return EncodeAged(kFirstRetained + feed, retained.age, update);
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> EncodePeerMessage(const PeerMessage& message) {
+  if (const auto* state = std::get_if<StateMessage>(&message)) {
+    return EncodeAged(static_cast<std::uint8_t>(state->feed), state->age,
+                      state->message);
+  }
+  if (const auto* retained = std::get_if<RetainedMessage>(&message)) {
+    return EncodeRetained(*retained);
+  }
+  return {kWatchUnavailable};
+}
+
 Result<PeerMessage> DecodePeerMessage(std::span<const std::uint8_t> bytes) {
   if (bytes.empty()) {
     return Malformed("empty");
@@ -81,18 +114,17 @@
   if (type == kWatchUnavailable) {
     return PeerMessage(WatchUnavailable{});
   }
-  if (type > kWatchUnavailable) {
+  if (type >= kTypeCount) {
     return Malformed("unknown message type");
   }
-  const auto feed = static_cast<direct::Feed>(type);
   if ((bytes[0] & kCompressed) == 0) {
-    return DecodeState(feed, bytes.subspan(1));
+    return DecodeAged(type, bytes.subspan(1));
   }
   const auto plain = Decompress(bytes.subspan(1), kMaxMessageBytes);
   if (!plain.ok()) {
     return plain.error();
   }
-  return DecodeState(feed, plain.value());
+  return DecodeAged(type, plain.value());
 }
 
 }  // namespace gcw::direct_balancer
--- a/src/direct_balancer/peer_message.h
+++ b/src/direct_balancer/peer_message.h
@@ -26,8 +26,19 @@
 // its availability zone.
 struct WatchUnavailable {};
 
+// Objects of one feed that the sender still honours although the store lacks
+// them, or holds an older state of them.
+struct RetainedMessage {
+  direct::Feed feed = direct::Feed::kConfiguration;
+  absl::Duration age;  // Since the sender noticed it.
+  // The version of the store's state that lacks the objects.
+  relay::Version store_version = 0;
+  std::vector<relay::Object> objects;
+};
+
 // A message between daemons on the control transport.
-using PeerMessage = std::variant<StateMessage, WatchUnavailable>;
+using PeerMessage =
+    std::variant<StateMessage, WatchUnavailable, RetainedMessage>;
 
 // Encodes `message` in the format of docs/WIRE.md. Messages of 1 KiB or more
 // are compressed. Thread-safe.
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -215,7 +215,8 @@
         return made.error();
       }
       relays_[i] = std::move(made).value();
-      readers_[i] = FeedReader::Make(static_cast<Feed>(i));
+      readers_[i] = FeedReader::Make(static_cast<Feed>(i),
+                                     {.servers = settings_.max_flow_age});
     }
     return OkStatus();
   }
@@ -313,6 +314,15 @@
     }
   }
 
+  void OnPeerMessage(const std::string& from, const RetainedMessage& message) {
+    log_.Write(RetainedStateTold{std::string(direct::FeedName(message.feed)),
+                                 from, message.objects.size(), message.age,
+                                 message.store_version});
+    const std::size_t feed = IndexOf(message.feed);
+    Deliver(readers_[feed]->OnRetained(message, relays_[feed]->revision(),
+                                       kernel::MonotonicNow()));
+  }
+
   // The revision of the state that the sender of `message` holds.
   static relay::Version RevisionOf(const relay::Message& message) {
     if (const auto* digest = std::get_if<relay::Digest>(&message)) {
@@ -358,6 +368,10 @@
   void OnOutcome(Feed feed, const cluster::PlatformListed& listed) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "list", listed.revision, now);
+    if (listed.revision < relays_[IndexOf(feed)]->revision()) {
+      Deliver(readers_[IndexOf(feed)]->OnStaleObjects(
+          listed.objects, relays_[IndexOf(feed)]->revision()));
+    }
     const bool published = state_published_[IndexOf(feed)];
     Perform(feed, relays_[IndexOf(feed)]->OnList(listed.id, listed.revision,
                                                  listed.objects, now));
@@ -430,18 +444,27 @@
 
   // Messages to the packet task.
 
-  // Decodes the relay's objects of `feed`, sends the packet task the result and
-  // logs the objects that cannot be decoded.
+  // Decodes the relay's objects of `feed` and sends the packet task the result.
   void PublishState(Feed feed) {
     const relay::VersionedRelay& relay = *relays_[IndexOf(feed)];
-    FeedUpdate update =
-        readers_[IndexOf(feed)]->OnObjects(relay.objects(), relay.revision());
+    FeedUpdate update = readers_[IndexOf(feed)]->OnObjects(
+        relay.objects(), relay.revision(), kernel::MonotonicNow());
+    state_published_[IndexOf(feed)] =
+        state_published_[IndexOf(feed)] || update.message.has_value();
+    Deliver(std::move(update));
+  }
+
+  // Sends the packet task what a reader has decoded, and logs what could not be
+  // decoded or is ignored.
+  void Deliver(FeedUpdate update) {
     for (const UnreadableObject& object : update.unreadable) {
       log_.Write(
           ObjectUnreadable{object.key, object.revision, object.error.message});
     }
+    if (update.ignored) {
+      log_.Write(*update.ignored);
+    }
     if (update.message) {
-      state_published_[IndexOf(feed)] = true;
       Send(*std::move(update.message));
     }
   }
@@ -473,6 +496,7 @@
     link_->OnTick(now);
     for (std::size_t i = 0; i < kFeedCount; ++i) {
       Perform(static_cast<Feed>(i), relays_[i]->OnTick(now));
+      Deliver(readers_[i]->OnTick(relays_[i]->revision(), now));
     }
     if (watcher_health_.OnTick(now)) {
       UpdateRelayPeers();
--- a/tests/direct/store_restore_test.cc
+++ b/tests/direct/store_restore_test.cc
@@ -5,54 +5,12 @@
 namespace gcw::direct {
 namespace {
 
-const Endpoint kNewRoute{0xc6120003, 443};
-
 // Lets the fixture's revisions go on in the store's next epoch, from one that
 // the store has given out before.
 void Restore(RouterFixture& f, std::uint64_t revision = 1) {
   f.revision = MakeStoreVersion(EpochOf(f.revision) + 1, revision);
 }
 
-Configuration WithNewRoute(Configuration configuration) {
-  ++configuration.version;
-  configuration.routes.push_back({kNewRoute, "new", {{"photos", 1}}});
-  return configuration;
-}
-
-// A restored store holds an older configuration until the operators have
-// written theirs again. A confirmed configuration must not go out of force
-// meanwhile.
-TEST_CASE("a configuration that a restore brought back is not put in force") {
-  RouterFixture f;
-  const Configuration old = f.configuration;
-  const Configuration latest = WithNewRoute(old);
-  f.router->ApplyConfiguration(latest, ++f.revision);
-  REQUIRE(f.Send(f.Syn(1, kNewRoute)).action == Action::kForward);
-  for (std::size_t restores = 0; restores < 2; ++restores) {
-    Restore(f);
-    f.router->ApplyConfiguration(old, ++f.revision);
-    CHECK(f.Send(f.Syn(2, kNewRoute)).action == Action::kForward);
-    CHECK(f.EventsOf<OlderConfigurationIgnored>().size() == restores + 1);
-  }
-  // The operators write their configuration again, and then go on.
-  f.router->ApplyConfiguration(latest, ++f.revision);
-  CHECK(f.Send(f.Syn(3, kNewRoute)).action == Action::kForward);
-  Configuration next = old;
-  next.version = latest.version + 1;
-  f.router->ApplyConfiguration(next, ++f.revision);
-  CHECK(f.Send(f.Syn(4, kNewRoute)).action == Action::kReset);
-}
-
-TEST_CASE("without a restore the store's latest configuration is in force") {
-  RouterFixture f;
-  Configuration next = WithNewRoute(f.configuration);
-  f.router->ApplyConfiguration(next, ++f.revision);
-  next = f.configuration;
-  next.version = 0;
-  f.router->ApplyConfiguration(next, ++f.revision);
-  CHECK(f.Send(f.Syn(1, kNewRoute)).action == Action::kReset);
-}
-
 // A restored store may have lost that a zone was taken out of service, until
 // the operators have written it again.
 TEST_CASE(
@@ -84,6 +42,24 @@
   }
 }
 
+// A daemon that starts after a restore reads from the store that the zone is in
+// service. Its peers tell it otherwise.
+TEST_CASE("a zone that other daemons keep out of service gets no flows") {
+  RouterFixture f;
+  const std::vector<std::string> near{"near"};
+  f.router->KeepZonesOut(near, f.now + absl::Seconds(4));
+  CHECK(f.NameOf(f.Open(1))[0] == 'f');
+  SECTION("it is put back after some time") {
+    f.AdvanceTime(absl::Seconds(5));
+    CHECK(f.NameOf(f.Open(2))[0] == 'n');
+  }
+  SECTION("once the store lists it, the store decides") {
+    f.router->ApplyZonesOut(near, ++f.revision, f.now);
+    f.router->ApplyZonesOut({}, ++f.revision, f.now);
+    CHECK(f.NameOf(f.Open(2))[0] == 'n');
+  }
+}
+
 TEST_CASE("a zone that a restore brought back out of service gets no flows") {
   RouterFixture f;
   Restore(f);
@@ -175,6 +151,35 @@
   CHECK(f.EventsOf<ServerChanged>().back().presence == Presence::kGone);
 }
 
+// A daemon that starts after a restore does not find the server of a flow in
+// the store. It reset the flow although the server lives.
+TEST_CASE("flows of a missing server that other daemons know go on") {
+  RouterFixture f;
+  const FlowCookie cookie = f.Open(1);
+  const BackendServer server = f.FindServer(f.NameOf(cookie));
+  std::erase_if(f.servers,
+                [&](const BackendServer& s) { return s.name == server.name; });
+  f.Restart();
+  REQUIRE(f.Send(f.Data(1, cookie)).action == Action::kDrop);
+  const std::vector<ServerReportPtr> told{std::make_shared<ServerReport>(
+      ServerReport{1, server.name, true, server})};
+  f.router->AddMissingServers(told, f.now);
+  const Decision decision = f.Send(f.Data(1, cookie));
+  CHECK(decision.action == Action::kForward);
+  CHECK(decision.server == server.address);
+  f.Send(f.Data(1, cookie, 1101, 600, 0));
+  f.AdvanceTime(absl::Seconds(5));
+  CHECK(f.Send(f.Data(1, cookie, 1101, 600)).action == Action::kForward);
+  CHECK(f.resets.empty());
+  for (std::uint16_t port = 2; port < 20; ++port) {
+    CHECK(f.Open(port) != cookie);
+  }
+  // The server reports again.
+  f.servers.push_back(server);
+  f.SendServerList();
+  CHECK(f.EventsOf<ServerChanged>().back().presence == Presence::kListed);
+}
+
 // The copy may be from before a server was started again under the same name.
 TEST_CASE(
     "flows of a restarted server survive a restore to before its restart") {
--- a/tests/direct_balancer/feed_reader_test.cc
+++ b/tests/direct_balancer/feed_reader_test.cc
@@ -22,12 +22,13 @@
 }
 
 // Feeds lists of server entries to a FeedReader, each with a new revision.
-class ServersReader {
+class ListReader {
  public:
   // Returns the reports for `objects` and sets `unreadable`.
   std::vector<direct::ServerReportPtr> Read(
       const std::vector<relay::Object>& objects) {
-    FeedUpdate news = reader_->OnObjects(objects, ++revision_);
+    FeedUpdate news =
+        reader_->OnObjects(objects, ++revision_, absl::UnixEpoch());
     unreadable = news.unreadable.size();
     REQUIRE(news.message.has_value());
     return std::get<ServersListed>(*news.message).reports;
@@ -38,12 +39,12 @@
 
  private:
   std::unique_ptr<FeedReader> reader_ =
-      FeedReader::Make(direct::Feed::kServers);
+      FeedReader::Make(direct::Feed::kServers, {});
   direct::Version revision_ = 0;
 };
 
 TEST_CASE("unchanged servers are not decoded again") {
-  ServersReader reader;
+  ListReader reader;
   const auto first = reader.Read({MakeServer("i-1", 1), MakeServer("i-3", 1)});
   const auto second = reader.Read({MakeServer("i-1", 1), MakeServer("i-2", 2),
                                    MakeServer("i-3", 3, "draining")});
@@ -54,10 +55,10 @@
   CHECK(second[2]->server.draining);
 }
 
-// ServersReader in feed_reader.cc merges two sorted lists; removals at either
+// ServersReader merges two sorted lists; removals at either
 // end of the list are the boundary cases of that merge.
 TEST_CASE("removed servers are not reported, also the first and the last") {
-  ServersReader reader;
+  ListReader reader;
   reader.Read(
       {MakeServer("i-1", 1), MakeServer("i-2", 1), MakeServer("i-3", 1)});
   const auto left = reader.Read({MakeServer("i-2", 1)});
@@ -68,7 +69,7 @@
 }
 
 TEST_CASE("an unreadable entry is reported once for each of its versions") {
-  ServersReader reader;
+  ListReader reader;
   const auto reports =
       reader.Read({MakeServer("i-1", 1), MakeServer("i-2", 1, "odd")});
   CHECK(reader.unreadable == 1);
--- a/tests/direct_balancer/peer_message_test.cc
+++ b/tests/direct_balancer/peer_message_test.cc
@@ -29,6 +29,19 @@
       std::holds_alternative<WatchUnavailable>(RoundTrip(WatchUnavailable{})));
 }
 
+TEST_CASE("retained objects survive encoding and decoding") {
+  const RetainedMessage message{direct::Feed::kZones,
+                                absl::Seconds(3),
+                                MakeStoreVersion(2, 7),
+                                {{"zones/a", 3, 1, "{}"}}};
+  const PeerMessage decoded = RoundTrip(message);
+  const auto& retained = std::get<RetainedMessage>(decoded);
+  CHECK(retained.feed == message.feed);
+  CHECK(retained.age == message.age);
+  CHECK(retained.store_version == message.store_version);
+  CHECK(retained.objects == message.objects);
+}
+
 TEST_CASE("large messages are compressed") {
   relay::Update update;
   update.full = true;
--- /dev/null
+++ b/tests/direct_balancer/retained_test.cc
@@ -0,0 +1,120 @@
+#include <catch2/catch.hpp>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "platform/object_format.h"
+#include "src/direct_balancer/feed_reader.h"
+
+namespace gcw::direct_balancer {
+namespace {
+
+const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
+
+relay::Object MakeServer(const std::string& name, const std::string& state) {
+  return {
+      std::string(adapter::kServersPrefix) + name, 1, 1,
+      R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":3,"warmup_left_ms":0,"born":1,)"
+      R"("state":")" +
+          state + R"("})"};
+}
+
+relay::Object MakeZone(const std::string& name) {
+  return {std::string(adapter::kZonesOutPrefix) + name, 1, 1, "{}"};
+}
+
+// The keys of all objects that `reader` retains.
+std::vector<std::string> RetainedKeys(const FeedReader& reader) {
+  std::vector<std::string> keys;
+  for (const RetainedBatch& batch : reader.retained()) {
+    for (const relay::Object& object : batch.objects) {
+      keys.push_back(object.key);
+    }
+  }
+  return keys;
+}
+
+// A server may live although its entry has vanished, unless it has left. A
+// daemon that starts then must be told of it.
+TEST_CASE("servers that vanish without a drain are retained for some time") {
+  const auto reader = FeedReader::Make(direct::Feed::kServers, {});
+  const std::vector<relay::Object> all{MakeServer("i-1", "ready"),
+                                       MakeServer("i-2", "draining"),
+                                       MakeServer("i-3", "ready")};
+  reader->OnObjects(all, 1, kStart);
+  reader->OnObjects({}, 2, kStart);
+  CHECK(RetainedKeys(*reader) == std::vector{all[0].key, all[2].key});
+  SECTION("until they are back") {
+    reader->OnObjects(std::span(all).first(1), 3, kStart);
+    CHECK(RetainedKeys(*reader) == std::vector{all[2].key});
+  }
+  SECTION("until no flow can be left") {
+    reader->OnTick(3, kStart + absl::Seconds(61));
+    CHECK(RetainedKeys(*reader).empty());
+  }
+}
+
+// A restored store may also have lost a server that drains.
+TEST_CASE("a draining server that a restore lost is retained") {
+  const auto reader = FeedReader::Make(direct::Feed::kServers, {});
+  const std::vector<relay::Object> draining{MakeServer("i-2", "draining")};
+  reader->OnObjects(draining, MakeStoreVersion(1, 5), kStart);
+  reader->OnObjects({}, MakeStoreVersion(2, 4), kStart);
+  CHECK(RetainedKeys(*reader).size() == 1);
+}
+
+TEST_CASE("zones that a restore lost are retained, others are not") {
+  const auto reader = FeedReader::Make(direct::Feed::kZones, {});
+  const std::vector<relay::Object> out{MakeZone("z1")};
+  reader->OnObjects(out, MakeStoreVersion(1, 5), kStart);
+  SECTION("operators put it back in service") {
+    reader->OnObjects({}, MakeStoreVersion(1, 6), kStart);
+    CHECK(RetainedKeys(*reader).empty());
+  }
+  SECTION("the store was restored") {
+    reader->OnObjects({}, MakeStoreVersion(2, 4), kStart);
+    CHECK(RetainedKeys(*reader).size() == 1);
+    reader->OnTick(MakeStoreVersion(2, 4), kStart + absl::Seconds(11));
+    CHECK(RetainedKeys(*reader).empty());
+  }
+}
+
+// A daemon that keeps a zone out for the rest of the time must not start a new
+// time at the peer that it tells.
+TEST_CASE("a zone is kept out no longer than the peer that told of it does") {
+  const auto reader = FeedReader::Make(direct::Feed::kZones, {});
+  RetainedMessage told{
+      direct::Feed::kZones, absl::Seconds(4), 7, {MakeZone("z1")}};
+  const FeedUpdate update = reader->OnRetained(told, 7, kStart);
+  REQUIRE(update.message.has_value());
+  const auto& kept = std::get<ZonesOutTold>(*update.message);
+  CHECK(kept.zones == std::vector<std::string>{"z1"});
+  CHECK(kept.until == kStart + absl::Seconds(6));
+  told.age = absl::Seconds(10);
+  CHECK_FALSE(reader->OnRetained(told, 7, kStart).message.has_value());
+}
+
+// What peers send may be of a later build, or wrong.
+TEST_CASE("retained objects that cannot be decoded are left out") {
+  const auto servers = FeedReader::Make(direct::Feed::kServers, {});
+  const RetainedMessage told{
+      direct::Feed::kServers,
+      absl::ZeroDuration(),
+      7,
+      {MakeServer("i-1", "odd"), MakeZone("z1"), {"", 1, 1, "{"}}};
+  CHECK_FALSE(servers->OnRetained(told, 7, kStart).message.has_value());
+  const auto configuration = FeedReader::Make(direct::Feed::kConfiguration, {});
+  RetainedMessage broken{
+      direct::Feed::kConfiguration,
+      absl::ZeroDuration(),
+      7,
+      {{std::string(adapter::kConfigurationKey), 1, 1, "{"}}};
+  const FeedUpdate update = configuration->OnRetained(broken, 7, kStart);
+  CHECK_FALSE(update.message.has_value());
+  CHECK(update.unreadable.size() == 1);
+  broken.objects.clear();
+  CHECK_FALSE(configuration->OnRetained(broken, 7, kStart).message.has_value());
+}
+
+}  // namespace
+}  // namespace gcw::direct_balancer
--- a/tests/direct_balancer/store_restore_test.cc
+++ b/tests/direct_balancer/store_restore_test.cc
@@ -65,5 +65,24 @@
   CHECK(IsInForce(fixture, 0, 4));
 }
 
+// A change that reached a daemon but was never confirmed to the operators may
+// be lost in a restore. What they wrote then, under a lower number, was
+// ignored.
+TEST_CASE("a lower number that operators write after a restore is in force") {
+  DaemonFixture fixture;
+  fixture.AddServer();
+  const auto daemon = fixture.StartDaemon(0);
+  REQUIRE(IsInForce(fixture, 0, 1));
+  fixture.platform->SaveCopy();
+  WriteConfiguration(fixture, 5, {kFirstRoute});
+  REQUIRE(IsInForce(fixture, 0, 5));
+  fixture.platform->Restore();
+  // The daemon reads the copy.
+  absl::SleepFor(absl::Seconds(3));
+  REQUIRE(IsInForce(fixture, 0, 5));
+  WriteConfiguration(fixture, 3, {kFirstRoute, kSecondRoute});
+  CHECK(IsInForce(fixture, 0, 3));
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
