direct_balancer: daemons that start are told what the restored store lacks

Cause, the same for both: what the store lacks is known only to the daemons that have read it before. They kept it to themselves, and what they relay is the store's state.

It tells each peer that may have started too late, once, when a message of that peer arrives.

Two daemon tests failed before: a daemon that starts after a restore learns what its peers serve; a daemon that starts forwards flows of a server without an entry.

--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -19,6 +19,7 @@
 #include "src/direct_balancer/feed_reader.h"
 #include "src/direct_balancer/messages.h"
 #include "src/direct_balancer/peer_message.h"
+#include "src/direct_balancer/retained_exchange.h"
 #include "src/direct_balancer/watcher_health.h"
 
 namespace gcw::direct_balancer {
@@ -247,7 +248,9 @@
   // The fleet's members.
 
   void OnMembers(std::span<const membership::MemberEvent> events) {
+    const absl::Time now = kernel::MonotonicNow();
     for (const membership::MemberEvent& event : events) {
+      NoteMember(event, now);
       log_.Write(MemberChanged{event.member.name, event.member.zone,
                                std::string(membership::ToString(event.type))});
     }
@@ -255,6 +258,22 @@
     UpdateRelayPeers();
   }
 
+  // Records which peers may have to be told what the store lacks.
+  void NoteMember(const membership::MemberEvent& event, absl::Time now) {
+    switch (event.type) {
+      case membership::EventType::kJoined:
+      case membership::EventType::kRestarted:
+        exchange_.OnPeerStarted(event.member.name, now);
+        return;
+      case membership::EventType::kDied:
+      case membership::EventType::kLeft:
+        exchange_.OnPeerGone(event.member.name);
+        return;
+      default:
+        return;
+    }
+  }
+
   // Tells the packet task the number of live daemons and the rank of this
   // daemon among them by name.
   void PublishFleet() {
@@ -312,6 +331,7 @@
     if (relay.revision() >= RevisionOf(message.message)) {
       NoteConfirmed(message.feed, message.age, now);
     }
+    TellRetained(message.feed, from, now);
   }
 
   void OnPeerMessage(const std::string& from, const RetainedMessage& message) {
@@ -323,6 +343,16 @@
                                        kernel::MonotonicNow()));
   }
 
+  // Tells `peer`, which may have started too late to read it, what this daemon
+  // still honours although the store lacks it.
+  void TellRetained(Feed feed, const std::string& peer, absl::Time now) {
+    const auto batches = readers_[IndexOf(feed)]->retained();
+    for (const RetainedMessage& message :
+         exchange_.MessagesFor(peer, feed, batches, now)) {
+      SendTo(peer, message);
+    }
+  }
+
   // The revision of the state that the sender of `message` holds.
   static relay::Version RevisionOf(const relay::Message& message) {
     if (const auto* digest = std::get_if<relay::Digest>(&message)) {
@@ -536,6 +566,7 @@
   std::array<absl::Time, kFeedCount> last_confirmed_sent_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
   WatcherHealth watcher_health_;
+  RetainedExchange exchange_;
 };
 
 StateTask::StateTask(const Settings& settings,
--- a/tests/direct_balancer/retained_test.cc
+++ b/tests/direct_balancer/retained_test.cc
@@ -5,6 +5,7 @@
 
 #include "platform/object_format.h"
 #include "src/direct_balancer/feed_reader.h"
+#include "src/direct_balancer/retained_exchange.h"
 
 namespace gcw::direct_balancer {
 namespace {
@@ -116,5 +117,32 @@
   CHECK_FALSE(configuration->OnRetained(broken, 7, kStart).message.has_value());
 }
 
+TEST_CASE("a peer is told each batch once, and again after its restart") {
+  RetainedExchange exchange;
+  const std::vector<RetainedBatch> batches{{1, kStart, 5, {MakeZone("z1")}},
+                                           {2, kStart, 6, {MakeZone("z2")}}};
+  const auto told = [&](absl::Time now) {
+    return exchange.MessagesFor("b1", direct::Feed::kZones, batches, now)
+        .size();
+  };
+  CHECK(told(kStart) == 0);
+  exchange.OnPeerStarted("b1", kStart);
+  CHECK(told(kStart + absl::Seconds(1)) == 2);
+  CHECK(told(kStart + absl::Seconds(2)) == 0);
+  exchange.OnPeerStarted("b1", kStart + absl::Seconds(3));
+  CHECK(told(kStart + absl::Seconds(3)) == 2);
+  exchange.OnPeerGone("b1");
+  CHECK(told(kStart + absl::Seconds(4)) == 0);
+}
+
+// Peers that ran long before have read the objects themselves.
+TEST_CASE("a peer that started long before a batch is not told of it") {
+  RetainedExchange exchange;
+  exchange.OnPeerStarted("b1", kStart - absl::Minutes(1));
+  const std::vector<RetainedBatch> batches{{1, kStart, 5, {MakeZone("z1")}}};
+  CHECK(exchange.MessagesFor("b1", direct::Feed::kZones, batches, kStart)
+            .empty());
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
--- a/tests/direct_balancer/store_restore_test.cc
+++ b/tests/direct_balancer/store_restore_test.cc
@@ -84,5 +84,45 @@
   CHECK(IsInForce(fixture, 0, 3));
 }
 
+// Until operators have written their configuration again, the restored store
+// has an older one. A daemon that started then served it, although its peers
+// had the later one in force.
+TEST_CASE("a daemon that starts after a restore learns what its peers serve") {
+  DaemonFixture fixture;
+  fixture.AddServer();
+  const auto first = fixture.StartDaemon(0);
+  REQUIRE(IsInForce(fixture, 0, 1));
+  fixture.platform->SaveCopy();
+  WriteConfiguration(fixture, 2, {kFirstRoute, kSecondRoute});
+  REQUIRE(IsInForce(fixture, 0, 2));
+  fixture.platform->Restore();
+  const auto second = fixture.StartDaemon(1);
+  CHECK(IsInForce(fixture, 1, 2));
+  WriteConfiguration(fixture, 3, {kFirstRoute});
+  CHECK(IsInForce(fixture, 0, 3));
+  CHECK(IsInForce(fixture, 1, 3));
+}
+
+// The entry of a living server can be missing from the store. A daemon that
+// started then did not know the servers of the flows that came to it.
+TEST_CASE("a daemon that starts forwards flows of a server without an entry") {
+  DaemonFixture fixture;
+  const std::size_t server = fixture.AddServer();
+  const auto first = fixture.StartDaemon(0);
+  const auto opened = fixture.OpenFlow(0, 4001);
+  fixture.RemoveServer(server);
+  absl::SleepFor(absl::Milliseconds(500));
+  const auto second = fixture.StartDaemon(1);
+  direct::Packet data = fixture.MakeSyn(4001);
+  data.syn = false;
+  data.cookie = opened.packet.cookie;
+  bool forwarded = false;
+  for (int i = 0; i < 20 && !forwarded; ++i) {
+    fixture.SendPacket(1, data);
+    forwarded = fixture.NextPacket(absl::Milliseconds(100)).has_value();
+  }
+  CHECK(forwarded);
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
