direct_balancer: daemons pass on what they were told of missing servers

A daemon now also keeps what a peer told, for the rest of its lifetime, so the set ends 60 s after the server went missing, wherever it is passed on. 'what a peer told is passed on for the rest of its lifetime' failed before.

--- a/src/direct_balancer/retained_objects.cc
+++ b/src/direct_balancer/retained_objects.cc
@@ -1,5 +1,6 @@
 #include "src/direct_balancer/retained_objects.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace gcw::direct_balancer {
@@ -18,19 +19,46 @@
     current_.emplace(object.key, object);
   }
   revision_ = revision;
-  RetainedBatch batch{last_id_ + 1, now, revision, {}};
+  std::vector<relay::Object> kept;
   for (auto& [key, object] : vanished) {
     if (filter_(object, restored)) {
-      batch.objects.push_back(std::move(object));
+      kept.push_back(std::move(object));
     }
   }
-  if (!batch.objects.empty()) {
-    last_id_ = batch.id;
-    batches_.push_back(std::move(batch));
-  }
+  AddBatch(std::move(kept), revision, now);
   DropReturned();
 }
 
+void RetainedObjects::OnTold(std::span<const relay::Object> objects,
+                             relay::Version store_version,
+                             absl::Time since) {
+  std::vector<relay::Object> kept;
+  for (const relay::Object& object : objects) {
+    if (!current_.contains(object.key) && !Keeps(object.key)) {
+      kept.push_back(object);
+    }
+  }
+  AddBatch(std::move(kept), store_version, since);
+}
+
+bool RetainedObjects::Keeps(std::string_view key) const {
+  const auto has_key = [&](const relay::Object& object) {
+    return object.key == key;
+  };
+  return std::any_of(
+      batches_.begin(), batches_.end(), [&](const RetainedBatch& batch) {
+        return std::any_of(batch.objects.begin(), batch.objects.end(), has_key);
+      });
+}
+
+void RetainedObjects::AddBatch(std::vector<relay::Object> objects,
+                               relay::Version store_version,
+                               absl::Time since) {
+  if (!objects.empty()) {
+    batches_.push_back({++last_id_, since, store_version, std::move(objects)});
+  }
+}
+
 void RetainedObjects::OnTick(absl::Time now) {
   std::erase_if(batches_, [&](const RetainedBatch& batch) {
     return now - batch.since >= lifetime_;
--- a/src/direct_balancer/retained_objects.h
+++ b/src/direct_balancer/retained_objects.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -41,6 +42,12 @@
   void OnObjects(std::span<const relay::Object> objects,
                  relay::Version revision,
                  absl::Time now);
+  // A peer keeps `objects` since `since`, because the store's state of
+  // `store_version` lacks them. Keeps those that are unknown here, for the rest
+  // of their lifetime.
+  void OnTold(std::span<const relay::Object> objects,
+              relay::Version store_version,
+              absl::Time since);
   // Drops objects whose lifetime has ended.
   void OnTick(absl::Time now);
 
@@ -49,6 +56,12 @@
   std::span<const RetainedBatch> batches() const { return batches_; }
 
  private:
+  // Whether a batch has the object `key`.
+  bool Keeps(std::string_view key) const;
+  // Adds `objects` as a batch, if there are any.
+  void AddBatch(std::vector<relay::Object> objects,
+                relay::Version store_version,
+                absl::Time since);
   // Removes the objects with keys in `current_` from all batches.
   void DropReturned();
 
--- a/src/direct_balancer/servers_reader.cc
+++ b/src/direct_balancer/servers_reader.cc
@@ -71,9 +71,10 @@
 
 FeedUpdate ServersReader::OnRetained(const RetainedMessage& retained,
                                      direct::Version /*revision*/,
-                                     absl::Time /*now*/) {
+                                     absl::Time now) {
   FeedUpdate update;
   MissingServersTold told;
+  std::vector<relay::Object> readable;
   for (const relay::Object& object : retained.objects) {
     if (!object.key.starts_with(adapter::kServersPrefix)) {
       continue;
@@ -81,8 +82,10 @@
     direct::ServerReportPtr report = Decode(object, NameOf(object), update);
     if (report->readable) {
       told.reports.push_back(std::move(report));
+      readable.push_back(object);
     }
   }
+  vanished_.OnTold(readable, retained.store_version, now - retained.age);
   if (!told.reports.empty()) {
     update.message = std::move(told);
   }
--- a/src/direct_balancer/zones_reader.cc
+++ b/src/direct_balancer/zones_reader.cc
@@ -43,6 +43,7 @@
                                    absl::Time now) {
   FeedUpdate update;
   if (retained.age < lifetime_) {
+    lost_.OnTold(retained.objects, retained.store_version, now - retained.age);
     update.message =
         ZonesOutTold{NamesOf(retained.objects), now + lifetime_ - retained.age};
   }
--- a/tests/direct_balancer/retained_test.cc
+++ b/tests/direct_balancer/retained_test.cc
@@ -95,6 +95,26 @@
   CHECK_FALSE(reader->OnRetained(told, 7, kStart).message.has_value());
 }
 
+// If all daemons are restarted one after the other, each must learn of the
+// servers from one that was told itself.
+TEST_CASE("what a peer told is passed on for the rest of its lifetime") {
+  const auto reader = FeedReader::Make(direct::Feed::kServers, {});
+  const std::vector<relay::Object> listed{MakeServer("i-1", "ready")};
+  reader->OnObjects(listed, 8, kStart);
+  const RetainedMessage told{
+      direct::Feed::kServers,
+      absl::Seconds(20),
+      7,
+      {MakeServer("i-1", "ready"), MakeServer("i-2", "ready")}};
+  reader->OnRetained(told, 8, kStart);
+  reader->OnRetained(told, 8, kStart);
+  CHECK(RetainedKeys(*reader) == std::vector{told.objects[1].key});
+  reader->OnTick(8, kStart + absl::Seconds(39));
+  CHECK(RetainedKeys(*reader).size() == 1);
+  reader->OnTick(8, kStart + absl::Seconds(41));
+  CHECK(RetainedKeys(*reader).empty());
+}
+
 // What peers send may be of a later build, or wrong.
 TEST_CASE("retained objects that cannot be decoded are left out") {
   const auto servers = FeedReader::Make(direct::Feed::kServers, {});
