--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -157,7 +157,7 @@
     if (!has_left) {
       present.insert(StoreKey(i));
     }
-    if (record.up && !IsEntryCurrent(i)) {
+    if (record.up && !record.unreported && !IsEntryCurrent(i)) {
       PutServerEntry(i);
     } else if (has_left) {
       DeleteServerEntry(i);
@@ -170,6 +170,19 @@
   }
 }
 
+void Deployment::LoseServerEntry(std::size_t server) {
+  servers_[server].unreported = true;
+  DeleteServerEntry(server);
+}
+
+void Deployment::ReportServerAgain(std::size_t server) {
+  ServerRecord& record = servers_[server];
+  record.unreported = false;
+  if (record.up && record.version == 0) {
+    PutServerEntry(server);
+  }
+}
+
 bool Deployment::IsOptional(const direct::FlowKey& flow) {
   return flow.service == kOptionalService;
 }
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -43,6 +43,8 @@
   absl::Time draining_since = absl::InfiniteFuture();
   config::Version version = 0;  // Of the store entry; 0 if there is none.
   std::uint64_t reports = 0;    // Writes of the store entry so far.
+  // The server's reports do not reach the store, so it has no entry.
+  bool unreported = false;
 
   // Whether the server is up, has a store entry and is not draining.
   bool in_service() const {
@@ -111,8 +113,13 @@
   // again at once what it has lost.
   void RestoreStore();
   // Writes again what the store has lost of the servers' entries in a restore,
-  // and removes entries of servers that have left.
+  // and removes entries of servers that have left. Leaves out unreported
+  // servers.
   void WriteServersAgain();
+  // Removes the entry of a server that goes on serving.
+  void LoseServerEntry(std::size_t server);
+  // Lets the reports of a server reach the store again.
+  void ReportServerAgain(std::size_t server);
   // Takes the zone out of service. Returns false without effect if the zone is
   // out already or only one zone is still in service.
   bool TakeZoneOut(std::size_t zone);
--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -20,6 +20,11 @@
 constexpr absl::Duration kLapsedEntryAbsence = absl::Milliseconds(1500);
 // How long the store is down before it comes back restored.
 constexpr absl::Duration kRestoreOutage = absl::Milliseconds(500);
+// Time from a restore until the entries of some servers are back that the store
+// lost for longer, although the servers serve.
+constexpr absl::Duration kLostEntryAbsence = absl::Seconds(8);
+// One server of so many loses its entry for kLostEntryAbsence.
+constexpr std::size_t kServersPerLostEntry = 4;
 // Time from a restore to the operators' next change.
 constexpr absl::Duration kChangeAfterRestore = absl::Seconds(1);
 constexpr lab::LinkFaults kLossyLinks{.loss = 0.05, .duplicate = 0.05};
@@ -182,6 +187,7 @@
   deployment_.store().SaveCopy();
   Impair({"store"}, age + kRestoreOutage, [this] {
     deployment_.RestoreStore();
+    LoseServerEntries();
     if (--active_outages_ == 0) {
       deployment_.store().SetOutage(fake_platform::Outage::kNone);
     }
@@ -198,6 +204,17 @@
   });
 }
 
+void FaultInjector::LoseServerEntries() {
+  const std::size_t servers = deployment_.servers().size();
+  for (std::size_t i = 0; i < servers; i += kServersPerLostEntry) {
+    if (deployment_.servers()[i].in_service()) {
+      deployment_.LoseServerEntry(i);
+      deployment_.loop().After(kLostEntryAbsence,
+                               [this, i] { deployment_.ReportServerAgain(i); });
+    }
+  }
+}
+
 void FaultInjector::SlowStore(absl::Duration duration) {
   deployment_.store().SetDelay({.base = absl::Milliseconds(300)});
   Impair({"store"}, duration, [this] { deployment_.store().SetDelay({}); });
--- a/src/soak/fault_injector.h
+++ b/src/soak/fault_injector.h
@@ -47,6 +47,8 @@
   // Copies the store now. `age` later the store is down for a moment and comes
   // back with the copy; the operators and the servers then write again.
   void RestoreStore(absl::Duration age);
+  // Removes the entries of some servers, which go on serving, for some time.
+  void LoseServerEntries();
   void SlowStore(absl::Duration duration);
   void DegradeServerLinks(const lab::LinkFaults& faults,
                           absl::Duration duration);
