direct, direct_balancer: options of the relays, log of answers and unknown cookies in files of their own

The options of the relays with their times, and the log of what an answer's version shows, move out of it; the cookies without a server move out of the router. No change of behaviour.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -4,7 +4,6 @@
 #include <array>
 #include <utility>
 
-#include "absl/container/flat_hash_map.h"
 #include "src/direct/active_configuration.h"
 #include "src/direct/admission_table.h"
 #include "src/direct/feed_states.h"
@@ -14,6 +13,7 @@
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
 #include "src/direct/server_table.h"
+#include "src/direct/unknown_cookies.h"
 #include "src/direct/zones_out.h"
 
 namespace gcw::direct {
@@ -28,9 +28,6 @@
 constexpr absl::Duration kGoneAnswerTimeout = absl::Milliseconds(500);
 // How often expired flows, servers and unknown cookies are removed.
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
-// Maximum number of cookies in received packets to remember that match no known
-// server. Bounds the memory that packets with invalid cookies can use.
-constexpr std::size_t kMaxUnknownCookies = 4096;
 
 }  // namespace
 
@@ -134,9 +131,7 @@
                   now);
     servers_.OnTick(options_.max_flow_age, feeds_.confirmed(Feed::kServers),
                     now);
-    absl::erase_if(unknown_cookies_, [&](const auto& item) {
-      return now - item.second > options_.max_flow_age;
-    });
+    unknown_cookies_.Expire(options_.max_flow_age, now);
   }
 
   std::vector<ProbeRequest> TakeProbes() {
@@ -391,11 +386,8 @@
       return Refuse(packet, Reason::kNoCookie, nullptr, absl::ZeroDuration(),
                     now);
     }
-    if (unknown_cookies_.size() >= kMaxUnknownCookies) {
-      unknown_cookies_.clear();
-    }
-    const auto [it, added] = unknown_cookies_.try_emplace(packet.cookie, now);
-    const absl::Duration unknown_for = now - it->second;
+    const absl::Duration unknown_for =
+        now - unknown_cookies_.UnknownSince(packet.cookie, now);
     const bool expect_listed =
         ServersAge(now) < kFeedFreshness && unknown_for >= options_.lapse_grace;
     return Refuse(
@@ -441,9 +433,7 @@
   FlowMonitor flow_monitor_;
   FlowResetter flow_resetter_;
   Placer placer_;
-  // Cookies in received packets that match no known server, with the time of
-  // the first such packet.
-  absl::flat_hash_map<FlowCookie, absl::Time> unknown_cookies_;
+  UnknownCookies unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
 };
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -19,7 +19,9 @@
 #include "src/direct_balancer/feed_reader.h"
 #include "src/direct_balancer/messages.h"
 #include "src/direct_balancer/peer_message.h"
+#include "src/direct_balancer/relay_options.h"
 #include "src/direct_balancer/retained_exchange.h"
+#include "src/direct_balancer/store_answer_log.h"
 #include "src/direct_balancer/watcher_health.h"
 
 namespace gcw::direct_balancer {
@@ -36,51 +38,11 @@
 constexpr std::array<std::string_view, kFeedCount> kPrefixes{
     adapter::kConfigurationPrefix, adapter::kServersPrefix,
     adapter::kZonesOutPrefix};
-// One daemon per zone watches the platform for all daemons of the zone. The
-// others get changes from it within tens of milliseconds, and one of them takes
-// over when it fails.
-constexpr std::size_t kWatchersPerZone = 1;
-// Peers of its zone to which a daemon pushes changes. With three, a change
-// reaches a zone of ten daemons in two hops.
-constexpr std::size_t kZoneFanout = 3;
-// How long a new daemon waits for the platform's answer alone. A list call
-// normally takes a few milliseconds; after this time the daemon asks its peers
-// for the state as well.
-constexpr absl::Duration kPlatformFirstPeriod = absl::Milliseconds(300);
-// How long the platform may hold a watch call that has no change to return:
-// normally, and for the first watch after a failed call. In milliseconds, for
-// the static_asserts below.
-constexpr std::int64_t kWatchWaitMs = 2500;
-constexpr std::int64_t kRetryWaitMs = 200;
-// A call that takes longer than its wait plus this time is given up.
-constexpr std::int64_t kCallGraceMs = 700;
-constexpr std::int64_t kMaxBackoffMs = 1000;
-// The service levels that the users state apply again this long after the
-// platform has become reachable again.
-constexpr std::int64_t kStabilityWindowMs = 4000;
-// A call that was lost just before the platform became reachable again must be
-// given up, and the call after it be answered, within the stability window.
-static_assert(kWatchWaitMs + kCallGraceMs < kStabilityWindowMs);
-static_assert(kRetryWaitMs + kCallGraceMs + kMaxBackoffMs < kStabilityWindowMs);
-constexpr absl::Duration kWatchWait = absl::Milliseconds(kWatchWaitMs);
-constexpr absl::Duration kRetryWait = absl::Milliseconds(kRetryWaitMs);
-constexpr absl::Duration kCallGrace = absl::Milliseconds(kCallGraceMs);
 // A connection to the platform that is not established within this time fails.
 constexpr absl::Duration kConnectTimeout = absl::Milliseconds(500);
 // Interval of TCP keep-alive probes on idle connections to the platform. A
 // connection on which the platform went silent fails after about three probes.
 constexpr absl::Duration kKeepAlive = absl::Seconds(1);
-// Shortest and longest pause after a failed call: short enough that the end of
-// an outage is noticed well within the two seconds in which servers whose
-// entries lapsed during the outage register again.
-constexpr absl::Duration kMinBackoff = absl::Milliseconds(150);
-constexpr absl::Duration kMaxBackoff = absl::Milliseconds(kMaxBackoffMs);
-// Minimum pause between an answer with changes and the next watch call. Servers
-// change one by one while a service is released or scaled. Each call then
-// returns the changes of a longer time, which is still short against the
-// seconds in which a drain must be in force.
-constexpr absl::Duration kWatchGap = absl::Milliseconds(100);
-constexpr absl::Duration kServersWatchGap = absl::Milliseconds(400);
 // Confirmations of unchanged state that other daemons relay are passed on to
 // the packet task at most once per interval and feed.
 constexpr absl::Duration kConfirmedInterval = absl::Milliseconds(500);
@@ -120,7 +82,8 @@
         seed_(seed),
         kernel_(kernel),
         log_(log),
-        metrics_(metrics) {}
+        metrics_(metrics),
+        answer_log_(log) {}
 
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step : {&Impl::OpenMailbox, &Impl::MakeLink,
@@ -196,20 +159,8 @@
 
   Status MakeRelays(kernel::EventLoop& /*loop*/) {
     for (std::size_t i = 0; i < kFeedCount; ++i) {
-      relay::Options options;
-      options.name = settings_.name;
-      options.zone = settings_.zone;
-      options.watchers_per_zone = kWatchersPerZone;
-      options.watch_wait = kWatchWait;
-      options.watch_wait_after_failure = kRetryWait;
-      options.call_grace = kCallGrace;
-      options.min_watch_gap =
-          static_cast<Feed>(i) == Feed::kServers ? kServersWatchGap : kWatchGap;
-      options.backoff_min = kMinBackoff;
-      options.backoff_max = kMaxBackoff;
-      options.zone_fanout = kZoneFanout;
-      options.initial_platform_delay = absl::ZeroDuration();
-      options.initial_peer_delay = kPlatformFirstPeriod;
+      const relay::Options options =
+          MakeRelayOptions(settings_, static_cast<Feed>(i));
       auto made = relay::VersionedRelay::Make(options, kernel::MonotonicNow(),
                                               seed_ + 1 + i);
       if (!made.ok()) {
@@ -227,7 +178,7 @@
     options.platform = settings_.platform;
     options.bind_ip = settings_.packets.ip;
     options.connect_timeout = kConnectTimeout;
-    options.call_timeout = kCallGrace;
+    options.call_timeout = kPlatformCallGrace;
     options.keep_alive_interval = kKeepAlive;
     options.format = &adapter::ObjectFormat();
     for (std::size_t i = 0; i < kFeedCount; ++i) {
@@ -440,7 +391,7 @@
                       absl::Time now) {
     Count(feed, verb, ResultCode::kOk);
     watcher_health_.OnCallAnswered(feed);
-    LogStoreState(feed, answered);
+    answer_log_.OnAnswer(feed, answered, relays_[IndexOf(feed)]->revision());
     if (answered < relays_[IndexOf(feed)]->revision()) {
       return;  // The answer is stale: it does not confirm the state held here.
     }
@@ -449,23 +400,6 @@
     Send(FeedConfirmed{feed, now, true});
   }
 
-  // Logs once for each feed that the store was restored, and that its answer is
-  // older than the state held here, so that the answer will be ignored.
-  void LogStoreState(Feed feed, relay::Version answered) {
-    const relay::Version held = relays_[IndexOf(feed)]->revision();
-    const std::string name(direct::FeedName(feed));
-    // A feed without changes keeps its revision from before the restore.
-    StoreEpoch& logged = logged_epochs_[IndexOf(feed)];
-    const StoreEpoch known = std::max(logged, EpochOf(held));
-    logged = std::max(known, EpochOf(answered));
-    if (held != 0 && logged > known) {
-      log_.Write(StoreEpochChanged{name, answered, held});
-    }
-    if (answered < held) {
-      log_.Write(direct::StaleStateIgnored{name, answered, held});
-    }
-  }
-
   // Counts one call to the platform in the metrics.
   void Count(Feed feed, std::string_view verb, ResultCode code) {
     metrics_.calls().Count(fmt::format("{} {}", verb, kPrefixes[IndexOf(feed)]),
@@ -560,12 +494,11 @@
   // to the platform's state.
   std::array<absl::Time, kFeedCount> confirmed_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
-  // The store's latest epoch in an answer for each feed.
-  std::array<StoreEpoch, kFeedCount> logged_epochs_{};
   // When the packet task was last sent a FeedConfirmed for each feed.
   std::array<absl::Time, kFeedCount> last_confirmed_sent_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
   WatcherHealth watcher_health_;
+  StoreAnswerLog answer_log_;
   RetainedExchange exchange_;
 };
 
