direct_balancer: retained objects are found without copying the whole list

Each change of a server copied all entries of the feed once more. The two sorted lists are now compared in one pass, and only changed entries are copied.

--- a/src/direct_balancer/retained_objects.cc
+++ b/src/direct_balancer/retained_objects.cc
@@ -12,21 +12,40 @@
                                 relay::Version revision,
                                 absl::Time now) {
   const bool restored = EpochOf(revision) > EpochOf(revision_);
-  std::map<std::string, relay::Object, std::less<>> vanished;
-  std::swap(vanished, current_);
-  for (const relay::Object& object : objects) {
-    vanished.erase(object.key);
-    current_.emplace(object.key, object);
-  }
   revision_ = revision;
-  std::vector<relay::Object> kept;
-  for (auto& [key, object] : vanished) {
-    if (filter_(object, restored)) {
-      kept.push_back(std::move(object));
+  std::vector<relay::Object> vanished = ReplaceCurrent(objects);
+  std::erase_if(vanished, [&](const relay::Object& object) {
+    return !filter_(object, restored);
+  });
+  AddBatch(std::move(vanished), revision, now);
+  DropReturned();
+}
+
+std::vector<relay::Object> RetainedObjects::ReplaceCurrent(
+    std::span<const relay::Object> objects) {
+  std::vector<relay::Object> vanished;
+  auto current = current_.begin();
+  const auto remove_current = [&] {
+    vanished.push_back(std::move(current->second));
+    current = current_.erase(current);
+  };
+  for (const relay::Object& object : objects) {
+    while (current != current_.end() && current->first < object.key) {
+      remove_current();
+    }
+    if (current == current_.end() || current->first != object.key) {
+      current_.emplace_hint(current, object.key, object);
+      continue;
     }
+    if (current->second.version != object.version) {
+      current->second = object;
+    }
+    ++current;
   }
-  AddBatch(std::move(kept), revision, now);
-  DropReturned();
+  while (current != current_.end()) {
+    remove_current();
+  }
+  return vanished;
 }
 
 void RetainedObjects::OnTold(std::span<const relay::Object> objects,
--- a/src/direct_balancer/retained_objects.h
+++ b/src/direct_balancer/retained_objects.h
@@ -37,8 +37,9 @@
   // Keeps the objects that `filter` accepts for `lifetime`.
   RetainedObjects(absl::Duration lifetime, Filter filter);
 
-  // The feed has `objects` as of the store's `revision`. Keeps those that have
-  // vanished since the last call, and drops those that are back.
+  // The feed has `objects`, sorted by key, as of the store's `revision`. Keeps
+  // those that have vanished since the last call, and drops those that are
+  // back.
   void OnObjects(std::span<const relay::Object> objects,
                  relay::Version revision,
                  absl::Time now);
@@ -56,6 +57,10 @@
   std::span<const RetainedBatch> batches() const { return batches_; }
 
  private:
+  // Makes `objects` the objects of `current_` and returns those that it lost.
+  // Copies only objects that have changed.
+  std::vector<relay::Object> ReplaceCurrent(
+      std::span<const relay::Object> objects);
   // Whether a batch has the object `key`.
   bool Keeps(std::string_view key) const;
   // Adds `objects` as a batch, if there are any.
--- a/tests/direct_balancer/retained_test.cc
+++ b/tests/direct_balancer/retained_test.cc
@@ -55,6 +55,25 @@
   }
 }
 
+// The list is compared with the last one in one pass. Objects that come and go
+// at its ends and in between are the boundary cases.
+TEST_CASE("servers that vanish beside new ones are retained") {
+  const auto reader = FeedReader::Make(direct::Feed::kServers, {});
+  const auto key = [](const std::string& name) {
+    return std::string(adapter::kServersPrefix) + name;
+  };
+  reader->OnObjects({{MakeServer("i-2", "ready"), MakeServer("i-4", "ready"),
+                      MakeServer("i-6", "ready")}},
+                    1, kStart);
+  reader->OnObjects({{MakeServer("i-1", "ready"), MakeServer("i-4", "ready"),
+                      MakeServer("i-5", "ready"), MakeServer("i-7", "ready")}},
+                    2, kStart);
+  CHECK(RetainedKeys(*reader) == std::vector{key("i-2"), key("i-6")});
+  reader->OnObjects({{MakeServer("i-6", "ready")}}, 3, kStart);
+  CHECK(RetainedKeys(*reader) == std::vector{key("i-2"), key("i-1"), key("i-4"),
+                                             key("i-5"), key("i-7")});
+}
+
 // A restored store may also have lost a server that drains.
 TEST_CASE("a draining server that a restore lost is retained") {
   const auto reader = FeedReader::Make(direct::Feed::kServers, {});
