direct: a draining server that a restore lost keeps its flows while it lives

Found on reading the diff: a draining server whose entry a restore has lost lapses, as it should, but turned gone after 2.5 s, and gone and draining was taken for having left. Its flows were reset; those of one of which a peer told at once. Whether a server has left is now noted when its entry vanishes after a drain, and a restore is no such proof.

Both tests failed before (resets not empty; the packet was reset).

--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -175,8 +175,8 @@
   // unavailable or the server could not reach the store, and any entry may be
   // missing from a restored store.
   const bool restored = EpochOf(revision) > EpochOf(entry->revision);
-  const bool left = entry->server.draining && !restored;
-  SetPresence(*entry, left ? Presence::kGone : Presence::kLapsed, now);
+  entry->left = entry->server.draining && !restored;
+  SetPresence(*entry, entry->left ? Presence::kGone : Presence::kLapsed, now);
 }
 
 void ServerTable::SetPresence(ServerEntry& entry,
@@ -248,13 +248,15 @@
 }
 
 bool ServerTable::HasEnded(const ServerEntry& server) const {
-  if (server.presence == Presence::kRestarted ||
-      (server.presence == Presence::kGone && server.server.draining)) {
+  if (server.presence == Presence::kRestarted) {
     return true;
   }
   if (!server.missing()) {
     return false;
   }
+  if (server.left) {
+    return true;
+  }
   if (server.presence == Presence::kGone &&
       server.reach.reach() == Reach::kRefuses) {
     return true;
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -30,6 +30,8 @@
   Version revision = 0;  // Of the last report that was applied.
   Presence presence = Presence::kListed;
   absl::Time presence_since;
+  // Whether the entry vanished after a drain, so that the server has left.
+  bool left = false;
   absl::Time cold_until;
   Reachability reach;
   // The two numbers of flows below include only flows that are in this daemon's
--- a/tests/direct/store_restore_test.cc
+++ b/tests/direct/store_restore_test.cc
@@ -130,13 +130,34 @@
   f.AdvanceTime(absl::Milliseconds(500));
   CHECK(f.resets.empty());
   CHECK(f.Send(f.Data(f.port, cookie)).action == Action::kForward);
-  // The server reports again.
-  f.SendServerList();
-  f.AdvanceTime(absl::Seconds(5));
+  SECTION("if the server reports again") {
+    f.SendServerList();
+    f.AdvanceTime(absl::Seconds(5));
+  }
+  SECTION("if its entry stays missing") {
+    f.AdvanceTime(absl::Seconds(5));
+  }
   CHECK(f.resets.empty());
   CHECK_FALSE(f.N1GetsFlows());
 }
 
+// A daemon that starts may be told of a draining server that a restore lost.
+TEST_CASE("a draining server that other daemons know keeps its flows") {
+  RouterFixture f;
+  const FlowCookie cookie = f.Open(1);
+  BackendServer server = f.FindServer(f.NameOf(cookie));
+  server.draining = true;
+  std::erase_if(f.servers,
+                [&](const BackendServer& s) { return s.name == server.name; });
+  f.Restart();
+  const std::vector<ServerReportPtr> told{std::make_shared<ServerReport>(
+      ServerReport{1, server.name, true, server})};
+  f.router->AddMissingServers(told, f.now);
+  CHECK(f.Send(f.Data(1, cookie)).action == Action::kForward);
+  f.AdvanceTime(absl::Milliseconds(100));
+  CHECK(f.resets.empty());
+}
+
 TEST_CASE("a server that left before a restore does not return with the copy") {
   ServersFixture f;
   f.ReportN1(true);
