--- a/bench/direct_balancer_feed.cc
+++ b/bench/direct_balancer_feed.cc
@@ -31,14 +31,15 @@
   for (std::uint32_t i = 0; i < count; ++i) {
     objects.push_back(MakeServer(i, 1));
   }
-  const auto reader = FeedReader::Make(direct::Feed::kServers);
+  const auto reader = FeedReader::Make(direct::Feed::kServers, {});
   relay::Version revision = 1;
-  reader->OnObjects(objects, revision);
+  reader->OnObjects(objects, revision, absl::UnixEpoch());
   for (auto _ : state) {
     ++revision;
     objects[revision % count] =
         MakeServer(static_cast<std::uint32_t>(revision % count), revision);
-    benchmark::DoNotOptimize(reader->OnObjects(objects, revision));
+    benchmark::DoNotOptimize(
+        reader->OnObjects(objects, revision, absl::UnixEpoch()));
   }
 }
 BENCHMARK(BM_OneServerChanged)
