soak: a daemon that is still ending is restarted once it has ended

Cause, in the soak itself: the restart 0.5 s after the kill was dropped when the process had not exited yet, as on a busy machine (load 20), and later checks leave out daemons whose end was asked for. A failed start was dropped too, without a word.

Now a restart stays due until the process has exited and started, and a failed start is logged and tried again.

--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -452,7 +452,7 @@
   for (ServerRecord& record : servers_) {
     record.probes->AcceptPending();
   }
-  fleet_->RestartCrashed();
+  fleet_->StartExited();
   loop_->After(kMaintenanceInterval, [this] { RunMaintenance(); });
 }
 
--- a/src/soak/fleet.cc
+++ b/src/soak/fleet.cc
@@ -9,11 +9,14 @@
 
 #include "absl/time/clock.h"
 #include "gcw/base/hash.h"
+#include "gcw/base/log.h"
 #include "platform/ready.h"
 
 namespace gcw::soak {
 namespace {
 
+constexpr Logger kLog("soak");
+
 constexpr std::uint16_t kPacketPort = 30000;
 constexpr std::uint16_t kReadyPort = 30001;
 constexpr std::uint16_t kMembersPort = 30003;
@@ -158,22 +161,35 @@
 
 void Fleet::Restart(std::size_t daemon) {
   Daemon& d = daemons_[daemon];
-  if (!d.process->ExitCode()) {
-    return;
+  d.restart_due = true;
+  if (d.process->ExitCode()) {
+    StartProcess(d);
   }
-  auto process = lab::DaemonProcess::Make(options_.program, d.settings, d.log);
-  if (process.ok()) {
-    d.process = std::move(process).value();
-    d.termination_requested = false;
+}
+
+void Fleet::StartProcess(Daemon& daemon) {
+  auto process =
+      lab::DaemonProcess::Make(options_.program, daemon.settings, daemon.log);
+  if (!process.ok()) {
+    kLog.Error("cannot restart a daemon: {}", process.error().message);
+    return;
   }
+  daemon.process = std::move(process).value();
+  daemon.termination_requested = false;
+  daemon.restart_due = false;
 }
 
-void Fleet::RestartCrashed() {
-  for (std::size_t i = 0; i < size(); ++i) {
-    Daemon& d = daemons_[i];
-    if (!d.termination_requested && d.process->ExitCode()) {
+void Fleet::StartExited() {
+  for (Daemon& daemon : daemons_) {
+    if (!daemon.process->ExitCode()) {
+      continue;
+    }
+    if (!daemon.termination_requested && !daemon.restart_due) {
       ++crashes_;
-      Restart(i);
+      daemon.restart_due = true;
+    }
+    if (daemon.restart_due) {
+      StartProcess(daemon);
     }
   }
 }
--- a/src/soak/fleet.h
+++ b/src/soak/fleet.h
@@ -57,12 +57,14 @@
   // Sends `signal`. After SIGKILL or SIGTERM the daemon's exit is not counted
   // as a crash.
   void Signal(std::size_t daemon, int signal);
-  // Starts a daemon whose process has exited; does nothing while it runs.
+  // Starts a daemon again once its process has exited: now, or in a later call
+  // of StartExited().
   void Restart(std::size_t daemon);
   // Number of exits that followed no Signal() with SIGKILL or SIGTERM.
   std::size_t crashes() const { return crashes_; }
-  // Counts and restarts daemons that crashed since the last call.
-  void RestartCrashed();
+  // Starts daemons whose restart is due and which have exited, and counts and
+  // restarts daemons that crashed. Call it periodically.
+  void StartExited();
 
   StoreProxy& store_proxy(std::size_t daemon) {
     return *daemons_[daemon].store_proxy;
@@ -76,11 +78,15 @@
     std::unique_ptr<StoreProxy> store_proxy;
     // Whether SIGKILL or SIGTERM was sent since the last start.
     bool termination_requested = false;
+    bool restart_due = false;
   };
 
   explicit Fleet(const FleetOptions& options) : options_(options) {}
 
   std::uint32_t DaemonIp(std::size_t daemon) const;
+  // Starts the process of a daemon that has exited. Logs a failure, after which
+  // the restart stays due.
+  void StartProcess(Daemon& daemon);
   // Starts the daemon's store proxy, writes its settings file and starts its
   // process.
   Status StartDaemon(lab::EventLoop& loop, std::size_t daemon);
