--- a/tests/direct_balancer/feed_reader_test.cc
+++ b/tests/direct_balancer/feed_reader_test.cc
@@ -80,5 +80,29 @@
   CHECK(reader.unreadable == 1);
 }
 
+// Operators look for this event when the store holds a configuration that they
+// have replaced.
+TEST_CASE("each older configuration after a restore is reported as ignored") {
+  const auto reader = FeedReader::Make(direct::Feed::kConfiguration, {});
+  const auto read = [&](int number, direct::Version version) {
+    const relay::Object object{std::string(adapter::kConfigurationKey), version,
+                               1,
+                               R"({"version":)" + std::to_string(number) +
+                                   R"(,"routes":[],"services":[]})"};
+    return reader->OnObjects({&object, 1}, version, absl::UnixEpoch());
+  };
+  CHECK_FALSE(read(9, MakeStoreVersion(1, 23)).ignored.has_value());
+  for (StoreEpoch epoch = 2; epoch < 4; ++epoch) {
+    const FeedUpdate update = read(4, MakeStoreVersion(epoch, 21));
+    CHECK_FALSE(update.message.has_value());
+    REQUIRE(update.ignored.has_value());
+    CHECK(update.ignored->offered == 4);
+    CHECK(update.ignored->held == 9);
+  }
+  const FeedUpdate again = read(9, MakeStoreVersion(3, 22));
+  CHECK(again.message.has_value());
+  CHECK_FALSE(again.ignored.has_value());
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
--- a/tests/direct_balancer/store_restore_test.cc
+++ b/tests/direct_balancer/store_restore_test.cc
@@ -65,6 +65,46 @@
   CHECK(IsInForce(fixture, 0, 4));
 }
 
+// The first packet of a flow to the service address of a route.
+direct::Packet MakeSynTo(const DaemonFixture& fixture,
+                         std::uint16_t port,
+                         std::uint16_t route) {
+  direct::Packet packet = fixture.MakeSyn(port);
+  packet.flow.service.port = route;
+  return packet;
+}
+
+// A restored store holds an older configuration until the operators have
+// written theirs again. Packets must be routed by the confirmed one meanwhile.
+TEST_CASE("packets are routed by the latest configuration after restores") {
+  DaemonFixture fixture;
+  fixture.AddServer();
+  const auto daemon = fixture.StartDaemon(0);
+  REQUIRE(IsInForce(fixture, 0, 1));
+  fixture.platform->SaveCopy();
+  WriteConfiguration(fixture, 2, {kFirstRoute, kSecondRoute});
+  REQUIRE(IsInForce(fixture, 0, 2));
+  for (std::uint16_t restores = 1; restores <= 2; ++restores) {
+    fixture.platform->Restore();
+    absl::SleepFor(absl::Seconds(3));
+    direct::Packet packet = MakeSynTo(fixture, 4000 + restores, kSecondRoute);
+    fixture.SendPacket(0, packet);
+    const auto received = fixture.NextPacket();
+    REQUIRE(received.has_value());
+    // The caller opens the flow, so that the server does not count as lost.
+    packet.syn = false;
+    packet.cookie = received->packet.cookie;
+    fixture.SendPacket(0, packet);
+    CHECK(fixture.NextPacket().has_value());
+  }
+  // The operators write their configuration again, and then go on.
+  WriteConfiguration(fixture, 2, {kFirstRoute, kSecondRoute});
+  WriteConfiguration(fixture, 3, {kFirstRoute});
+  REQUIRE(IsInForce(fixture, 0, 3));
+  fixture.SendPacket(0, MakeSynTo(fixture, 4010, kSecondRoute));
+  CHECK(fixture.ResetArrives());
+}
+
 // A change that reached a daemon but was never confirmed to the operators may
 // be lost in a restore. What they wrote then, under a lower number, was
 // ignored.
