platform: one odd entry of the store neither ends a daemon nor stops its news

Cause: an answer of the store was decoded as one document, and each value was written back to text by json::dump, which recurses once a level. Nothing bounded what one entry may be. gcw-balancer and gcw-api had both faults.

Change: answers are split at brackets and quotes first, and each entry is decoded by itself. A value that cannot be decoded is replaced by a string that says why; an entry without a usable name or version is left out, counted and logged. DecodeJson refuses deep nesting. The lines about unreadable objects are limited per key.

--- a/include/gcw/cluster/platform_caller.h
+++ b/include/gcw/cluster/platform_caller.h
@@ -19,12 +19,14 @@
   std::uint64_t id = 0;         // The id of the call.
   relay::Version revision = 0;  // The platform's revision of the objects.
   std::vector<relay::Object> objects;
+  platform::SkippedEntries skipped;
 };
 // The result of a successful watch call.
 struct PlatformWatched {
   std::uint64_t id = 0;         // The id of the call.
   relay::Version revision = 0;  // The platform's revision after the events.
   std::vector<relay::Object> events;
+  platform::SkippedEntries skipped;
 };
 // A call that failed with `code`.
 struct PlatformFailed {
--- /dev/null
+++ b/include/gcw/platform/json_text.h
@@ -0,0 +1,64 @@
+#ifndef GCW_PLATFORM_JSON_TEXT_H_
+#define GCW_PLATFORM_JSON_TEXT_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "gcw/base/result.h"
+
+namespace gcw::platform {
+
+// Splits JSON text at its brackets, quotes and commas without decoding what is
+// between them. A JSON parser rejects a whole document for one value that it
+// cannot decode. Split first, the other values of the document remain readable.
+
+// The most levels of arrays and objects in a document that DecodeJson()
+// decodes. The limit keeps recursive operations of the JSON library from
+// exhausting the stack.
+inline constexpr std::size_t kMaxJsonDepth = 64;
+
+// Returns whether arrays and objects in `text` are nested deeper than `levels`.
+// Thread-safe.
+bool IsNestedDeeper(std::string_view text, std::size_t levels);
+
+// A member of a JSON object.
+struct JsonMember {
+  std::string_view name;   // As written, without the quotes.
+  std::string_view value;  // As written.
+};
+
+// Splits the text of a JSON object into its members. If the brackets or quotes
+// of a value do not match, the rest of `text` is that value, and the last one.
+// Text that does not begin like an object has no members. The views point into
+// `text`. Thread-safe.
+std::vector<JsonMember> SplitJsonObject(std::string_view text);
+
+// Returns the value of the first member `name`, or an empty view. Thread-safe.
+std::string_view FindJsonMember(const std::vector<JsonMember>& members,
+                                std::string_view name);
+
+// A JSON object of which one member is an array of objects: a listing.
+struct JsonListing {
+  std::vector<JsonMember> members;        // Without the array.
+  std::vector<std::string_view> entries;  // The elements of the array.
+};
+
+// Splits a listing whose array is the member `array`. An entry whose brackets
+// or quotes do not match ends where the next entry begins with the same field
+// as the first one; it does not affect the other entries. Fails with
+// kPlatformBadAnswer if there is no such array or if the text around it is not
+// that of an object. The views point into `text`. Thread-safe.
+Result<JsonListing> SplitJsonListing(std::string_view text,
+                                     std::string_view array);
+
+// Returns the JSON document `text` in compact form, with characters that are
+// not valid UTF-8 replaced. Stands in for a value of an unknown writer: if
+// `text` is empty, longer than `max_bytes`, nested too deeply or no JSON, the
+// result is a JSON string that says so. Thread-safe.
+std::string CompactJson(std::string_view text, std::size_t max_bytes);
+
+}  // namespace gcw::platform
+
+#endif  // GCW_PLATFORM_JSON_TEXT_H_
--- a/include/gcw/platform/platform_client.h
+++ b/include/gcw/platform/platform_client.h
@@ -1,6 +1,7 @@
 #ifndef GCW_PLATFORM_PLATFORM_CLIENT_H_
 #define GCW_PLATFORM_PLATFORM_CLIENT_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,10 +17,24 @@
 // An existing (not deleted) object as the platform stores it.
 using Object = config::ObjectRecord;
 
+// Entries of an answer that are left out because their name or version cannot
+// be decoded.
+struct SkippedEntries {
+  std::size_t count = 0;
+  Error first;  // Why the first one is left out.
+
+  void Add(const SkippedEntries& other) {
+    first = count == 0 ? other.first : first;
+    count += other.count;
+  }
+  void Add(const Error& error) { Add(SkippedEntries{1, error}); }
+};
+
 // All objects under a key prefix at one revision.
 struct Listing {
   Version revision = 0;
   std::vector<Object> objects;  // Sorted by key.
+  SkippedEntries skipped;
 };
 
 // One write or deletion of an object.
@@ -33,6 +48,7 @@
   Version revision = 0;  // The next watch continues after this revision.
   // Sorted by version. Empty if the wait ended without an event.
   std::vector<WatchEvent> events;
+  SkippedEntries skipped;
 };
 
 // Whether the platform keeps a VM or is about to remove it.
--- a/src/api/resource_service.cc
+++ b/src/api/resource_service.cc
@@ -212,6 +212,11 @@
   if (!listing.ok()) {
     return listing.error();
   }
+  const platform::SkippedEntries& skipped = listing.value().skipped;
+  if (skipped.count > 0) {
+    kLog.Warning("{} entries of the platform are left out: {}", skipped.count,
+                 ToString(skipped.first));
+  }
   CallContext context;
   context.revision = listing.value().revision;
   context.objects = std::move(listing.value().objects);
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -284,13 +284,22 @@
            control::OverflowPolicy::kDropOldest);
   }
 
+  static void LogSkipped(const platform::SkippedEntries& skipped) {
+    if (skipped.count > 0) {
+      kLog.Warning("{} entries of the platform are left out: {}", skipped.count,
+                   ToString(skipped.first));
+    }
+  }
+
   void OnMessage(PlatformListed& listed) {
+    LogSkipped(listed.skipped);
     ExecuteActions(relay_->OnList(listed.id, listed.revision, listed.objects,
                                   kernel::MonotonicNow()));
     ReportIfCurrent(listed.revision);
   }
 
   void OnMessage(PlatformWatched& watched) {
+    LogSkipped(watched.skipped);
     ExecuteActions(relay_->OnWatch(watched.id, watched.revision, watched.events,
                                    kernel::MonotonicNow()));
     ReportIfCurrent(watched.revision);
--- a/src/cluster/platform_caller.cc
+++ b/src/cluster/platform_caller.cc
@@ -67,7 +67,8 @@
     if (!listing.ok()) {
       return PlatformFailed{call.id, listing.error().code};
     }
-    PlatformListed listed{call.id, listing.value().revision, {}};
+    PlatformListed listed{
+        call.id, listing.value().revision, {}, listing.value().skipped};
     for (const platform::Object& object : listing.value().objects) {
       listed.objects.push_back(ToRelayObject(object));
     }
@@ -79,7 +80,8 @@
     if (!answer.ok()) {
       return PlatformFailed{call.id, answer.error().code};
     }
-    PlatformWatched watched{call.id, answer.value().revision, {}};
+    PlatformWatched watched{
+        call.id, answer.value().revision, {}, answer.value().skipped};
     for (const platform::WatchEvent& event : answer.value().events) {
       watched.events.push_back(ToRelayObject(event));
     }
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -84,6 +84,9 @@
     return {e.accepted ? LogLevel::kInfo : LogLevel::kError, kProcess,
             "settings_reloaded"};
   }
+  LogHeading operator()(const EntriesSkipped&) const {
+    return {LogLevel::kWarning, kState, "entries_skipped"};
+  }
   LogHeading operator()(const ObjectUnreadable&) const {
     return {LogLevel::kWarning, kState, "object_unreadable"};
   }
@@ -220,6 +223,9 @@
             {"error", e.error},
             {"needs_restart", e.needs_restart}};
   }
+  ordered_json operator()(const EntriesSkipped& e) const {
+    return {{"feed", e.feed}, {"entries", e.entries}, {"error", e.error}};
+  }
   ordered_json operator()(const ObjectUnreadable& e) const {
     return {{"key", e.key},
             {"revision", RevisionOf(e.revision)},
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -39,6 +39,14 @@
   std::vector<std::string_view> needs_restart;
 };
 
+// Entries in an answer of the platform's store have no readable name or version
+// and are left out.
+struct EntriesSkipped {
+  std::string feed;
+  std::size_t entries = 0;
+  std::string error;  // Of the first entry.
+};
+
 // An object of the platform's store could not be decoded and is ignored.
 struct ObjectUnreadable {
   std::string key;
@@ -105,6 +113,7 @@
                                   ProcessStopping,
                                   ProcessStopped,
                                   SettingsReloaded,
+                                  EntriesSkipped,
                                   ObjectUnreadable,
                                   StoreEpochChanged,
                                   RetainedStateTold,
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -22,6 +22,7 @@
 #include "src/direct_balancer/relay_options.h"
 #include "src/direct_balancer/retained_exchange.h"
 #include "src/direct_balancer/store_answer_log.h"
+#include "src/direct_balancer/unreadable_log.h"
 #include "src/direct_balancer/watcher_health.h"
 
 namespace gcw::direct_balancer {
@@ -83,7 +84,8 @@
         kernel_(kernel),
         log_(log),
         metrics_(metrics),
-        answer_log_(log) {}
+        answer_log_(log),
+        unreadable_log_(log) {}
 
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step : {&Impl::OpenMailbox, &Impl::MakeLink,
@@ -349,6 +351,7 @@
   void OnOutcome(Feed feed, const cluster::PlatformListed& listed) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "list", listed.revision, now);
+    LogSkipped(feed, listed.skipped);
     if (listed.revision < relays_[IndexOf(feed)]->revision()) {
       Deliver(readers_[IndexOf(feed)]->OnStaleObjects(
           listed.objects, relays_[IndexOf(feed)]->revision()));
@@ -366,6 +369,7 @@
   void OnOutcome(Feed feed, const cluster::PlatformWatched& watched) {
     const absl::Time now = kernel::MonotonicNow();
     OnCallAnswered(feed, "watch", watched.revision, now);
+    LogSkipped(feed, watched.skipped);
     Perform(feed, relays_[IndexOf(feed)]->OnWatch(watched.id, watched.revision,
                                                   watched.events, now));
   }
@@ -400,6 +404,13 @@
     Send(FeedConfirmed{feed, now, true});
   }
 
+  void LogSkipped(Feed feed, const platform::SkippedEntries& skipped) {
+    if (skipped.count > 0) {
+      log_.Write(EntriesSkipped{std::string(direct::FeedName(feed)),
+                                skipped.count, skipped.first.message});
+    }
+  }
+
   // Counts one call to the platform in the metrics.
   void Count(Feed feed, std::string_view verb, ResultCode code) {
     metrics_.calls().Count(fmt::format("{} {}", verb, kPrefixes[IndexOf(feed)]),
@@ -421,10 +432,7 @@
   // Sends the packet task what a reader has decoded, and logs what could not be
   // decoded or is ignored.
   void Deliver(FeedUpdate update) {
-    for (const UnreadableObject& object : update.unreadable) {
-      log_.Write(
-          ObjectUnreadable{object.key, object.revision, object.error.message});
-    }
+    unreadable_log_.OnUnreadable(update.unreadable, kernel::MonotonicNow());
     if (update.ignored) {
       log_.Write(*update.ignored);
     }
@@ -499,6 +507,7 @@
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
   WatcherHealth watcher_health_;
   StoreAnswerLog answer_log_;
+  UnreadableLog unreadable_log_;
   RetainedExchange exchange_;
 };
 
--- a/src/fake_platform/fake_platform.cc
+++ b/src/fake_platform/fake_platform.cc
@@ -34,7 +34,7 @@
 
 void Answer(int status, const json& body, httplib::Response* response) {
   response->status = status;
-  response->set_content(body.dump(), kJsonContentType);
+  response->set_content(WithRawValues(body.dump()), kJsonContentType);
 }
 
 // Closes the connection before the response is complete. For the caller this is
@@ -372,6 +372,11 @@
       [&](Impl& impl) { return impl.store().Put(key, value, if_version); });
 }
 
+Version FakePlatform::PutRaw(std::string_view key, std::string_view value) {
+  return impl_->Update(
+      [&](Impl& impl) { return impl.store().PutRaw(key, value); });
+}
+
 Result<Version> FakePlatform::Delete(std::string_view key, Version if_version) {
   return impl_->Update(
       [&](Impl& impl) { return impl.store().Delete(key, if_version); });
--- a/src/fake_platform/fake_platform.h
+++ b/src/fake_platform/fake_platform.h
@@ -57,6 +57,9 @@
   Result<Version> Put(std::string_view key,
                       std::string_view value,
                       Version if_version);
+  // Writes `value` as it is, like an unknown writer: answers carry its bytes,
+  // which need not be JSON.
+  Version PutRaw(std::string_view key, std::string_view value);
   Result<Version> Delete(std::string_view key, Version if_version);
   Result<Object> Get(std::string_view key) const;
   Listing List(std::string_view prefix) const;
--- a/src/fake_platform/store.cc
+++ b/src/fake_platform/store.cc
@@ -33,11 +33,16 @@
   if (VersionOf(key) != if_version) {
     return Conflict(VersionOf(key));
   }
+  return PutRaw(key, value);
+}
+
+Version Store::PutRaw(std::string_view key, std::string_view value) {
+  const bool created = VersionOf(key) == 0;
   Object& object = objects_[std::string(key)];
   object.key = key;
   object.value = value;
   object.version = ++revision_;
-  if (if_version == 0) {
+  if (created) {
     object.created = revision_;
   }
   Append({object, false});
--- a/src/fake_platform/store.h
+++ b/src/fake_platform/store.h
@@ -34,6 +34,9 @@
   Result<Version> Put(std::string_view key,
                       std::string_view value,
                       Version if_version);
+  // Writes an object of an unknown writer under any condition: `value` need not
+  // be JSON. Returns the version of the write.
+  Version PutRaw(std::string_view key, std::string_view value);
   // Deletes an object if its current version is `if_version`. Returns the
   // version of the deletion. Fails with kNotFound or kPlatformConflict.
   Result<Version> Delete(std::string_view key, Version if_version);
--- a/src/platform/http_platform_client.cc
+++ b/src/platform/http_platform_client.cc
@@ -263,6 +263,7 @@
     }
     std::move(page_listing.objects.begin(), page_listing.objects.end(),
               std::back_inserter(merged.objects));
+    merged.skipped.Add(page_listing.skipped);
     after = std::move(page.value().continue_after);
   } while (!after.empty());
   return WithEpoch(*epoch, std::move(merged));
--- a/src/platform/platform_json.cc
+++ b/src/platform/platform_json.cc
@@ -1,44 +1,60 @@
 #include "src/platform/platform_json.h"
 
+#include <algorithm>
 #include <functional>
 #include <nlohmann/json.hpp>
 #include <string>
 #include <utility>
 
 #include "gcw/platform/decode_json.h"
+#include "gcw/platform/json_text.h"
 
 namespace gcw::platform {
 namespace {
 
 using nlohmann::json;
 
-Object ReadObject(const json& value) {
+// Longer keys are refused by the messages between daemons.
+constexpr std::size_t kMaxKeyBytes = 512;
+// The platform's limit of a value.
+constexpr std::size_t kMaxValueBytes = 1'048'576;
+
+// Decodes one object. A value that cannot be decoded is replaced, see
+// CompactJson(); a deleted object has none.
+Result<Object> ReadObject(const std::vector<JsonMember>& members,
+                          bool deleted) {
+  const auto key = DecodeJson<std::string>(
+      FindJsonMember(members, "key"),
+      [](const json& value) { return value.get<std::string>(); });
+  if (!key.ok()) {
+    return key.error();
+  }
+  if (key.value().empty() || key.value().size() > kMaxKeyBytes) {
+    return UndecodableText("key: empty or too long");
+  }
+  const auto version =
+      DecodeJson<Version>(FindJsonMember(members, "version"), ReadRevision);
+  if (!version.ok()) {
+    return version.error();
+  }
+  const auto created =
+      DecodeJson<Version>(FindJsonMember(members, "created"), ReadUnsigned);
   Object object;
-  value.at("key").get_to(object.key);
-  value.at("version").get_to(object.version);
-  object.created = value.value("created", Version{0});
-  if (value.contains("value")) {
-    object.value = value.at("value").dump();
+  object.key = key.value();
+  object.version = version.value();
+  object.created =
+      created.ok() ? std::min(created.value(), object.version) : Version{0};
+  if (!deleted) {
+    object.value =
+        CompactJson(FindJsonMember(members, "value"), kMaxValueBytes);
   }
   return object;
 }
 
-Listing ReadListing(const json& value) {
-  Listing listing;
-  value.at("revision").get_to(listing.revision);
-  for (const json& object : value.at("objects")) {
-    listing.objects.push_back(ReadObject(object));
-  }
-  return listing;
-}
-
-WatchAnswer ReadWatch(const json& value) {
-  WatchAnswer answer;
-  value.at("revision").get_to(answer.revision);
-  for (const json& event : value.at("events")) {
-    answer.events.push_back({ReadObject(event), event.value("deleted", false)});
-  }
-  return answer;
+// Reads the revision of the platform from an answer.
+Result<Version> ReadPlatformRevision(const JsonListing& listing) {
+  return DecodeJson<Version>(FindJsonMember(listing.members, "revision"),
+                             ReadUnsigned);
 }
 
 std::vector<Vm> ReadVms(const json& value) {
@@ -58,21 +74,59 @@
 }  // namespace
 
 Result<Listing> DecodeListing(std::string_view body) {
-  return DecodeJson<Listing>(body, ReadListing);
+  const auto split = SplitJsonListing(body, "objects");
+  if (!split.ok()) {
+    return split.error();
+  }
+  const auto revision = ReadPlatformRevision(split.value());
+  if (!revision.ok()) {
+    return revision.error();
+  }
+  Listing listing;
+  listing.revision = revision.value();
+  for (const std::string_view entry : split.value().entries) {
+    auto object = ReadObject(SplitJsonObject(entry), false);
+    if (object.ok()) {
+      listing.objects.push_back(std::move(object).value());
+    } else {
+      listing.skipped.Add(object.error());
+    }
+  }
+  return listing;
 }
 
 Result<Object> DecodeObject(std::string_view body) {
-  return DecodeJson<Object>(body, ReadObject);
+  return ReadObject(SplitJsonObject(body), false);
 }
 
 Result<Version> DecodeVersion(std::string_view body) {
   return DecodeJson<Version>(body, [](const json& value) {
-    return value.at("version").get<Version>();
+    return ReadUnsigned(value.at("version"));
   });
 }
 
 Result<WatchAnswer> DecodeWatch(std::string_view body) {
-  return DecodeJson<WatchAnswer>(body, ReadWatch);
+  const auto split = SplitJsonListing(body, "events");
+  if (!split.ok()) {
+    return split.error();
+  }
+  const auto revision = ReadPlatformRevision(split.value());
+  if (!revision.ok()) {
+    return revision.error();
+  }
+  WatchAnswer answer;
+  answer.revision = revision.value();
+  for (const std::string_view entry : split.value().entries) {
+    const auto members = SplitJsonObject(entry);
+    const bool deleted = FindJsonMember(members, "deleted") == "true";
+    auto object = ReadObject(members, deleted);
+    if (object.ok()) {
+      answer.events.push_back({std::move(object).value(), deleted});
+    } else {
+      answer.skipped.Add(object.error());
+    }
+  }
+  return answer;
 }
 
 Result<std::vector<Vm>> DecodeVms(std::string_view body) {
--- a/tests/balancer/balancer_test.cc
+++ b/tests/balancer/balancer_test.cc
@@ -15,6 +15,7 @@
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
 #include "src/fake_platform/fake_platform.h"
+#include "tests/support/odd_values.h"
 
 namespace gcw::balancer {
 namespace {
@@ -212,6 +213,35 @@
   CHECK(balancer.value()->Shutdown());
 }
 
+// One value of another writer among the resources ended the daemon (deep
+// nesting) or stopped the news of all resources (no JSON).
+TEST_CASE("a daemon follows its resources beside odd values") {
+  fake_platform::FakePlatformOptions options;
+  options.listen = kPlatform;
+  auto platform = fake_platform::FakePlatform::Make(options);
+  REQUIRE(platform.ok());
+  auto fabric = kernel::UdpSocket::Make(kFabric);
+  auto server = kernel::UdpSocket::Make(kServer);
+  REQUIRE(fabric.ok());
+  REQUIRE(server.ok());
+  const auto put_odd_values = [&](const std::string& kind) {
+    int number = 0;
+    for (const test::OddValue& odd : test::OddValues()) {
+      platform.value()->PutRaw(
+          "config/" + kind + "/odd-" + std::to_string(number++), odd.text);
+    }
+  };
+  put_odd_values("server");
+  auto balancer = Balancer::Make(MakeSettings());
+  REQUIRE(balancer.ok());
+  WaitForRevision(*balancer.value(), 1);
+  put_odd_values("service");
+  SeedPlatform(*platform.value());
+  WaitForRevision(*balancer.value(), platform.value()->revision());
+  CheckFlow(*fabric.value(), *server.value());
+  CHECK(balancer.value()->Shutdown());
+}
+
 TEST_CASE("a daemon whose port is in use fails with kBindFailed") {
   auto taken = kernel::UdpSocket::Make({kDaemonIp, 7002});
   REQUIRE(taken.ok());
