platform: an incomplete entry among the servers is no server

Cause: the decoder asked only for the fields that routing uses.

Change: all fields that servers write are required, with type and range, and no server has the number 0.

--- a/tests/adapter/resource_codec_test.cc
+++ b/tests/adapter/resource_codec_test.cc
@@ -68,6 +68,30 @@
       With(good, "1500", "-1"),
       With(good, "1791663355018", "1791663355018.5"),
       With(good, "1791663355018", "true"),
+      With(good, "1791663355018", "-1"),
+      With(good, ",\"born\":1791663355018", ""),
+      With(good, "\"version\":\"v1\",", ""),
+      With(good, "\"v1\"", "1"),
+      With(good, "\"v1\"", "\"\""),
+      With(good, "\"sequence\":4,", ""),
+      With(good, "\"sequence\":4", "\"sequence\":\"4\""),
+      With(good, "\"sequence\":4", "\"sequence\":-4"),
+      With(good, "\"sequence\":4", "\"sequence\":4.5"),
+      With(good, "\"huvo11a\"", "\"\""),
+      With(good, "\"sondrio\"", "\"\""),
+      With(good, "\"sondrio\"", "\"" + std::string(300, 'z') + "\""),
+      With(good, ":8080", ":0"),
+      With(good, ":8080", ":65536"),
+      With(good, ":8080", ":-1"),
+      With(good, ":8080", ""),
+      With(good, "10.128.0.9", "0.0.0.0"),
+      With(good, "10.128.0.9", "255.255.255.255"),
+      With(good, "10.128.0.9", "224.0.0.1"),
+      With(good, "10.128.0.9", "10.128.0.900"),
+      With(good, ":3,", ":0,"),
+      With(good, ":3,", ":18446744073709551615,"),
+      With(good, "1500", "1e300"),
+      With(good, "1500", "null"),
   };
   for (const std::string& value : bad) {
     INFO(value);
@@ -75,7 +99,18 @@
     REQUIRE_FALSE(server.ok());
     CHECK(server.error().code == ResultCode::kPlatformBadAnswer);
   }
-  CHECK_FALSE(DecodeServer("no digits here", kServer).ok());
+  for (const char* name : {"no digits here", "", "i-", "i-0x12", "i-+1", "i-1 ",
+                           "i-10000000000000000"}) {
+    INFO(name);
+    CHECK_FALSE(DecodeServer(name, kServer).ok());
+  }
+}
+
+// A packet with the number 0 addresses any server, so a server could not tell
+// that such a packet was not meant for it.
+TEST_CASE("an entry whose name ends in the number 0 is no server") {
+  CHECK_FALSE(DecodeServer("pool-0", kServer).ok());
+  CHECK_FALSE(DecodeServer("i-0000", kServer).ok());
 }
 
 // With equal cookies, packets of a flow from before the restart would reach the
--- a/tests/direct_balancer/daemon_fixture.h
+++ b/tests/direct_balancer/daemon_fixture.h
@@ -77,8 +77,9 @@
     const std::string key = ServerKey(servers_.size() - 1);
     const auto version = platform->Put(
         key,
-        fmt::format(R"({{"service":"s","address":"{}","zone":"z","capacity":2,)"
-                    R"("state":"ready","warmup_left_ms":0,"born":{}}})",
+        fmt::format(R"({{"service":"s","address":"{}","zone":"z",)"
+                    R"("version":"v1","capacity":2,"state":"ready",)"
+                    R"("warmup_left_ms":0,"sequence":1,"born":{}}})",
                     ToString(address), incarnation),
         0);
     REQUIRE(version.ok());
--- a/tests/direct_balancer/feed_reader_test.cc
+++ b/tests/direct_balancer/feed_reader_test.cc
@@ -14,11 +14,11 @@
 relay::Object MakeServer(const std::string& name,
                          relay::Version version,
                          const std::string& state = "ready") {
-  return {
-      std::string(adapter::kServersPrefix) + name, version, 1,
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":3,"warmup_left_ms":0,"born":1,)"
-      R"("state":")" +
-          state + R"("})"};
+  return {std::string(adapter::kServersPrefix) + name, version, 1,
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+          R"("capacity":3,"warmup_left_ms":0,"sequence":1,"born":1,)"
+          R"("state":")" +
+              state + R"("})"};
 }
 
 // Feeds lists of server entries to a FeedReader, each with a new revision.
--- a/tests/direct_balancer/retained_test.cc
+++ b/tests/direct_balancer/retained_test.cc
@@ -13,11 +13,11 @@
 const absl::Time kStart = absl::UnixEpoch() + absl::Hours(1);
 
 relay::Object MakeServer(const std::string& name, const std::string& state) {
-  return {
-      std::string(adapter::kServersPrefix) + name, 1, 1,
-      R"({"service":"s","address":"10.0.0.9:80","zone":"z","capacity":3,"warmup_left_ms":0,"born":1,)"
-      R"("state":")" +
-          state + R"("})"};
+  return {std::string(adapter::kServersPrefix) + name, 1, 1,
+          R"({"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1",)"
+          R"("capacity":3,"warmup_left_ms":0,"sequence":1,"born":1,)"
+          R"("state":")" +
+              state + R"("})"};
 }
 
 relay::Object MakeZone(const std::string& name) {
--- a/tests/fuzz/store_bodies_fuzz.cc
+++ b/tests/fuzz/store_bodies_fuzz.cc
@@ -20,7 +20,7 @@
     R"("services":[{"name":"a","max_conns":9,"warmup_per_s":4.5}],)"
     R"("limits":{"idle_timeout_ms":15000}})";
 constexpr std::string_view kServer =
-    R"({"service":"a","address":"10.0.0.9:80","zone":"z","capacity":3,)"
+    R"({"service":"a","address":"10.0.0.9:80","zone":"z","version":"v1","capacity":3,)"
     R"("state":"ready","warmup_left_ms":1,"sequence":4,"born":17916633})";
 constexpr std::string_view kList =
     R"({"items":[{"meta":{"name":"i-1","revision":3},"spec":{"x":1}}],)"
