direct_balancer: the log tells how old a daemon's state is and which connections it lost

Change: state_unconfirmed, state_confirmed_again, store_call_timed_out and peer_connection_lost. No decision depends on them.

--- a/include/gcw/cluster/member_link.h
+++ b/include/gcw/cluster/member_link.h
@@ -57,6 +57,11 @@
     std::function<
         void(const Endpoint& from, const Error& error, std::uint64_t refused)>
         on_message_refused;
+    // A control connection to the member at `peer` ended or stalled, `idle`
+    // after the last byte on it. May be null. Runs on another thread than the
+    // other handlers.
+    std::function<void(const Endpoint& peer, absl::Duration idle)>
+        on_connection_lost;
   };
 
   // Opens both ports and starts the thread of the control transport. Fails with
--- a/include/gcw/control/control_transport.h
+++ b/include/gcw/control/control_transport.h
@@ -60,6 +60,11 @@
   std::size_t max_queue_bytes = 1 << 20;  // Payloads in the queue of one peer.
   std::size_t max_message_bytes = 2 << 20;  // The payload of one message.
   std::size_t max_connections = 2048;       // Accepted at the same time.
+  // Called when an established outgoing connection ended or stalled, with the
+  // time since a byte was last sent or received on it. May be null. Runs on the
+  // transport's thread; must not block.
+  std::function<void(const Endpoint& peer, absl::Duration idle)>
+      on_connection_lost;
 };
 
 // Counters since the transport was made.
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -95,6 +95,11 @@
       OnControlMessage(from, message);
     };
     handlers.on_message_refused = LogRefused;
+    handlers.on_connection_lost = [](const Endpoint& peer,
+                                     absl::Duration idle) {
+      kLog.Info("lost the control connection to {}, {} after the last byte",
+                ToString(peer), absl::FormatDuration(idle));
+    };
     auto link = cluster::MemberLink::Make(options, signer_, seed_, loop,
                                           std::move(handlers));
     if (!link.ok()) {
--- a/src/cluster/member_link.cc
+++ b/src/cluster/member_link.cc
@@ -103,6 +103,7 @@
   Status OpenTransport() {
     control::Options options;
     options.listen = {options_.bind_ip, options_.control_port};
+    options.on_connection_lost = handlers_.on_connection_lost;
     auto transport = control::ControlTransport::Make(
         options, signer_,
         [mailbox = mailbox_](control::ReceivedMessage message) {
--- a/src/control/transport_loop.cc
+++ b/src/control/transport_loop.cc
@@ -292,6 +292,10 @@
 // Closes the connection or the attempt, if any, and delays the next attempt by
 // the backoff.
 void TransportLoop::ClosePeer(Peer& peer, absl::Time now) {
+  if (peer.connection && options_.on_connection_lost) {
+    options_.on_connection_lost(peer.address,
+                                now - peer.connection->last_activity());
+  }
   Disconnect(peer);
   const double doublings = std::min(peer.failures, kMaxBackoffDoublings);
   const absl::Duration backoff =
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -84,6 +84,18 @@
     return {e.accepted ? LogLevel::kInfo : LogLevel::kError, kProcess,
             "settings_reloaded"};
   }
+  LogHeading operator()(const StateUnconfirmed&) const {
+    return {LogLevel::kWarning, kState, "state_unconfirmed"};
+  }
+  LogHeading operator()(const StateConfirmedAgain&) const {
+    return {LogLevel::kInfo, kState, "state_confirmed_again"};
+  }
+  LogHeading operator()(const StoreCallTimedOut&) const {
+    return {LogLevel::kWarning, kState, "store_call_timed_out"};
+  }
+  LogHeading operator()(const PeerConnectionLost&) const {
+    return {LogLevel::kWarning, kFleet, "peer_connection_lost"};
+  }
   LogHeading operator()(const EntriesSkipped&) const {
     return {LogLevel::kWarning, kState, "entries_skipped"};
   }
@@ -223,6 +235,24 @@
             {"error", e.error},
             {"needs_restart", e.needs_restart}};
   }
+  ordered_json operator()(const StateUnconfirmed& e) const {
+    return {{"feed", e.feed},
+            {"last_from", e.last_from},
+            {"age_ms", MillisecondsOrNull(e.age)},
+            {"watcher", e.watcher}};
+  }
+  ordered_json operator()(const StateConfirmedAgain& e) const {
+    return {{"feed", e.feed},
+            {"from", e.from},
+            {"unconfirmed_ms", MillisecondsOrNull(e.unconfirmed)}};
+  }
+  ordered_json operator()(const StoreCallTimedOut& e) const {
+    return {{"feed", e.feed}};
+  }
+  ordered_json operator()(const PeerConnectionLost& e) const {
+    return {{"peer", ToString(e.peer)},
+            {"idle_ms", MillisecondsOrNull(e.idle)}};
+  }
   ordered_json operator()(const EntriesSkipped& e) const {
     return {{"feed", e.feed}, {"entries", e.entries}, {"error", e.error}};
   }
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -6,6 +6,8 @@
 #include <variant>
 #include <vector>
 
+#include "absl/time/time.h"
+#include "gcw/base/endpoint.h"
 #include "gcw/base/event_log.h"
 #include "gcw/direct/events.h"
 
@@ -39,6 +41,32 @@
   std::vector<std::string_view> needs_restart;
 };
 
+// The state of a feed has not been confirmed to be up to date for too long.
+struct StateUnconfirmed {
+  std::string feed;
+  std::string last_from;  // The peer that confirmed it last, or "store".
+  absl::Duration age;     // Of the newest confirmation.
+  bool watcher = false;   // Whether this daemon watches the store.
+};
+
+// The state is confirmed again.
+struct StateConfirmedAgain {
+  std::string feed;
+  std::string from;  // The peer that confirmed it, or "store".
+  absl::Duration unconfirmed;
+};
+
+// A call to the platform's store was given up without an answer.
+struct StoreCallTimedOut {
+  std::string feed;
+};
+
+// A connection to another daemon was lost.
+struct PeerConnectionLost {
+  Endpoint peer;
+  absl::Duration idle;  // Since a byte was last sent or received.
+};
+
 // Entries in an answer of the platform's store have no readable name or version
 // and are left out.
 struct EntriesSkipped {
@@ -113,6 +141,10 @@
                                   ProcessStopping,
                                   ProcessStopped,
                                   SettingsReloaded,
+                                  StateUnconfirmed,
+                                  StateConfirmedAgain,
+                                  StoreCallTimedOut,
+                                  PeerConnectionLost,
                                   EntriesSkipped,
                                   ObjectUnreadable,
                                   StoreEpochChanged,
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -16,6 +16,7 @@
 #include "gcw/kernel/mailbox.h"
 #include "gcw/relay/versioned_relay.h"
 #include "platform/object_format.h"
+#include "src/direct_balancer/confirmation_log.h"
 #include "src/direct_balancer/feed_reader.h"
 #include "src/direct_balancer/messages.h"
 #include "src/direct_balancer/peer_message.h"
@@ -47,6 +48,10 @@
 // Confirmations of unchanged state that other daemons relay are passed on to
 // the packet task at most once per interval and feed.
 constexpr absl::Duration kConfirmedInterval = absl::Milliseconds(500);
+// A state whose newest confirmation is older than this is logged.
+constexpr absl::Duration kMaxStateAge = absl::Seconds(3);
+// Stands for the platform's store in log lines about confirmations.
+constexpr std::string_view kStoreName = "store";
 // How long a leaving daemon waits until its leave message has been sent.
 constexpr absl::Duration kLeaveSendTime = absl::Milliseconds(50);
 
@@ -85,7 +90,8 @@
         log_(log),
         metrics_(metrics),
         answer_log_(log),
-        unreadable_log_(log) {}
+        unreadable_log_(log),
+        confirmation_log_({kMaxStateAge, kMaxStateAge, kMaxStateAge}, log) {}
 
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step : {&Impl::OpenMailbox, &Impl::MakeLink,
@@ -150,6 +156,10 @@
                                          std::uint64_t refused) {
       log_.Write(MessageRefused{from, error.message, refused});
     };
+    handlers.on_connection_lost = [&log = log_](const Endpoint& peer,
+                                                absl::Duration idle) {
+      log.Write(PeerConnectionLost{peer, idle});
+    };
     auto link = cluster::MemberLink::Make(options, std::move(signer).value(),
                                           seed_, loop, std::move(handlers));
     if (!link.ok()) {
@@ -282,7 +292,7 @@
     // The sender's confirmation also holds here only if this daemon has all
     // changes that the sender has.
     if (relay.revision() >= RevisionOf(message.message)) {
-      NoteConfirmed(message.feed, message.age, now);
+      NoteConfirmed(message.feed, from, message.age, now);
     }
     TellRetained(message.feed, from, now);
   }
@@ -401,6 +411,7 @@
     }
     confirmed_[IndexOf(feed)] = now;
     last_confirmed_sent_[IndexOf(feed)] = now;
+    confirmation_log_.OnConfirmed(feed, kStoreName, now, now);
     Send(FeedConfirmed{feed, now, true});
   }
 
@@ -441,9 +452,13 @@
     }
   }
 
-  // Another daemon, whose state this daemon has in full, confirmed that state
-  // with the platform `age` ago.
-  void NoteConfirmed(Feed feed, absl::Duration age, absl::Time now) {
+  // The daemon `from`, whose state this daemon has in full, confirmed that
+  // state with the platform `age` ago.
+  void NoteConfirmed(Feed feed,
+                     const std::string& from,
+                     absl::Duration age,
+                     absl::Time now) {
+    confirmation_log_.OnConfirmed(feed, from, now - age, now);
     absl::Time& confirmed = confirmed_[IndexOf(feed)];
     confirmed = std::max(confirmed, now - age);
     absl::Time& last_sent = last_confirmed_sent_[IndexOf(feed)];
@@ -467,9 +482,15 @@
     const absl::Time now = kernel::MonotonicNow();
     link_->OnTick(now);
     for (std::size_t i = 0; i < kFeedCount; ++i) {
+      const std::uint64_t timeouts = relays_[i]->stats().call_timeouts;
       Perform(static_cast<Feed>(i), relays_[i]->OnTick(now));
+      if (relays_[i]->stats().call_timeouts > timeouts) {
+        log_.Write(StoreCallTimedOut{
+            std::string(direct::FeedName(static_cast<Feed>(i)))});
+      }
       Deliver(readers_[i]->OnTick(relays_[i]->revision(), now));
     }
+    confirmation_log_.OnTick(relays_[0]->is_watcher(), now);
     if (watcher_health_.OnTick(now)) {
       UpdateRelayPeers();
     }
@@ -508,6 +529,7 @@
   WatcherHealth watcher_health_;
   StoreAnswerLog answer_log_;
   UnreadableLog unreadable_log_;
+  ConfirmationLog confirmation_log_;
   RetainedExchange exchange_;
 };
 
