direct_balancer: times in the settings may have fractions

What operators saw: with a bound such as 6.5 s the daemon did not start.

Cause: the times were read as whole numbers, while the platform states its bounds as whole numbers or fractions.

Change: they are read as numbers, in the same range.

Evidence: "times may have fractions" failed before, and passes; "times out of range or of another type are errors" passed before and after.

--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -12,17 +12,17 @@
 using config::Presence;
 
 constexpr std::size_t kMaxSeeds = 1000;
-constexpr std::uint32_t kMaxSeconds = 86'400;
+constexpr double kMaxSeconds = 86'400;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxPort = 65'535;
 
-// Reads an optional number of whole seconds; without it, `target` keeps its
-// value.
+// Reads an optional number of seconds, which may have a fraction; without it,
+// `target` keeps its value.
 void ReadSeconds(ObjectReader& reader,
                  std::string_view key,
                  absl::Duration* target) {
-  auto seconds = static_cast<std::uint32_t>(absl::ToInt64Seconds(*target));
-  reader.ReadUint(key, Presence::kOptional, 1, kMaxSeconds, &seconds);
+  double seconds = absl::ToDoubleSeconds(*target);
+  reader.ReadNumber(key, Presence::kOptional, 1, kMaxSeconds, &seconds);
   *target = absl::Seconds(seconds);
 }
 
--- a/tests/direct_balancer/settings_test.cc
+++ b/tests/direct_balancer/settings_test.cc
@@ -23,6 +23,29 @@
   CHECK(settings->log_level == LogLevel::kWarning);
 }
 
+// The platform states its bounds as whole numbers or fractions. A daemon whose
+// settings had a fraction did not start.
+TEST_CASE("times may have fractions") {
+  std::string text = kValid;
+  text.replace(text.find(":60,"), 4, ":60.5,");
+  text.replace(text.find(":6,"), 3, ":6.25,");
+  const auto read = ParseSettings(text);
+  const auto* settings = std::get_if<Settings>(&read);
+  REQUIRE(settings != nullptr);
+  CHECK(settings->max_flow_age == absl::Milliseconds(60'500));
+  CHECK(settings->stop_limit == absl::Milliseconds(6'250));
+}
+
+TEST_CASE("times out of range or of another type are errors") {
+  for (const char* time :
+       {"0", "0.5", "-1", "1e300", "\"6\"", "true", "null", "[]", "90000"}) {
+    INFO(time);
+    std::string text = kValid;
+    text.replace(text.find(":60,"), 4, std::string(":") + time + ",");
+    CHECK(std::holds_alternative<SettingsErrors>(ParseSettings(text)));
+  }
+}
+
 TEST_CASE("every missing, invalid or unknown field is an error") {
   const auto read = ParseSettings(
       R"({"zone":5,"packets":"here","ready":"10.1.0.10:8167","odd":1,)"
