relay, direct_balancer: a daemon whose news has stopped asks the store in time

Cause: a daemon that does not watch the store had no bound of its own on the age of its state. It waited until others told it something, or until the membership declared its watcher dead.

Change: the deadlines of the platform's bounds are settings. A daemon asks the store itself once the newest confirmation of its state is older than the deadline less 1.2 s. Watchers end their watches earlier and confirm the state to their zone, so that the others need no call. An idle connection to the store is replaced before it is used again.

--- a/bench/relay_bench.cc
+++ b/bench/relay_bench.cc
@@ -30,7 +30,7 @@
   for (int i = 0; i < objects; ++i) {
     all.objects.push_back(MakeObject(i, static_cast<Version>(i) + 1));
   }
-  (void)relay->OnMessage("entry-1", all, kStart);
+  (void)relay->OnMessage("entry-1", all, absl::ZeroDuration(), kStart);
   return relay;
 }
 
@@ -45,7 +45,8 @@
     update.to = ++version;
     update.objects.push_back(
         MakeObject(static_cast<int>(version) % objects, version));
-    benchmark::DoNotOptimize(relay->OnMessage("entry-1", update, kStart));
+    benchmark::DoNotOptimize(
+        relay->OnMessage("entry-1", update, absl::ZeroDuration(), kStart));
   }
 }
 BENCHMARK(BM_RelayChange)->Arg(50)->Arg(1000)->Arg(10000);
--- a/include/gcw/platform/http_platform_client.h
+++ b/include/gcw/platform/http_platform_client.h
@@ -24,6 +24,9 @@
   // A peer that no longer responds is detected within about three intervals.
   // Zero: no probes.
   absl::Duration keep_alive_interval = absl::ZeroDuration();
+  // A connection on which no call was made for this time is replaced by the
+  // next call. Infinite: never.
+  absl::Duration max_idle = absl::InfiniteDuration();
   // Must outlive the client.
   const ApiFormat* format = &FlatApiFormat();
 };
--- a/include/gcw/relay/message.h
+++ b/include/gcw/relay/message.h
@@ -46,6 +46,10 @@
 
 using Message = std::variant<Digest, Request, Update>;
 
+// The revision of the state that the sender of `message` holds, or will have
+// sent with all parts of an update. Thread-safe.
+Version StateRevisionOf(const Message& message);
+
 // Upper bound for the total size of the objects in one part of an Update. A
 // single larger object is sent in a part of its own.
 inline constexpr std::size_t kMaxPartBytes = 48 * 1024;
--- a/include/gcw/relay/versioned_relay.h
+++ b/include/gcw/relay/versioned_relay.h
@@ -32,6 +32,15 @@
   std::size_t zone_fanout = 4;
   std::size_t cross_zone_fanout = 1;
 
+  // A daemon that does not watch the platform calls it once its state has not
+  // been confirmed for this time, shortened by up to kMaxAgeJitter at random so
+  // that the daemons of a zone do not call together. Infinite: it never does.
+  absl::Duration max_state_age = absl::InfiniteDuration();
+  // A watcher sends its digest to all daemons of its zone that do not watch
+  // when the platform has confirmed its state, at most once in this time.
+  // Infinite: it never does.
+  absl::Duration confirmation_interval = absl::InfiniteDuration();
+
   // How long the platform may hold a watch call while nothing changes.
   absl::Duration watch_wait = absl::Seconds(2);
   // Replaces `watch_wait` after a failure until a call succeeds. The shorter
@@ -59,6 +68,9 @@
   std::size_t max_tombstones = 1000;
 };
 
+// The largest part of Options::max_state_age by which it is shortened.
+inline constexpr double kMaxAgeJitter = 0.15;
+
 // Another live daemon, as the membership reports it.
 struct Peer {
   std::string name;
@@ -142,10 +154,13 @@
   // Handles timers. Call about every 50 ms.
   Actions OnTick(absl::Time now);
 
-  // Handles a decoded message from the authenticated member `peer`. Ignores
-  // senders that are not among the peers of SetPeers.
+  // Handles a decoded message from the authenticated member `peer`. `age` is
+  // the time since the sender's state was last known to be equal to the
+  // platform's; infinite if it is not known. Ignores senders that are not among
+  // the peers of SetPeers.
   Actions OnMessage(const std::string& peer,
                     const Message& message,
+                    absl::Duration age,
                     absl::Time now);
 
   // Handles the answer to the list call `id`: all live objects as of
@@ -175,6 +190,9 @@
   // was learned. Every change of that version or less is included. Writes to
   // objects outside the configuration do not raise the revision.
   Version revision() const;
+  // The latest time at which this daemon's state is known to have been equal to
+  // the platform's; InfinitePast() if it never was.
+  absl::Time confirmed() const;
   // All live objects as of revision(), sorted by key.
   std::vector<Object> objects() const;
   // The live object `key`, or null. Valid until the next non-const call.
--- a/src/balancer/cluster_task.cc
+++ b/src/balancer/cluster_task.cc
@@ -280,8 +280,9 @@
                    ToString(message.error()));
       return;
     }
-    ExecuteActions(
-        relay_->OnMessage(peer, message.value(), kernel::MonotonicNow()));
+    ExecuteActions(relay_->OnMessage(peer, message.value(),
+                                     absl::InfiniteDuration(),
+                                     kernel::MonotonicNow()));
   }
 
   void OnMessage(SendControl& send) {
--- a/src/direct_balancer/relay_options.cc
+++ b/src/direct_balancer/relay_options.cc
@@ -1,5 +1,7 @@
 #include "src/direct_balancer/relay_options.h"
 
+#include <algorithm>
+
 namespace gcw::direct_balancer {
 namespace {
 
@@ -14,8 +16,8 @@
 // normally takes a few milliseconds; after this time the daemon asks its peers
 // for the state as well.
 constexpr absl::Duration kPlatformFirstPeriod = absl::Milliseconds(300);
-// How long the platform may hold a watch call that has no change to return:
-// normally, and for the first watch after a failed call. In milliseconds, for
+// How long the platform may hold a watch call that has no change to return: at
+// most, and for the first watch after a failed call. In milliseconds, for
 // the static_asserts below.
 constexpr std::int64_t kWatchWaitMs = 2500;
 constexpr std::int64_t kRetryWaitMs = 200;
@@ -28,7 +30,7 @@
 static_assert(kWatchWaitMs + kPlatformCallGraceMs < kStabilityWindowMs);
 static_assert(kRetryWaitMs + kPlatformCallGraceMs + kMaxBackoffMs <
               kStabilityWindowMs);
-constexpr absl::Duration kWatchWait = absl::Milliseconds(kWatchWaitMs);
+constexpr absl::Duration kMaxWatchWait = absl::Milliseconds(kWatchWaitMs);
 constexpr absl::Duration kRetryWait = absl::Milliseconds(kRetryWaitMs);
 // Shortest and longest pause after a failed call: short enough that the end of
 // an outage is noticed well within the two seconds in which servers whose
@@ -42,14 +44,44 @@
 constexpr absl::Duration kWatchGap = absl::Milliseconds(100);
 constexpr absl::Duration kServersWatchGap = absl::Milliseconds(400);
 
+// The time in which a daemon gets the state from the platform itself: the
+// connection, one call without an answer, and the next call.
+constexpr absl::Duration kFetchTime = absl::Milliseconds(1200);
+// A deadline shorter than this and kFetchTime together cannot be kept.
+constexpr absl::Duration kMinStateAge = absl::Milliseconds(500);
+// Parts of the longest age of a state without a confirmation. The watch of a
+// zone's watcher ends, and the other daemons of the zone are told, well before
+// these would call the platform themselves.
+constexpr double kWatchWaitPart = 0.6;
+constexpr double kConfirmationPart = 0.25;
+
+absl::Duration DeadlineOf(const Settings& settings, direct::Feed feed) {
+  switch (feed) {
+    case direct::Feed::kConfiguration:
+      return settings.configuration_deadline;
+    case direct::Feed::kServers:
+      return settings.servers_deadline;
+    case direct::Feed::kZones:
+      break;
+  }
+  return settings.zones_deadline;
+}
+
 }  // namespace
 
+absl::Duration MaxStateAge(const Settings& settings, direct::Feed feed) {
+  return std::max(DeadlineOf(settings, feed) - kFetchTime, kMinStateAge);
+}
+
 relay::Options MakeRelayOptions(const Settings& settings, direct::Feed feed) {
   relay::Options options;
   options.name = settings.name;
   options.zone = settings.zone;
   options.watchers_per_zone = kWatchersPerZone;
-  options.watch_wait = kWatchWait;
+  options.max_state_age = MaxStateAge(settings, feed);
+  options.watch_wait =
+      std::min(kMaxWatchWait, options.max_state_age * kWatchWaitPart);
+  options.confirmation_interval = options.max_state_age * kConfirmationPart;
   options.watch_wait_after_failure = kRetryWait;
   options.call_grace = kPlatformCallGrace;
   options.min_watch_gap =
--- a/src/direct_balancer/relay_options.h
+++ b/src/direct_balancer/relay_options.h
@@ -16,6 +16,11 @@
 inline constexpr absl::Duration kPlatformCallGrace =
     absl::Milliseconds(kPlatformCallGraceMs);
 
+// How old the newest confirmation of the state of `feed` may become before a
+// daemon that does not watch the platform asks it. From then on the daemon has
+// the time to get the state within the deadline in the settings. Thread-safe.
+absl::Duration MaxStateAge(const Settings& settings, direct::Feed feed);
+
 // The options of the relay of `feed` on the daemon with these settings.
 // Thread-safe.
 relay::Options MakeRelayOptions(const Settings& settings, direct::Feed feed);
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -26,6 +26,16 @@
   *target = absl::Seconds(seconds);
 }
 
+// As ReadSeconds(), for a number of milliseconds.
+void ReadMilliseconds(ObjectReader& reader,
+                      std::string_view key,
+                      absl::Duration* target) {
+  double milliseconds = absl::ToDoubleMilliseconds(*target);
+  reader.ReadNumber(key, Presence::kOptional, 1, kMaxSeconds * 1000,
+                    &milliseconds);
+  *target = absl::Milliseconds(milliseconds);
+}
+
 void ReadSeeds(ObjectReader& reader,
                SettingsErrors* errors,
                std::vector<Endpoint>* seeds) {
@@ -75,6 +85,10 @@
   ReadSeeds(reader, &errors, &settings.seeds);
   ReadSeconds(reader, "max_flow_s", &settings.max_flow_age);
   ReadSeconds(reader, "stop_limit_s", &settings.stop_limit);
+  ReadMilliseconds(reader, "configuration_deadline_ms",
+                   &settings.configuration_deadline);
+  ReadMilliseconds(reader, "servers_deadline_ms", &settings.servers_deadline);
+  ReadMilliseconds(reader, "zones_deadline_ms", &settings.zones_deadline);
   ReadLogLevel(reader, &settings.log_level);
   reader.Finish();
   if (!errors.empty()) {
@@ -109,6 +123,12 @@
   compare("members_port", current.members_port == updated.members_port);
   compare("seeds", current.seeds == updated.seeds);
   compare("max_flow_s", current.max_flow_age == updated.max_flow_age);
+  compare("configuration_deadline_ms",
+          current.configuration_deadline == updated.configuration_deadline);
+  compare("servers_deadline_ms",
+          current.servers_deadline == updated.servers_deadline);
+  compare("zones_deadline_ms",
+          current.zones_deadline == updated.zones_deadline);
   return fields;
 }
 
--- a/src/direct_balancer/settings.h
+++ b/src/direct_balancer/settings.h
@@ -31,6 +31,11 @@
   absl::Duration max_flow_age = absl::Seconds(60);
   // Longest time from SIGTERM to the end of the process.
   absl::Duration stop_limit = absl::Seconds(6);
+  // How soon after the platform has accepted a change it must be in force here:
+  // a configuration, a server that drains or is gone, a zone out of service.
+  absl::Duration configuration_deadline = absl::Seconds(3);
+  absl::Duration servers_deadline = absl::Seconds(3);
+  absl::Duration zones_deadline = absl::Seconds(5);
   LogLevel log_level = LogLevel::kInfo;
 
   bool operator==(const Settings&) const = default;
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -45,11 +45,12 @@
 // Interval of TCP keep-alive probes on idle connections to the platform. A
 // connection on which the platform went silent fails after about three probes.
 constexpr absl::Duration kKeepAlive = absl::Seconds(1);
+// A connection that was idle for longer is not used again: it may have gone
+// silent meanwhile. Longer than the pauses between the calls of a watcher.
+constexpr absl::Duration kMaxIdle = absl::Milliseconds(1500);
 // Confirmations of unchanged state that other daemons relay are passed on to
 // the packet task at most once per interval and feed.
 constexpr absl::Duration kConfirmedInterval = absl::Milliseconds(500);
-// A state whose newest confirmation is older than this is logged.
-constexpr absl::Duration kMaxStateAge = absl::Seconds(3);
 // Stands for the platform's store in log lines about confirmations.
 constexpr std::string_view kStoreName = "store";
 // How long a leaving daemon waits until its leave message has been sent.
@@ -75,6 +76,18 @@
   return static_cast<std::size_t>(feed);
 }
 
+// A state whose newest confirmation is older than this is logged: the first age
+// at which the daemon may ask the platform itself.
+std::array<absl::Duration, kFeedCount> ConfirmationLimits(
+    const Settings& settings) {
+  std::array<absl::Duration, kFeedCount> limits;
+  for (std::size_t i = 0; i < kFeedCount; ++i) {
+    limits[i] = MaxStateAge(settings, static_cast<Feed>(i)) *
+                (1 - relay::kMaxAgeJitter);
+  }
+  return limits;
+}
+
 }  // namespace
 
 class StateTask::Impl {
@@ -91,7 +104,7 @@
         metrics_(metrics),
         answer_log_(log),
         unreadable_log_(log),
-        confirmation_log_({kMaxStateAge, kMaxStateAge, kMaxStateAge}, log) {}
+        confirmation_log_(ConfirmationLimits(settings), log) {}
 
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step : {&Impl::OpenMailbox, &Impl::MakeLink,
@@ -192,6 +205,7 @@
     options.connect_timeout = kConnectTimeout;
     options.call_timeout = kPlatformCallGrace;
     options.keep_alive_interval = kKeepAlive;
+    options.max_idle = kMaxIdle;
     options.format = &adapter::ObjectFormat();
     for (std::size_t i = 0; i < kFeedCount; ++i) {
       const auto feed = static_cast<Feed>(i);
@@ -288,11 +302,11 @@
   void OnPeerMessage(const std::string& from, const StateMessage& message) {
     const absl::Time now = kernel::MonotonicNow();
     relay::VersionedRelay& relay = *relays_[IndexOf(message.feed)];
-    Perform(message.feed, relay.OnMessage(from, message.message, now));
-    // The sender's confirmation also holds here only if this daemon has all
-    // changes that the sender has.
-    if (relay.revision() >= RevisionOf(message.message)) {
-      NoteConfirmed(message.feed, from, message.age, now);
+    const absl::Time confirmed = relay.confirmed();
+    Perform(message.feed,
+            relay.OnMessage(from, message.message, message.age, now));
+    if (relay.confirmed() > confirmed) {
+      NoteConfirmed(message.feed, from, now);
     }
     TellRetained(message.feed, from, now);
   }
@@ -316,17 +330,6 @@
     }
   }
 
-  // The revision of the state that the sender of `message` holds.
-  static relay::Version RevisionOf(const relay::Message& message) {
-    if (const auto* digest = std::get_if<relay::Digest>(&message)) {
-      return digest->revision;
-    }
-    if (const auto* update = std::get_if<relay::Update>(&message)) {
-      return update->to;
-    }
-    return std::get<relay::Request>(message).since;
-  }
-
   void SendTo(const std::string& name, const PeerMessage& message) {
     // A failure is ignored: the member is gone or its queue is full, and it
     // gets the state from other daemons or from a later digest.
@@ -342,7 +345,7 @@
   void Perform(Feed feed, const relay::Actions& actions) {
     for (const relay::OutgoingMessage& out : actions.messages) {
       const absl::Duration age =
-          kernel::MonotonicNow() - confirmed_[IndexOf(feed)];
+          kernel::MonotonicNow() - relays_[IndexOf(feed)]->confirmed();
       SendTo(out.peer, StateMessage{feed, age, out.message});
     }
     if (actions.call.has_value()) {
@@ -409,7 +412,6 @@
     if (answered < relays_[IndexOf(feed)]->revision()) {
       return;  // The answer is stale: it does not confirm the state held here.
     }
-    confirmed_[IndexOf(feed)] = now;
     last_confirmed_sent_[IndexOf(feed)] = now;
     confirmation_log_.OnConfirmed(feed, kStoreName, now, now);
     Send(FeedConfirmed{feed, now, true});
@@ -452,15 +454,10 @@
     }
   }
 
-  // The daemon `from`, whose state this daemon has in full, confirmed that
-  // state with the platform `age` ago.
-  void NoteConfirmed(Feed feed,
-                     const std::string& from,
-                     absl::Duration age,
-                     absl::Time now) {
-    confirmation_log_.OnConfirmed(feed, from, now - age, now);
-    absl::Time& confirmed = confirmed_[IndexOf(feed)];
-    confirmed = std::max(confirmed, now - age);
+  // The daemon `from` confirmed the state of this daemon.
+  void NoteConfirmed(Feed feed, const std::string& from, absl::Time now) {
+    const absl::Time confirmed = relays_[IndexOf(feed)]->confirmed();
+    confirmation_log_.OnConfirmed(feed, from, confirmed, now);
     absl::Time& last_sent = last_confirmed_sent_[IndexOf(feed)];
     if (now - last_sent >= kConfirmedInterval) {
       last_sent = now;
@@ -482,18 +479,34 @@
     const absl::Time now = kernel::MonotonicNow();
     link_->OnTick(now);
     for (std::size_t i = 0; i < kFeedCount; ++i) {
-      const std::uint64_t timeouts = relays_[i]->stats().call_timeouts;
-      Perform(static_cast<Feed>(i), relays_[i]->OnTick(now));
-      if (relays_[i]->stats().call_timeouts > timeouts) {
-        log_.Write(StoreCallTimedOut{
-            std::string(direct::FeedName(static_cast<Feed>(i)))});
-      }
-      Deliver(readers_[i]->OnTick(relays_[i]->revision(), now));
+      TickFeed(static_cast<Feed>(i), now);
     }
-    confirmation_log_.OnTick(relays_[0]->is_watcher(), now);
+    confirmation_log_.OnTick(IsWatcher(), now);
     if (watcher_health_.OnTick(now)) {
       UpdateRelayPeers();
     }
+    ReportIfUnavailable(now);
+  }
+
+  // All feeds have the same peers, so they have the same watchers.
+  bool IsWatcher() const { return relays_[0]->is_watcher(); }
+
+  void TickFeed(Feed feed, absl::Time now) {
+    relay::VersionedRelay& relay = *relays_[IndexOf(feed)];
+    const std::uint64_t timeouts = relay.stats().call_timeouts;
+    Perform(feed, relay.OnTick(now));
+    if (relay.stats().call_timeouts > timeouts) {
+      log_.Write(StoreCallTimedOut{std::string(direct::FeedName(feed))});
+    }
+    Deliver(readers_[IndexOf(feed)]->OnTick(relay.revision(), now));
+  }
+
+  // Tells the daemons of the zone that another one must watch the platform.
+  void ReportIfUnavailable(absl::Time now) {
+    if (!IsWatcher()) {
+      watcher_health_.OnNotWatching();
+      return;
+    }
     if (watcher_health_.ShouldReportUnavailable(now)) {
       for (const membership::Member& member : link_->members()) {
         if (member.live() && member.zone == settings_.zone) {
@@ -519,10 +532,6 @@
   std::array<std::unique_ptr<cluster::PlatformCaller>, kFeedCount> callers_;
   // Whether the packet task was sent the state of each feed at least once.
   std::array<bool, kFeedCount> state_published_{};
-  // The latest time at which the state of each feed is known to have been equal
-  // to the platform's state.
-  std::array<absl::Time, kFeedCount> confirmed_{
-      absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
   // When the packet task was last sent a FeedConfirmed for each feed.
   std::array<absl::Time, kFeedCount> last_confirmed_sent_{
       absl::InfinitePast(), absl::InfinitePast(), absl::InfinitePast()};
--- a/src/direct_balancer/watcher_health.cc
+++ b/src/direct_balancer/watcher_health.cc
@@ -25,6 +25,10 @@
   since = std::min(since, now);
 }
 
+void WatcherHealth::OnNotWatching() {
+  failing_since_.fill(absl::InfiniteFuture());
+}
+
 bool WatcherHealth::ShouldReportUnavailable(absl::Time now) {
   const absl::Time since =
       *std::min_element(failing_since_.begin(), failing_since_.end());
--- a/src/direct_balancer/watcher_health.h
+++ b/src/direct_balancer/watcher_health.h
@@ -22,6 +22,10 @@
   void OnCallAnswered(direct::Feed feed);
   void OnCallFailed(direct::Feed feed, absl::Time now);
 
+  // This daemon does not watch the platform: failures of its calls do not
+  // count.
+  void OnNotWatching();
+
   // Whether this daemon should now report itself unavailable to its zone. True
   // at most once per report interval while calls fail.
   bool ShouldReportUnavailable(absl::Time now);
--- a/src/platform/http_platform_client.cc
+++ b/src/platform/http_platform_client.cc
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <optional>
 #include <string>
@@ -137,7 +138,9 @@
         absl::ToChronoMicroseconds(options_.call_timeout + wait));
     const CallKind kind =
         request.method == ApiMethod::kGet ? CallKind::kRead : CallKind::kWrite;
+    CloseIfIdle();
     httplib::Result response = Send(request);
+    last_call_end_ = std::chrono::steady_clock::now();
     if (!response) {
       return NoAnswer(kind, response.error());
     }
@@ -205,6 +208,15 @@
     return OkStatus();
   }
 
+  // Closes a connection that has been idle for too long. It may no longer work
+  // although nothing shows it; the call would then wait for its timeout.
+  void CloseIfIdle() {
+    const auto idle = std::chrono::steady_clock::now() - last_call_end_;
+    if (absl::FromChrono(idle) > options_.max_idle) {
+      client_.stop();
+    }
+  }
+
   httplib::Result Send(const ApiRequest& request) {
     switch (request.method) {
       case ApiMethod::kGet:
@@ -221,6 +233,8 @@
 
   HttpPlatformOptions options_;
   httplib::Client client_;
+  std::chrono::steady_clock::time_point last_call_end_ =
+      std::chrono::steady_clock::now();
   // The highest epoch in any answer.
   StoreEpoch latest_epoch_ = 0;
 };
--- a/src/relay/call_schedule.cc
+++ b/src/relay/call_schedule.cc
@@ -43,8 +43,8 @@
         (consecutive_failures_ == 0 ? kFirstTimeoutRetryDelay : Backoff());
     ++consecutive_failures_;
   }
-  const bool call_needed =
-      inputs.call_needed || expected_revision_ > inputs.after;
+  const bool call_needed = inputs.call_needed || inputs.unconfirmed ||
+                           expected_revision_ > inputs.after;
   if (active_call_ || !call_needed || now < next_call_time_) {
     return std::nullopt;
   }
@@ -56,12 +56,10 @@
   } else {
     call.type = CallType::kWatch;
     call.after = inputs.after;
-    call.wait =
-        consecutive_failures_ == 0
-            ? options_.watch_wait
-            : std::min(options_.watch_wait_after_failure, options_.watch_wait);
+    call.wait = WatchWait(inputs);
     call.timeout = call.wait + options_.call_grace;
   }
+  unconfirmed_ = inputs.unconfirmed && !inputs.call_needed;
   active_call_ = call;
   call_start_ = now;
   call_deadline_ = now + call.timeout;
@@ -122,11 +120,27 @@
   }
 }
 
+// A call that is to confirm the state is answered soon, also without a change.
+absl::Duration CallSchedule::WatchWait(const CallInputs& inputs) const {
+  const bool short_wait =
+      consecutive_failures_ > 0 || (inputs.unconfirmed && !inputs.call_needed);
+  return short_wait
+             ? std::min(options_.watch_wait_after_failure, options_.watch_wait)
+             : options_.watch_wait;
+}
+
 absl::Duration CallSchedule::Backoff() {
+  std::uniform_real_distribution<double> jitter(0.5, 1.0);
+  // While the platform serves nobody, all daemons become unconfirmed, many more
+  // than there are watchers. After a second attempt they call seldom: a watcher
+  // notices the end of the outage.
+  if (unconfirmed_ && consecutive_failures_ > 0) {
+    return std::max(options_.max_state_age, options_.backoff_max) *
+           jitter(random_);
+  }
   const double doublings = std::min(consecutive_failures_, kMaxDoublings);
   const absl::Duration full = std::min(
       options_.backoff_max, options_.backoff_min * std::exp2(doublings));
-  std::uniform_real_distribution<double> jitter(0.5, 1.0);
   return full * jitter(random_);
 }
 
--- a/src/relay/call_schedule.h
+++ b/src/relay/call_schedule.h
@@ -24,8 +24,10 @@
   // The state of the relay from which the next call follows.
   struct CallInputs {
     bool call_needed = false;  // The daemon is a watcher or has no state yet.
-    bool has_state = false;    // If false, the next call lists all objects.
-    Version after = 0;         // All changes up to this version are known.
+    // The daemon is no watcher, but its state was not confirmed for too long.
+    bool unconfirmed = false;
+    bool has_state = false;  // If false, the next call lists all objects.
+    Version after = 0;       // All changes up to this version are known.
   };
 
   // Returns the call to make now, if one is due. Gives up the active call if
@@ -62,6 +64,8 @@
  private:
   // Returns a random pause that grows with the consecutive failures.
   absl::Duration Backoff();
+  // How long the platform may hold the next watch call.
+  absl::Duration WatchWait(const CallInputs& inputs) const;
 
   const Options& options_;
   std::mt19937_64& random_;
@@ -71,6 +75,8 @@
   absl::Time next_call_time_;
   Version expected_revision_ = 0;
   bool list_required_ = false;
+  // Whether the last call was made because the state was unconfirmed.
+  bool unconfirmed_ = false;
   int consecutive_failures_ = 0;
   std::uint64_t last_id_ = 0;
   std::uint64_t calls_ = 0;
--- a/src/relay/message.cc
+++ b/src/relay/message.cc
@@ -116,6 +116,16 @@
 
 }  // namespace
 
+Version StateRevisionOf(const Message& message) {
+  if (const auto* digest = std::get_if<Digest>(&message)) {
+    return digest->revision;
+  }
+  if (const auto* update = std::get_if<Update>(&message)) {
+    return update->to;
+  }
+  return std::get<Request>(message).since;
+}
+
 std::vector<std::uint8_t> Encode(const Message& message) {
   return std::visit([](const auto& m) { return Json::to_cbor(ToJson(m)); },
                     message);
--- a/src/relay/neighbours.cc
+++ b/src/relay/neighbours.cc
@@ -98,6 +98,8 @@
   for (const Peer& peer : peers) {
     if (peer.zone != options.zone || watchers.contains(peer.name)) {
       roles.independently_informed.insert(peer.name);
+    } else if (roles.watcher) {
+      roles.dependents.push_back(peer.name);
     }
   }
   return roles;
--- a/src/relay/neighbours.h
+++ b/src/relay/neighbours.h
@@ -17,6 +17,8 @@
   bool watcher = false;  // Whether this daemon watches the platform.
   // The peers that get changes from this daemon directly, sorted by name.
   std::vector<std::string> neighbours;
+  // If this daemon is a watcher: the daemons of its zone that are none.
+  std::vector<std::string> dependents;
   // Peers that normally learn of a change without this daemon: the watchers of
   // its zone, and members of other zones, which have watchers of their own.
   std::set<std::string, std::less<>> independently_informed;
--- a/src/relay/versioned_relay.cc
+++ b/src/relay/versioned_relay.cc
@@ -88,7 +88,9 @@
         random(seed),
         store(o.max_tombstones),
         schedule(options, now, random),
-        first_digest_time(now + o.initial_peer_delay) {}
+        first_digest_time(now + o.initial_peer_delay) {
+    DrawAgeLimit();
+  }
 
   void Tick(absl::Time now, Actions& actions);
   void Receive(const std::string& peer,
@@ -122,6 +124,12 @@
                    Version previous_revision,
                    absl::Time now,
                    Actions& actions);
+  void DrawAgeLimit();
+  void OnConfirmedByPlatform(absl::Time now, Actions& actions);
+  void OnConfirmedByPeer(const Message& message,
+                         absl::Duration age,
+                         absl::Time now);
+  bool IsUnconfirmed(absl::Time now) const;
 
   Digest digest() const { return {store.revision(), store.hash()}; }
 
@@ -142,6 +150,12 @@
   // has delivered them by then.
   absl::Time delayed_request_time = absl::InfiniteFuture();
   std::string delayed_request_peer;
+  // When the state was last known to be equal to the platform's.
+  absl::Time confirmed = absl::InfinitePast();
+  // The age of `confirmed` from which on this daemon calls the platform, even
+  // if it is no watcher.
+  absl::Duration age_limit = absl::InfiniteDuration();
+  absl::Time dependents_confirmed = absl::InfinitePast();
   std::uint64_t stale_answers = 0;
   std::uint64_t update_gaps = 0;
   std::uint64_t hash_mismatches = 0;
@@ -177,11 +191,46 @@
 void VersionedRelay::State::CallPlatform(absl::Time now, Actions& actions) {
   CallSchedule::CallInputs inputs;
   inputs.call_needed = roles.watcher || !store.has_state();
+  inputs.unconfirmed = IsUnconfirmed(now);
   inputs.has_state = store.has_state();
   inputs.after = store.complete_version();
   actions.call = schedule.NextCall(inputs, now);
 }
 
+void VersionedRelay::State::DrawAgeLimit() {
+  std::uniform_real_distribution<double> part(1 - kMaxAgeJitter, 1);
+  age_limit = options.max_state_age * part(random);
+}
+
+bool VersionedRelay::State::IsUnconfirmed(absl::Time now) const {
+  return store.has_state() && !roles.watcher && now - confirmed > age_limit;
+}
+
+// The platform's answer confirmed the state. The daemons that depend on this
+// watcher learn it at once: without news, each would soon call the platform.
+void VersionedRelay::State::OnConfirmedByPlatform(absl::Time now,
+                                                  Actions& actions) {
+  confirmed = now;
+  DrawAgeLimit();
+  if (now - dependents_confirmed < options.confirmation_interval) {
+    return;
+  }
+  dependents_confirmed = now;
+  for (const std::string& name : roles.dependents) {
+    actions.messages.push_back({name, digest()});
+  }
+}
+
+// The sender's confirmation holds here only if this daemon has all changes that
+// the sender has.
+void VersionedRelay::State::OnConfirmedByPeer(const Message& message,
+                                              absl::Duration age,
+                                              absl::Time now) {
+  if (store.has_state() && store.revision() >= StateRevisionOf(message)) {
+    confirmed = std::max(confirmed, now - age);
+  }
+}
+
 void VersionedRelay::State::SendDigest(absl::Time now, Actions& actions) {
   std::uniform_real_distribution<double> jitter(0.9, 1.1);
   const absl::Duration interval =
@@ -427,6 +476,7 @@
 
 Actions VersionedRelay::OnMessage(const std::string& peer,
                                   const Message& message,
+                                  absl::Duration age,
                                   absl::Time now) {
   Actions actions;
   // Replies depend on the PeerState of the sender. It exists for live members
@@ -436,6 +486,7 @@
   }
   std::visit([&](const auto& m) { state_->Receive(peer, m, now, actions); },
              message);
+  state_->OnConfirmedByPeer(message, age, now);
   return actions;
 }
 
@@ -457,6 +508,9 @@
   const Version previous_revision = state_->store.revision();
   const MergeResult merge = state_->store.ApplyList(revision, objects);
   state_->FinishMerge(merge, previous_revision, now, actions);
+  if (revision >= previous_revision) {
+    state_->OnConfirmedByPlatform(now, actions);
+  }
   state_->CallPlatform(now, actions);
   return actions;
 }
@@ -480,6 +534,9 @@
   const MergeResult merge =
       state_->store.ApplyWatch(call->after, revision, events);
   state_->FinishMerge(merge, previous_revision, now, actions);
+  if (revision >= previous_revision) {
+    state_->OnConfirmedByPlatform(now, actions);
+  }
   state_->CallPlatform(now, actions);
   return actions;
 }
@@ -516,6 +573,10 @@
   return state_->store.Find(key);
 }
 
+absl::Time VersionedRelay::confirmed() const {
+  return state_->confirmed;
+}
+
 bool VersionedRelay::is_watcher() const {
   return state_->roles.watcher;
 }
--- a/tests/adapter/platform_client_test.cc
+++ b/tests/adapter/platform_client_test.cc
@@ -7,6 +7,7 @@
 #include "platform/object_format.h"
 #include "platform/stand_in_form.h"
 #include "src/fake_platform/fake_platform.h"
+#include "tests/support/silent_proxy.h"
 
 namespace gcw::adapter {
 namespace {
@@ -48,6 +49,44 @@
   CHECK(client->Delete("locks/leader", 2).ok());
 }
 
+// A connection may go silent for good while it is idle. The call on it would
+// wait for its whole timeout.
+TEST_CASE("a connection that was idle for long is not used again") {
+  const auto platform = MakePlatform();
+  test::SilentProxy proxy({kLoopback, 0}, platform->endpoint());
+  const auto client =
+      HttpPlatformClient::Make({.platform = proxy.endpoint(),
+                                .bind_ip = kLoopback,
+                                .call_timeout = absl::Seconds(2),
+                                .max_idle = absl::Milliseconds(100),
+                                .format = &ObjectFormat()});
+  REQUIRE(client->List("servers/").ok());
+  REQUIRE(client->List("servers/").ok());
+  CHECK(proxy.accepted() == 1);
+  absl::SleepFor(absl::Milliseconds(200));
+  proxy.SilenceOpen();
+  const absl::Time start = absl::Now();
+  CHECK(client->List("servers/").ok());
+  CHECK(absl::Now() - start < absl::Seconds(1));
+  CHECK(proxy.accepted() == 2);
+}
+
+// The call that meets a silent connection fails in time; the next one is made
+// on a connection of its own.
+TEST_CASE("a call after one on a silent connection succeeds") {
+  const auto platform = MakePlatform();
+  test::SilentProxy proxy({kLoopback, 0}, platform->endpoint());
+  const auto client =
+      HttpPlatformClient::Make({.platform = proxy.endpoint(),
+                                .bind_ip = kLoopback,
+                                .call_timeout = absl::Milliseconds(300),
+                                .format = &ObjectFormat()});
+  REQUIRE(client->List("servers/").ok());
+  proxy.SilenceOpen();
+  CHECK_FALSE(client->List("servers/").ok());
+  CHECK(client->List("servers/").ok());
+}
+
 TEST_CASE("a list is read in pages and has objects of one kind only") {
   const auto platform = MakePlatform({.page_size = 7});
   for (int i = 0; i < 30; ++i) {
--- a/tests/direct_balancer/settings_test.cc
+++ b/tests/direct_balancer/settings_test.cc
@@ -36,6 +36,19 @@
   CHECK(settings->stop_limit == absl::Milliseconds(6'250));
 }
 
+TEST_CASE("the deadlines of changes are read in milliseconds") {
+  std::string text = kValid;
+  text.replace(text.find("\"stop_limit_s\""), 0,
+               R"("configuration_deadline_ms":5000.5,)"
+               R"("servers_deadline_ms":4000,"zones_deadline_ms":8000,)");
+  const auto read = ParseSettings(text);
+  const auto* settings = std::get_if<Settings>(&read);
+  REQUIRE(settings != nullptr);
+  CHECK(settings->configuration_deadline == absl::Microseconds(5'000'500));
+  CHECK(settings->servers_deadline == absl::Seconds(4));
+  CHECK(settings->zones_deadline == absl::Seconds(8));
+}
+
 TEST_CASE("times out of range or of another type are errors") {
   for (const char* time :
        {"0", "0.5", "-1", "1e300", "\"6\"", "true", "null", "[]", "90000"}) {
--- a/tests/direct_balancer/watcher_health_test.cc
+++ b/tests/direct_balancer/watcher_health_test.cc
@@ -18,6 +18,15 @@
   CHECK_FALSE(health.ShouldReportUnavailable(kStart + absl::Seconds(9)));
 }
 
+// A daemon that does not watch calls seldom; an old failure of such a call must
+// not make it report itself for good.
+TEST_CASE("failed calls of a daemon that does not watch are not reported") {
+  WatcherHealth health;
+  health.OnCallFailed(direct::Feed::kServers, kStart);
+  health.OnNotWatching();
+  CHECK_FALSE(health.ShouldReportUnavailable(kStart + absl::Seconds(9)));
+}
+
 TEST_CASE("a daemon that reported itself unavailable cannot watch for 3 s") {
   WatcherHealth health;
   CHECK(health.CanWatch("b1", kStart));
