control: a silent connection to a peer is noticed by PINGs

What callers saw: nothing by itself since the age of a daemon's state is bounded; messages to a peer were lost for as long as the connection counted as good.

Cause: only the kernel's timeout for unacknowledged bytes showed that a connection had gone silent, 4 s after the next message, and never if the bytes were acknowledged and not read.

Change: the sender adds a PING to its messages, at most once a second, and closes the connection if it is not acknowledged within 2 s.

--- a/include/gcw/control/control_transport.h
+++ b/include/gcw/control/control_transport.h
@@ -57,6 +57,12 @@
   // If the peer accepts no bytes for this long although messages are waiting,
   // the connection is closed, and a new one is made after the backoff.
   absl::Duration stall_timeout = absl::Seconds(4);
+  // A connection on which messages are sent is checked by a PING at most once
+  // in this interval, and closed if the peer does not acknowledge it in time. A
+  // connection can go silent for good although the kernel accepts more bytes.
+  // An infinite interval: never.
+  absl::Duration ping_interval = absl::Seconds(1);
+  absl::Duration ping_timeout = absl::Seconds(2);
   std::size_t max_queue_bytes = 1 << 20;  // Payloads in the queue of one peer.
   std::size_t max_message_bytes = 2 << 20;  // The payload of one message.
   std::size_t max_connections = 2048;       // Accepted at the same time.
--- a/src/control/http_stream.cc
+++ b/src/control/http_stream.cc
@@ -56,6 +56,16 @@
     return 0;
   }
 
+  static int OnFrame(nghttp2_session* /*session*/,
+                     const nghttp2_frame* frame,
+                     void* user_data) {
+    if (frame->hd.type == NGHTTP2_PING &&
+        (frame->hd.flags & NGHTTP2_FLAG_ACK) != 0) {
+      static_cast<HttpStream*>(user_data)->ping_pending_ = false;
+    }
+    return 0;
+  }
+
   static int OnStreamClose(nghttp2_session* /*session*/,
                            std::int32_t /*stream*/,
                            std::uint32_t /*error*/,
@@ -94,6 +104,8 @@
   }
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks,
                                                             &Callbacks::OnData);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks,
+                                                       &Callbacks::OnFrame);
   nghttp2_session_callbacks_set_on_stream_close_callback(
       callbacks, &Callbacks::OnStreamClose);
   const int made = client
@@ -146,6 +158,14 @@
   return {data, static_cast<std::size_t>(length)};
 }
 
+bool HttpStream::SubmitPing() {
+  if (nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr) != 0) {
+    return false;
+  }
+  ping_pending_ = true;
+  return true;
+}
+
 void HttpStream::Resume() {
   if (stream_id_ > 0) {
     nghttp2_session_resume_data(session_, stream_id_);
--- a/src/control/http_stream.h
+++ b/src/control/http_stream.h
@@ -44,6 +44,12 @@
   // Tells the stream that the source has data again after it returned 0.
   void Resume();
 
+  // Adds an HTTP/2 PING to the output. The peer acknowledges it once it has
+  // read all that was sent before. Returns false if nghttp2 is out of memory.
+  bool SubmitPing();
+  // Whether a PING has not been acknowledged yet.
+  bool ping_pending() const { return ping_pending_; }
+
  private:
   struct Callbacks;
 
@@ -54,6 +60,7 @@
   nghttp2_session* session_ = nullptr;
   std::int32_t stream_id_ = -1;
   bool failed_ = false;
+  bool ping_pending_ = false;
   Source source_;
   Sink sink_;
 };
--- a/src/control/transport_loop.cc
+++ b/src/control/transport_loop.cc
@@ -281,6 +281,7 @@
   peer.connecting = Socket();
   peer.outgoing.clear();
   peer.outgoing_sent = 0;
+  peer.ping_sent.reset();
   WritePeer(peer, now);
 }
 
@@ -336,6 +337,7 @@
 void TransportLoop::WritePeer(Peer& peer, absl::Time now) {
   Connection& connection = *peer.connection;
   const std::uint64_t before = counters_.bytes_sent;
+  PingIfDue(peer);
   if (!connection.Write(now)) {
     ClosePeer(peer, now);
     return;
@@ -348,6 +350,29 @@
                connection.blocked() ? EPOLLIN | EPOLLOUT : EPOLLIN);
 }
 
+// Checks the connection along with the messages that are about to be sent.
+void TransportLoop::PingIfDue(Peer& peer) {
+  HttpStream& stream = peer.connection->stream();
+  if (options_.ping_interval == absl::InfiniteDuration() ||
+      stream.ping_pending() || queues_.IsEmpty(peer.address) ||
+      SincePing(peer) < options_.ping_interval) {
+    return;
+  }
+  if (stream.SubmitPing()) {
+    peer.ping_sent = std::chrono::steady_clock::now();
+  } else {
+    kLog.Warning("out of memory for a PING to {}", ToString(peer.address));
+  }
+}
+
+// The time since the last PING on the connection. Unlike the other times here
+// it does not change with the system time.
+absl::Duration TransportLoop::SincePing(const Peer& peer) {
+  return peer.ping_sent ? absl::FromChrono(std::chrono::steady_clock::now() -
+                                           *peer.ping_sent)
+                        : absl::InfiniteDuration();
+}
+
 // Closes a stalled or idle connection, ends a connection attempt that timed
 // out, drops messages that waited too long, and connects if messages are
 // waiting.
@@ -358,10 +383,17 @@
     if (!has_messages && !connection.blocked()) {
       connection.ResetProgress(now);
     }
+    const bool silent = connection.stream().ping_pending() &&
+                        SincePing(peer) > options_.ping_timeout;
     const bool stalled =
         now - connection.last_progress() > options_.stall_timeout;
     const bool idle = now - connection.last_activity() > options_.idle_timeout;
-    if (stalled) {
+    if (silent) {
+      kLog.Info("closed the connection to {}: it acknowledged nothing for {}",
+                ToString(peer.address),
+                absl::FormatDuration(options_.ping_timeout));
+      ClosePeer(peer, now);
+    } else if (stalled) {
       kLog.Warning("closed the connection to {}: it accepted no data for {}",
                    ToString(peer.address),
                    absl::FormatDuration(now - connection.last_progress()));
--- a/src/control/transport_loop.h
+++ b/src/control/transport_loop.h
@@ -2,9 +2,11 @@
 #define GCW_SRC_CONTROL_TRANSPORT_LOOP_H_
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <span>
 #include <vector>
@@ -65,6 +67,8 @@
     // to the HTTP/2 stream.
     std::vector<std::uint8_t> outgoing;
     std::size_t outgoing_sent = 0;
+    // When the last PING was sent on the connection, if any.
+    std::optional<std::chrono::steady_clock::time_point> ping_sent;
     int failures = 0;  // Consecutive failed attempts and lost connections.
     absl::Time next_connect = absl::InfinitePast();  // After the backoff.
   };
@@ -102,6 +106,8 @@
   void ConnectFailed(Peer& peer, absl::Time now);
   void HandlePeerEvents(Peer& peer, std::uint32_t events, absl::Time now);
   void WritePeer(Peer& peer, absl::Time now);
+  void PingIfDue(Peer& peer);
+  static absl::Duration SincePing(const Peer& peer);
   void ClosePeer(Peer& peer, absl::Time now);
   void Disconnect(Peer& peer);
   void MaintainPeer(Peer& peer, absl::Time now);
