soak: silent connections to the store and odd entries among the servers

Change: two kinds of faults come on top of a plan, as restores do, with random numbers of their own, so that the other faults of a seed stay the same.

--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -1,9 +1,14 @@
 #include "src/soak/fault_injector.h"
 
+#include <fmt/format.h>
+
 #include <csignal>
+#include <iterator>
+#include <string>
 #include <utility>
 #include <vector>
 
+#include "platform/object_format.h"
 #include "src/soak/invariant_checker.h"
 
 namespace gcw::soak {
@@ -27,8 +32,27 @@
 constexpr std::size_t kServersPerLostEntry = 4;
 // Time from a restore to the operators' next change.
 constexpr absl::Duration kChangeAfterRestore = absl::Seconds(1);
+// The users' rules count connections that go silent as a reset of all at this
+// moment.
+constexpr absl::Duration kSilencingDuration = absl::Milliseconds(1);
+// Levels of nesting that overflow a stack if each takes a call.
+constexpr std::size_t kManyLevels = 120'000;
 constexpr lab::LinkFaults kLossyLinks{.loss = 0.05, .duplicate = 0.05};
 
+// A value that names no server. `number` chooses the kind.
+std::string OddValue(std::size_t number) {
+  const std::string values[] = {
+      std::string(kManyLevels, '[') + std::string(kManyLevels, ']'),
+      "{\"zone\":\"\xff\"}",
+      R"({"capacity":1e999})",
+      R"({"zone":"\ud800"})",
+      R"({"service":"s","addr)",
+      R"({"service":"s"}})",
+      R"({"service":"s","address":"127.0.0.1:70000"})",
+      "{}"};
+  return values[number % std::size(values)];
+}
+
 lab::LinkFaults SlowLinks() {
   return {.reorder = 0.2,
           .delay = absl::Milliseconds(20),
@@ -108,6 +132,10 @@
       return deployment_.WriteConfiguration(!deployment_.optional_route());
     case FaultKind::kStoreRestored:
       return RestoreStore(fault.duration);
+    case FaultKind::kSilentStoreConnections:
+      return SilenceStoreConnections();
+    case FaultKind::kOddEntry:
+      return LeaveOddEntry(fault.target, fault.duration);
     case FaultKind::kCount:
       return;
   }
@@ -204,6 +232,26 @@
   });
 }
 
+void FaultInjector::SilenceStoreConnections() {
+  for (std::size_t i = 0; i < deployment_.fleet().size(); ++i) {
+    deployment_.fleet().store_proxy(i).SilenceOpen();
+  }
+  Impair({"store", "fleet"}, kSilencingDuration, [] {});
+}
+
+void FaultInjector::LeaveOddEntry(std::size_t number, absl::Duration duration) {
+  const std::string key =
+      fmt::format("{}odd-{}", adapter::kServersPrefix, number);
+  deployment_.store().PutRaw(key, OddValue(number));
+  deployment_.loop().After(duration, [this, key] {
+    const auto entry = deployment_.store().Get(key);
+    // A restore of the store may have removed it.
+    if (entry.ok()) {
+      (void)deployment_.store().Delete(key, entry.value().version);
+    }
+  });
+}
+
 void FaultInjector::LoseServerEntries() {
   const std::size_t servers = deployment_.servers().size();
   for (std::size_t i = 0; i < servers; i += kServersPerLostEntry) {
--- a/src/soak/fault_injector.h
+++ b/src/soak/fault_injector.h
@@ -47,6 +47,11 @@
   // Copies the store now. `age` later the store is down for a moment and comes
   // back with the copy; the operators and the servers then write again.
   void RestoreStore(absl::Duration age);
+  // Lets all open connections to the store go silent for good.
+  void SilenceStoreConnections();
+  // Writes an odd entry among those of the servers, and removes it after
+  // `duration`. `number` chooses what is odd about it.
+  void LeaveOddEntry(std::size_t number, absl::Duration duration);
   // Removes the entries of some servers, which go on serving, for some time.
   void LoseServerEntries();
   void SlowStore(absl::Duration duration);
--- a/src/soak/plan.cc
+++ b/src/soak/plan.cc
@@ -11,12 +11,18 @@
 namespace {
 
 constexpr auto kFaultNames = std::to_array<std::string_view>(
-    {"kill_daemon",      "pause_daemon",   "stop_daemon",      "reload_daemon",
-     "kill_all",         "store_refuses",  "store_silent",     "store_slow",
-     "store_forgets",    "cut_from_store", "reset_from_store", "cut_zone",
-     "cut_zone_one_way", "lossy_servers",  "slow_servers",     "crash_server",
-     "dark_server",      "drain_server",   "zone_out",         "change_routes",
-     "store_restored"});
+    {"kill_daemon",      "pause_daemon",
+     "stop_daemon",      "reload_daemon",
+     "kill_all",         "store_refuses",
+     "store_silent",     "store_slow",
+     "store_forgets",    "cut_from_store",
+     "reset_from_store", "cut_zone",
+     "cut_zone_one_way", "lossy_servers",
+     "slow_servers",     "crash_server",
+     "dark_server",      "drain_server",
+     "zone_out",         "change_routes",
+     "store_restored",   "silent_store_connections",
+     "odd_entry"});
 static_assert(kFaultNames.size() ==
               static_cast<std::size_t>(FaultKind::kCount));
 
@@ -27,13 +33,15 @@
 constexpr absl::Duration kMinDuration = absl::Milliseconds(600);
 constexpr absl::Duration kMeanExtraDuration = absl::Seconds(2);
 constexpr absl::Duration kMaxDuration = absl::Seconds(6);
-// The kinds that are drawn at random: all but restores of the store, which have
+// The kinds that are drawn at random: all but those of AddedFaults, which have
 // a rate of their own.
 constexpr auto kRandomKinds =
     static_cast<std::uint64_t>(FaultKind::kStoreRestored);
-constexpr absl::Duration kMeanRestoreGap = absl::Seconds(6);
-// Makes the random numbers of restores independent of those of other faults.
+constexpr absl::Duration kMeanAddedGap = absl::Seconds(6);
+// Make the random numbers of each added kind independent of the others.
 constexpr std::uint64_t kRestoreSeedOffset = 0x9e3779b97f4a7c15;
+constexpr std::uint64_t kSilentSeedOffset = 0xbf58476d1ce4e5b9;
+constexpr std::uint64_t kOddEntrySeedOffset = 0x94d049bb133111eb;
 // Targets are drawn below this and taken modulo the number of candidates.
 constexpr std::uint64_t kTargetRange = 1 << 16;
 // A series repeats a fault on consecutive targets, kSeriesGap apart.
@@ -41,20 +49,24 @@
 constexpr int kSeriesLength = 3;
 constexpr absl::Duration kSeriesGap = absl::Milliseconds(700);
 
-void AddRestores(std::uint64_t seed,
-                 absl::Duration end,
-                 std::vector<Fault>& plan) {
-  lab::Random random(seed + kRestoreSeedOffset);
-  absl::Duration start = kFaultFreeStart + random.Exponential(kMeanRestoreGap);
+// Adds faults of one kind, one after another, up to `end`.
+void AddKind(FaultKind kind,
+             std::uint64_t seed,
+             absl::Duration end,
+             std::vector<Fault>& plan) {
+  lab::Random random(seed);
+  absl::Duration start = kFaultFreeStart + random.Exponential(kMeanAddedGap);
+  std::size_t target = 0;
   while (start < end) {
     Fault fault;
     fault.start = start;
-    fault.kind = FaultKind::kStoreRestored;
+    fault.kind = kind;
+    fault.target = target++;
     fault.duration =
         std::min({kMinDuration + random.Exponential(kMeanExtraDuration),
                   kMaxDuration, end - start});
     plan.push_back(fault);
-    start += fault.duration + random.Exponential(kMeanRestoreGap);
+    start += fault.duration + random.Exponential(kMeanAddedGap);
   }
 }
 
@@ -72,7 +84,7 @@
 
 std::vector<Fault> GeneratePlan(std::uint64_t seed,
                                 absl::Duration length,
-                                bool restores) {
+                                const AddedFaults& added) {
   lab::Random random(seed);
   std::vector<Fault> plan;
   const absl::Duration end = length - kFaultFreeEnd;
@@ -93,8 +105,15 @@
     }
     start += random.Exponential(kMeanGap);
   }
-  if (restores) {
-    AddRestores(seed, end, plan);
+  if (added.restores) {
+    AddKind(FaultKind::kStoreRestored, seed + kRestoreSeedOffset, end, plan);
+  }
+  if (added.silent_connections) {
+    AddKind(FaultKind::kSilentStoreConnections, seed + kSilentSeedOffset, end,
+            plan);
+  }
+  if (added.odd_entries) {
+    AddKind(FaultKind::kOddEntry, seed + kOddEntrySeedOffset, end, plan);
   }
   std::stable_sort(
       plan.begin(), plan.end(),
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -34,7 +34,9 @@
   kZoneOut,         // Operators take a zone out of service and return it.
   kChangeRoutes,    // Operators add or remove the optional route.
   kStoreRestored,   // The store goes back to a copy that is `duration` old.
-  kCount,           // Number of kinds; not a fault.
+  kSilentStoreConnections,  // All open connections to the store go silent.
+  kOddEntry,  // Another writer leaves an odd entry among those of the servers.
+  kCount,     // Number of kinds; not a fault.
 };
 
 // The name of `kind` in reports, such as "kill_daemon". Precondition: `kind` is
@@ -53,18 +55,25 @@
   bool operator==(const Fault&) const = default;
 };
 
+// Kinds of faults that come on top of a plan.
+struct AddedFaults {
+  bool restores = false;            // kStoreRestored.
+  bool silent_connections = false;  // kSilentStoreConnections.
+  bool odd_entries = false;         // kOddEntry.
+};
+
 // Formats `fault` as "3.2 s kill_daemon 4 for 1.5 s". Thread-safe.
 std::string ToString(const Fault& fault);
 
 // Returns the faults of a run that lasts `length`, ordered by start time.
 // Faults occur singly, in series and overlapping. None starts during
 // kFaultFreeStart or kFaultFreeEnd, but faults of a series and kinds with a
-// fixed time may still end during the first seconds of kFaultFreeEnd. With
-// `restores`, the plan of the same seed without them gets restores of the store
-// in addition. Returns equal plans for equal arguments. Thread-safe.
+// fixed time may still end during the first seconds of kFaultFreeEnd. The kinds
+// in `added` do not change the other faults of the same seed. Returns equal
+// plans for equal arguments. Thread-safe.
 std::vector<Fault> GeneratePlan(std::uint64_t seed,
                                 absl::Duration length,
-                                bool restores);
+                                const AddedFaults& added);
 
 // Time without faults before the first fault starts, so that all daemons are
 // running and ready, and at the end of the run, so that recovery is checked.
--- a/src/soak/soak_run.cc
+++ b/src/soak/soak_run.cc
@@ -23,7 +23,7 @@
   }
   Deployment& deployment = *created.value();
   SoakReport report;
-  report.plan = GeneratePlan(options.seed, options.length, options.restores);
+  report.plan = GeneratePlan(options.seed, options.length, options.added);
   const absl::Time start = deployment.now();
   checker.Start(deployment);
   FaultInjector injector(deployment, impairments);
--- a/src/soak/store_proxy.cc
+++ b/src/soak/store_proxy.cc
@@ -47,6 +47,7 @@
 
   void set_silent(bool silent) { silent_ = silent; }
   void set_delay(absl::Duration delay) { delay_ = delay; }
+  void SilenceOpen() { silent_before_ = accepted_; }
 
   void Reset() {
     for (const auto& tunnel : std::exchange(tunnels_, {})) {
@@ -70,17 +71,23 @@
                   sizeof(address));
     std::erase_if(tunnels_,
                   [](const auto& tunnel) { return tunnel->closed(); });
-    tunnels_.push_back(
-        lab::StreamTunnel::Start(loop_, daemon_fd, store_fd,
-                                 {.on_bytes = [](bool, std::size_t) {},
-                                  .delay = [this] { return delay_; },
-                                  .is_cut = [this] { return silent_; }}));
+    tunnels_.push_back(lab::StreamTunnel::Start(
+        loop_, daemon_fd, store_fd,
+        {.on_bytes = [](bool, std::size_t) {},
+         .delay = [this] { return delay_; },
+         .is_cut =
+             [this, number = accepted_++] {
+               return silent_ || number < silent_before_;
+             }}));
   }
 
   lab::EventLoop& loop_;
   const Endpoint store_;
   int listener_ = -1;
   bool silent_ = false;
+  int accepted_ = 0;  // Connections so far.
+  // Connections with a lower number are silent for good.
+  int silent_before_ = 0;
   absl::Duration delay_;
   std::vector<std::shared_ptr<lab::StreamTunnel>> tunnels_;
 };
@@ -102,6 +109,9 @@
 void StoreProxy::set_silent(bool silent) {
   impl_->set_silent(silent);
 }
+void StoreProxy::SilenceOpen() {
+  impl_->SilenceOpen();
+}
 void StoreProxy::set_delay(absl::Duration delay) {
   impl_->set_delay(delay);
 }
--- a/src/soak/store_proxy.h
+++ b/src/soak/store_proxy.h
@@ -24,6 +24,8 @@
   // While silent, data and connection closes are held back in both directions,
   // also on new connections.
   void set_silent(bool silent);
+  // Makes the connections that are open now silent for good; new ones work.
+  void SilenceOpen();
   // Delays all data by `delay` in each direction.
   void set_delay(absl::Duration delay);
   // Closes every connection at once, also in the middle of calls.
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -8,11 +8,13 @@
 namespace gcw::soak {
 namespace {
 
+constexpr AddedFaults kAllAdded{true, true, true};
+
 TEST_CASE("equal seeds give equal plans and different seeds different plans") {
-  CHECK(GeneratePlan(7, absl::Seconds(60), true) ==
-        GeneratePlan(7, absl::Seconds(60), true));
-  CHECK(GeneratePlan(7, absl::Seconds(60), true) !=
-        GeneratePlan(8, absl::Seconds(60), true));
+  CHECK(GeneratePlan(7, absl::Seconds(60), kAllAdded) ==
+        GeneratePlan(7, absl::Seconds(60), kAllAdded));
+  CHECK(GeneratePlan(7, absl::Seconds(60), kAllAdded) !=
+        GeneratePlan(8, absl::Seconds(60), kAllAdded));
 }
 
 TEST_CASE(
@@ -20,7 +22,7 @@
   std::set<FaultKind> kinds;
   bool overlap = false;
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
-    const auto plan = GeneratePlan(seed, absl::Seconds(60), true);
+    const auto plan = GeneratePlan(seed, absl::Seconds(60), kAllAdded);
     for (std::size_t i = 0; i < plan.size(); ++i) {
       kinds.insert(plan[i].kind);
       CHECK(plan[i].start >= kFaultFreeStart);
@@ -33,14 +35,19 @@
   CHECK(overlap);
 }
 
-TEST_CASE("restores are added to a plan without changing its other faults") {
-  const auto plain = GeneratePlan(49, absl::Seconds(60), false);
-  auto with_restores = GeneratePlan(49, absl::Seconds(60), true);
-  CHECK(with_restores.size() > plain.size());
-  std::erase_if(with_restores, [](const Fault& fault) {
-    return fault.kind == FaultKind::kStoreRestored;
-  });
-  CHECK(with_restores == plain);
+TEST_CASE("kinds are added to a plan without changing its other faults") {
+  const std::pair<AddedFaults, FaultKind> cases[] = {
+      {{.restores = true}, FaultKind::kStoreRestored},
+      {{.silent_connections = true}, FaultKind::kSilentStoreConnections},
+      {{.odd_entries = true}, FaultKind::kOddEntry}};
+  const auto plain = GeneratePlan(49, absl::Seconds(60), {});
+  for (const auto& [added, kind] : cases) {
+    INFO(FaultName(kind));
+    auto plan = GeneratePlan(49, absl::Seconds(60), added);
+    CHECK(plan.size() > plain.size());
+    std::erase_if(plan, [&](const Fault& fault) { return fault.kind == kind; });
+    CHECK(plan == plain);
+  }
 }
 
 TEST_CASE("a component is settled 4 s after its last impairment ended") {
--- a/tests/soak/short_run_test.cc
+++ b/tests/soak/short_run_test.cc
@@ -18,6 +18,7 @@
 // Deployment::TakeZoneOut() now prevents that, so the seed is not run.
 constexpr std::uint64_t kSeeds[] = {1, 49, 51};
 constexpr std::uint64_t kRestoreSeeds[] = {2, 3};
+constexpr std::uint64_t kOddEntrySeeds[] = {4};
 
 // Lengths with which the seeds failed; the plan depends on the length as well.
 absl::Duration LengthOf(std::uint64_t seed) {
@@ -32,14 +33,14 @@
 }
 
 // Runs one seed and checks that no invariant is violated.
-void RunSeed(std::uint64_t seed, bool restores = false) {
+void RunSeed(std::uint64_t seed, const AddedFaults& added = {}) {
   const std::string dir = "/tmp/gcw-soak-test-" + std::to_string(getpid()) +
                           "-" + std::to_string(seed);
   std::filesystem::create_directories(dir);
   SoakOptions options;
   options.seed = seed;
   options.length = LengthOf(seed);
-  options.restores = restores;
+  options.added = added;
   options.program = std::string(GCW_BIN_DIR) + "/gcw-direct";
   options.work_dir = dir;
   const auto report = RunSoak(options);
@@ -67,7 +68,15 @@
 
 TEST_CASE("short soak runs with restores of the store violate no invariant") {
   for (const std::uint64_t seed : kRestoreSeeds) {
-    RunSeed(seed, true);
+    RunSeed(seed, {.restores = true});
+  }
+}
+
+// Odd entries of another writer ended the daemons, and a connection to the
+// store that was silent for good delayed their news.
+TEST_CASE("short soak runs with odd entries and silent connections") {
+  for (const std::uint64_t seed : kOddEntrySeeds) {
+    RunSeed(seed, {.silent_connections = true, .odd_entries = true});
   }
 }
 
--- a/tools/gcw-soak/main.cc
+++ b/tools/gcw-soak/main.cc
@@ -75,8 +75,13 @@
   app.add_option("--minutes", minutes, "then run further seeds for this long");
   app.add_option("--length", seconds, "length of one run in seconds")
       ->check(CLI::Range(15.0, 3600.0));
-  app.add_flag("--restores,!--no-restores", options.restores,
+  app.add_flag("--restores,!--no-restores", options.added.restores,
                "restore the store from older copies during the runs");
+  app.add_flag("--silent-connections,!--no-silent-connections",
+               options.added.silent_connections,
+               "let open connections to the store go silent for good");
+  app.add_flag("--odd-entries,!--no-odd-entries", options.added.odd_entries,
+               "leave odd entries among those of the servers for some time");
   app.add_option("--daemons", options.daemons_per_zone,
                  "daemons in each of 3 availability zones")
       ->check(CLI::Range(1, 60));
