balancer: the socket that a task watches is opened in one place

The packet and the dispatch task opened and watched their sockets with the same lines. Moved to open_socket.h, without a change of behaviour.

--- a/src/balancer/dispatch_task.cc
+++ b/src/balancer/dispatch_task.cc
@@ -13,6 +13,7 @@
 #include "gcw/kernel/service.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
+#include "src/balancer/open_socket.h"
 #include "src/balancer/send_to_service.h"
 
 namespace gcw::balancer {
@@ -158,15 +159,12 @@
                     std::uint16_t port,
                     DatagramHandler handler,
                     std::unique_ptr<kernel::UdpSocket>& target) {
-    auto socket = kernel::UdpSocket::Make({settings_.bind, port});
-    if (!socket.ok()) {
-      return socket.error();
-    }
-    target = std::move(socket).value();
-    kernel::UdpSocket* opened = target.get();
-    return loop.WatchReadable(opened->fd(), [this, opened, handler] {
-      ReceiveDatagrams(*opened, handler);
-    });
+    return balancer::OpenSocket(
+        loop, {settings_.bind, port},
+        [this, handler](kernel::UdpSocket& socket) {
+          ReceiveDatagrams(socket, handler);
+        },
+        target);
   }
 
   void ReceiveDatagrams(kernel::UdpSocket& socket, DatagramHandler handler) {
--- a/src/balancer/packet_task.cc
+++ b/src/balancer/packet_task.cc
@@ -12,6 +12,7 @@
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/wire/packet.h"
 #include "gcw/wire/relay_header.h"
+#include "src/balancer/open_socket.h"
 #include "src/balancer/server_restart_detector.h"
 
 namespace gcw::balancer {
@@ -138,15 +139,12 @@
                     std::uint16_t port,
                     PacketHandler handler,
                     std::unique_ptr<kernel::UdpSocket>& target) {
-    auto socket = kernel::UdpSocket::Make({settings_.bind, port});
-    if (!socket.ok()) {
-      return socket.error();
-    }
-    target = std::move(socket).value();
-    kernel::UdpSocket* opened = target.get();
-    return loop.WatchReadable(opened->fd(), [this, opened, handler] {
-      ReceiveDatagrams(*opened, handler);
-    });
+    return balancer::OpenSocket(
+        loop, {settings_.bind, port},
+        [this, handler](kernel::UdpSocket& socket) {
+          ReceiveDatagrams(socket, handler);
+        },
+        target);
   }
 
   void ReceiveDatagrams(kernel::UdpSocket& socket, PacketHandler handler) {
