--- a/include/gcw/platform/json_text.h
+++ b/include/gcw/platform/json_text.h
@@ -53,10 +53,10 @@
 Result<JsonListing> SplitJsonListing(std::string_view text,
                                      std::string_view array);
 
-// Returns the JSON document `text` in compact form, with characters that are
-// not valid UTF-8 replaced. Stands in for a value of an unknown writer: if
-// `text` is empty, longer than `max_bytes`, nested too deeply or no JSON, the
-// result is a JSON string that says so. Thread-safe.
+// Returns the JSON document `text` in compact form, for a value whose writer is
+// unknown. If `text` is empty, longer than `max_bytes`, nested deeper than
+// kMaxJsonDepth or no JSON, returns a JSON string that says so. The result is
+// always valid JSON. Thread-safe.
 std::string CompactJson(std::string_view text, std::size_t max_bytes);
 
 }  // namespace gcw::platform
