--- a/src/lab/daemon_process.h
+++ b/src/lab/daemon_process.h
@@ -3,14 +3,30 @@
 
 #include <sys/types.h>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
+#include "absl/time/time.h"
 #include "gcw/base/result.h"
 
 namespace gcw::lab {
 
+// Limits that the kernel enforces on a daemon process.
+struct ProcessLimits {
+  // The most open file descriptors; nullopt leaves the limit of this process.
+  std::optional<std::uint64_t> max_descriptors;
+};
+
+// The resources that a running process uses.
+struct ProcessUsage {
+  absl::Duration processor_time;  // Of all threads since the start.
+  std::int64_t resident_bytes = 0;
+  std::int64_t peak_resident_bytes = 0;
+  std::size_t descriptors = 0;
+};
+
 // A child process that runs a daemon. The destructor kills and reaps the
 // process, and the kernel kills the process if the lab itself dies. Not
 // thread-safe.
@@ -22,7 +38,8 @@
   static Result<std::unique_ptr<DaemonProcess>> Make(
       const std::string& program,
       const std::string& settings_path,
-      const std::string& log_path);
+      const std::string& log_path,
+      const ProcessLimits& limits = {});
   ~DaemonProcess();
 
   // Sends `signal` to the process; does nothing once the process has ended.
@@ -30,6 +47,8 @@
   // Reaps the process if it has ended. Returns its exit code, or 128 plus the
   // number of the signal that ended it; nothing while it runs.
   std::optional<int> ExitCode();
+  // What the process uses now; nothing once it has ended.
+  std::optional<ProcessUsage> Usage();
 
  private:
   explicit DaemonProcess(pid_t pid) : pid_(pid) {}
