base, direct_balancer: metrics tell memory, processor time and descriptors

Change: ReadProcessUsage() in the base library; gcw-direct exports it under the usual names of process metrics; lab::DaemonProcess uses the same code. Result: gcw_direct_balancer_tests "metrics tell memory, processor time and descriptors", 10 checks, which has no counterpart to fail on the code before.

--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -1,12 +1,15 @@
 #include "src/direct_balancer/metrics.h"
 
 #include <fmt/format.h>
+#include <unistd.h>
 
 #include <boost/histogram.hpp>
 #include <iterator>
 #include <string_view>
 #include <vector>
 
+#include "gcw/base/process_usage.h"
+
 namespace gcw::direct_balancer {
 namespace {
 
@@ -29,6 +32,28 @@
   fmt::format_to(std::back_inserter(out), "{} {}\n", name, value);
 }
 
+// Appends what this process uses, under the names that Prometheus clients have
+// for it. Without these samples an operator cannot tell a daemon that is about
+// to exceed its memory from one that is not.
+void AppendProcessUsage(std::string& out) {
+  const auto usage = ReadProcessUsage(getpid());
+  if (!usage) {
+    return;
+  }
+  AppendHeader(out, "process_cpu_seconds_total", "counter",
+               "Processor time of all threads.");
+  fmt::format_to(std::back_inserter(out), "process_cpu_seconds_total {}\n",
+                 absl::ToDoubleSeconds(usage->processor_time));
+  AppendSample(out, "process_resident_memory_bytes", "gauge",
+               "Resident memory.",
+               static_cast<std::uint64_t>(usage->resident_bytes));
+  AppendSample(out, "process_resident_memory_peak_bytes", "gauge",
+               "The most resident memory since the start.",
+               static_cast<std::uint64_t>(usage->peak_resident_bytes));
+  AppendSample(out, "process_open_fds", "gauge", "Open file descriptors.",
+               usage->descriptors);
+}
+
 // Edges of the histogram buckets, in seconds.
 constexpr auto kBucketEdges =
     std::to_array<double>({0, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1,
@@ -183,6 +208,7 @@
                "Log lines lost because the queue was full.", log.overflowed);
   AppendSample(out, "gcw_log_queue_bytes", "gauge", "Log bytes that wait.",
                log.queued_bytes);
+  AppendProcessUsage(out);
   return out;
 }
 
--- a/src/lab/daemon_process.cc
+++ b/src/lab/daemon_process.cc
@@ -1,19 +1,12 @@
 #include "src/lab/daemon_process.h"
 
 #include <fcntl.h>
-#include <fmt/format.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <csignal>
-#include <filesystem>
-#include <fstream>
-#include <iterator>
-#include <sstream>
-#include <string_view>
-#include <system_error>
 
 namespace gcw::lab {
 namespace {
@@ -36,51 +29,6 @@
   }
 }
 
-// The value in bytes of a line "NAME: N kB" of /proc/PID/status; 0 if there is
-// none.
-std::int64_t ReadStatusBytes(pid_t pid, std::string_view name) {
-  std::ifstream status(fmt::format("/proc/{}/status", pid));
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.starts_with(name)) {
-      return std::stoll(line.substr(name.size())) * 1024;
-    }
-  }
-  return 0;
-}
-
-// The processor time of all threads of a process.
-absl::Duration ReadProcessorTime(pid_t pid) {
-  // The clock ticks in user and kernel mode are the fields 14 and 15. The
-  // second field is the name of the program in parentheses.
-  constexpr int kUserTicksAfterName = 11;
-  std::ifstream stat(fmt::format("/proc/{}/stat", pid));
-  std::string text((std::istreambuf_iterator<char>(stat)), {});
-  const std::size_t name_end = text.rfind(')');
-  if (name_end == std::string::npos) {
-    return absl::ZeroDuration();
-  }
-  std::istringstream fields(text.substr(name_end + 1));
-  std::string skipped;
-  for (int i = 0; i < kUserTicksAfterName; ++i) {
-    fields >> skipped;
-  }
-  double user_ticks = 0;
-  double kernel_ticks = 0;
-  fields >> user_ticks >> kernel_ticks;
-  const auto ticks_per_second = static_cast<double>(sysconf(_SC_CLK_TCK));
-  return absl::Seconds((user_ticks + kernel_ticks) / ticks_per_second);
-}
-
-std::size_t CountDescriptors(pid_t pid) {
-  std::error_code error;
-  const std::filesystem::directory_iterator descriptors(
-      fmt::format("/proc/{}/fd", pid), error);
-  return error ? 0
-               : static_cast<std::size_t>(
-                     std::distance(begin(descriptors), end(descriptors)));
-}
-
 }  // namespace
 
 Result<std::unique_ptr<DaemonProcess>> DaemonProcess::Make(
@@ -137,11 +85,7 @@
 }
 
 std::optional<ProcessUsage> DaemonProcess::Usage() {
-  if (ExitCode()) {
-    return std::nullopt;
-  }
-  return ProcessUsage{ReadProcessorTime(pid_), ReadStatusBytes(pid_, "VmRSS:"),
-                      ReadStatusBytes(pid_, "VmHWM:"), CountDescriptors(pid_)};
+  return ExitCode() ? std::nullopt : ReadProcessUsage(pid_);
 }
 
 }  // namespace gcw::lab
--- a/src/lab/daemon_process.h
+++ b/src/lab/daemon_process.h
@@ -8,7 +8,7 @@
 #include <optional>
 #include <string>
 
-#include "absl/time/time.h"
+#include "gcw/base/process_usage.h"
 #include "gcw/base/result.h"
 
 namespace gcw::lab {
@@ -19,14 +19,6 @@
   std::optional<std::uint64_t> max_descriptors;
 };
 
-// The resources that a running process uses.
-struct ProcessUsage {
-  absl::Duration processor_time;  // Of all threads since the start.
-  std::int64_t resident_bytes = 0;
-  std::int64_t peak_resident_bytes = 0;
-  std::size_t descriptors = 0;
-};
-
 // A child process that runs a daemon. The destructor kills and reaps the
 // process, and the kernel kills the process if the lab itself dies. Not
 // thread-safe.
--- a/tests/direct_balancer/metrics_test.cc
+++ b/tests/direct_balancer/metrics_test.cc
@@ -1,6 +1,8 @@
 #include "src/direct_balancer/metrics.h"
 
 #include <catch2/catch.hpp>
+#include <string>
+#include <string_view>
 
 namespace gcw::direct_balancer {
 namespace {
@@ -27,5 +29,21 @@
   }
 }
 
+// A daemon that was near its memory limit, out of descriptors or busy could not
+// be told from any other.
+TEST_CASE("metrics tell memory, processor time and descriptors") {
+  const std::string text = Metrics().Render({});
+  for (const char* name :
+       {"\nprocess_cpu_seconds_total ", "\nprocess_resident_memory_bytes ",
+        "\nprocess_resident_memory_peak_bytes ", "\nprocess_open_fds "}) {
+    INFO(name);
+    const std::size_t at = text.find(name);
+    REQUIRE(at != std::string::npos);
+    CHECK(std::stod(text.substr(at + std::string_view(name).size())) >= 0);
+  }
+  CHECK(text.find("process_resident_memory_bytes 0\n") == std::string::npos);
+  CHECK(text.find("process_open_fds 0\n") == std::string::npos);
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
