platform: interface to decode an answer of the store while it arrives

The client reads an answer into one string and decodes it afterwards, so another writer's entries fill a daemon. ListDecoder and WatchDecoder take the body in parts.

--- a/include/gcw/platform/api_format.h
+++ b/include/gcw/platform/api_format.h
@@ -1,10 +1,13 @@
 #ifndef GCW_PLATFORM_API_FORMAT_H_
 #define GCW_PLATFORM_API_FORMAT_H_
 
+#include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
+#include "gcw/platform/answer_decoder.h"
 #include "gcw/platform/platform_client.h"
 
 namespace gcw::platform {
@@ -18,14 +21,6 @@
   std::string body;    // JSON text; empty for kGet and kDelete.
 };
 
-// One page of a listing. The pages of a listing are read one after another, so
-// they may show the platform at different revisions.
-struct ListPage {
-  Listing listing;
-  // The last key of this page if more pages follow, otherwise empty.
-  std::string continue_after;
-};
-
 // Encodes calls of an object API as HTTP requests and decodes the bodies of its
 // responses. Implementations keep no state and are thread-safe.
 //
@@ -60,6 +55,15 @@
   // Encodes a call that reads the list of VMs.
   virtual ApiRequest Vms() const = 0;
 
+  // Returns a decoder of one response to a List() request with the same
+  // `prefix`. This object must outlive it.
+  virtual std::unique_ptr<ListDecoder> MakeListDecoder(
+      std::string_view prefix) const;
+  // Returns a decoder of one response to a Watch() request with the same
+  // `prefix`. This object must outlive it.
+  virtual std::unique_ptr<WatchDecoder> MakeWatchDecoder(
+      std::string_view prefix) const;
+
   // Decodes the response to a List() request with the same `prefix`.
   virtual Result<ListPage> DecodeListPage(std::string_view prefix,
                                           std::string_view body) const = 0;
