platform: decode a list or watch answer entry by entry while it arrives

A daemon held all of an answer and split it afterwards: what another writer leaves in the store filled it (300 entries of 900 kB: 524 MB at the peak with a limit of 390 MB). An entry cut after an opening bracket was read on to the end of the answer, each again: quadratic time.

JsonListingReader replaces SplitJsonListing. It holds one entry's text, at most 1,114,112 bytes, and 64 KiB before and after the array, and fails at the first bytes of text that is no listing. Of a longer entry the first members are kept, if they have its key and version; the rest is discarded as it comes. Text is read again where an entry has no end, up to 8 MiB and one byte for each byte of the text; past that such an entry ends where the next one may begin. The decoded entries of one answer take at most 64 MiB. Both formats use it, and DecodeListPage and DecodeWatch feed the same decoders.

--- a/include/gcw/platform/api_format.h
+++ b/include/gcw/platform/api_format.h
@@ -58,23 +58,23 @@
   // Returns a decoder of one response to a List() request with the same
   // `prefix`. This object must outlive it.
   virtual std::unique_ptr<ListDecoder> MakeListDecoder(
-      std::string_view prefix) const;
+      std::string_view prefix) const = 0;
   // Returns a decoder of one response to a Watch() request with the same
   // `prefix`. This object must outlive it.
   virtual std::unique_ptr<WatchDecoder> MakeWatchDecoder(
-      std::string_view prefix) const;
+      std::string_view prefix) const = 0;
 
-  // Decodes the response to a List() request with the same `prefix`.
-  virtual Result<ListPage> DecodeListPage(std::string_view prefix,
-                                          std::string_view body) const = 0;
+  // Decodes the whole response to a List() request with the same `prefix`.
+  Result<ListPage> DecodeListPage(std::string_view prefix,
+                                  std::string_view body) const;
   // Decodes the response to a Get() request for `key`.
   virtual Result<Object> DecodeObject(std::string_view key,
                                       std::string_view body) const = 0;
   // Decodes the version of the write from the response to Put() or Delete().
   virtual Result<Version> DecodeVersion(std::string_view body) const = 0;
-  // Decodes the response to a Watch() request with the same `prefix`.
-  virtual Result<WatchAnswer> DecodeWatch(std::string_view prefix,
-                                          std::string_view body) const = 0;
+  // Decodes the whole response to a Watch() request with the same `prefix`.
+  Result<WatchAnswer> DecodeWatch(std::string_view prefix,
+                                  std::string_view body) const;
   // Decodes the response to a Vms() request.
   virtual Result<std::vector<Vm>> DecodeVms(std::string_view body) const = 0;
 };
--- a/include/gcw/platform/json_text.h
+++ b/include/gcw/platform/json_text.h
@@ -6,8 +6,6 @@
 #include <string_view>
 #include <vector>
 
-#include "gcw/base/result.h"
-
 namespace gcw::platform {
 
 // Splits JSON text at its brackets, quotes and commas without decoding what is
@@ -39,24 +37,18 @@
 std::string_view FindJsonMember(const std::vector<JsonMember>& members,
                                 std::string_view name);
 
-// A JSON object of which one member is an array of objects: a listing.
-struct JsonListing {
-  std::vector<JsonMember> members;        // Without the array.
-  std::vector<std::string_view> entries;  // The elements of the array.
-};
+// Returns a short JSON string that replaces a value that is of no use because
+// of `reason`. Thread-safe.
+std::string UnreadableValue(std::string_view reason);
 
-// Splits a listing whose array is the member `array`. An entry whose brackets
-// or quotes do not match ends where the next entry begins with the same field
-// as the first one; it does not affect the other entries. Fails with
-// kPlatformBadAnswer if there is no such array or if the text around it is not
-// that of an object. The views point into `text`. Thread-safe.
-Result<JsonListing> SplitJsonListing(std::string_view text,
-                                     std::string_view array);
+// Returns the reason in the JSON text `value` that UnreadableValue() returned,
+// as JSON escapes it, or an empty view for other values. Thread-safe.
+std::string_view UnreadableReason(std::string_view value);
 
 // Returns the JSON document `text` in compact form, for a value whose writer is
 // unknown. If `text` is empty, longer than `max_bytes`, nested deeper than
-// kMaxJsonDepth or no JSON, returns a JSON string that says so. The result is
-// always valid JSON. Thread-safe.
+// kMaxJsonDepth or no JSON, returns an UnreadableValue() that says so. The
+// result is always valid JSON. Thread-safe.
 std::string CompactJson(std::string_view text, std::size_t max_bytes);
 
 }  // namespace gcw::platform
--- a/src/platform/flat_api_format.cc
+++ b/src/platform/flat_api_format.cc
@@ -4,6 +4,7 @@
 #include <string>
 
 #include "gcw/platform/api_format.h"
+#include "gcw/platform/listing_decoder.h"
 #include "src/platform/platform_json.h"
 
 namespace gcw::platform {
@@ -54,29 +55,25 @@
 
   ApiRequest Vms() const override { return {ApiMethod::kGet, "/v1/vms", {}}; }
 
-  Result<ListPage> DecodeListPage(std::string_view /*prefix*/,
-                                  std::string_view body) const override {
-    Result<Listing> listing = DecodeListing(body);
-    if (!listing.ok()) {
-      return listing.error();
-    }
-    return ListPage{std::move(listing).value(), {}};
+  std::unique_ptr<ListDecoder> MakeListDecoder(
+      std::string_view /*prefix*/) const override {
+    return platform::MakeListDecoder({"objects", "revision", {}}, ReadObject);
+  }
+
+  std::unique_ptr<WatchDecoder> MakeWatchDecoder(
+      std::string_view /*prefix*/) const override {
+    return platform::MakeWatchDecoder({"events", "revision", {}}, ReadEvent);
   }
 
   Result<Object> DecodeObject(std::string_view /*key*/,
                               std::string_view body) const override {
-    return platform::DecodeObject(body);
+    return ReadObject(body);
   }
 
   Result<Version> DecodeVersion(std::string_view body) const override {
     return platform::DecodeVersion(body);
   }
 
-  Result<WatchAnswer> DecodeWatch(std::string_view /*prefix*/,
-                                  std::string_view body) const override {
-    return platform::DecodeWatch(body);
-  }
-
   Result<std::vector<Vm>> DecodeVms(std::string_view body) const override {
     return platform::DecodeVms(body);
   }
--- a/src/platform/json_text.cc
+++ b/src/platform/json_text.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "gcw/platform/decode_json.h"
+#include "src/platform/listing_members.h"
 
 namespace gcw::platform {
 namespace {
@@ -31,16 +32,11 @@
 // quote, or npos if the string does not end.
 std::size_t EndOfString(std::string_view text, std::size_t begin) {
   std::size_t at = begin + 1;
-  while (true) {
-    at = text.find_first_of("\"\\", at);
-    if (at == std::string_view::npos) {
-      return at;
-    }
-    if (text[at] == '"') {
-      return at + 1;
-    }
-    at += 2;  // A backslash and the character that it escapes.
+  while (at < text.size() && text[at] != '"') {
+    // A backslash stands with the character that it escapes.
+    at += text[at] == '\\' ? 2 : 1;
   }
+  return at < text.size() ? at + 1 : std::string_view::npos;
 }
 
 // Reads JSON text from the front to the back.
@@ -131,10 +127,6 @@
   std::size_t at_;
 };
 
-Error Malformed(const char* message) {
-  return {ResultCode::kPlatformBadAnswer, "", message};
-}
-
 // How the reading of an object's members ended.
 enum class MembersEnd { kObjectEnded, kAtArray, kDamaged };
 
@@ -165,111 +157,8 @@
   return scanner.Skip('}') ? MembersEnd::kObjectEnded : MembersEnd::kDamaged;
 }
 
-// Reads what follows the array of a listing into `members`. Returns false if
-// the listing does not end there.
-bool ReadAfterArray(std::string_view text,
-                    std::size_t at,
-                    std::vector<JsonMember>& members) {
-  Scanner scanner(text, at);
-  const bool ended = scanner.Skip(',') ? ReadMembers(scanner, "", members) ==
-                                             MembersEnd::kObjectEnded
-                                       : scanner.Skip('}');
-  return ended && scanner.AtEnd();
-}
-
-// Splits the elements of an array that starts at a position of a listing.
-class EntrySplitter {
- public:
-  EntrySplitter(std::string_view text, std::size_t begin)
-      : text_(text), begin_(begin) {}
-
-  // Reads the elements into `entries` and returns the position after the array,
-  // or nothing if the text is no array.
-  std::optional<std::size_t> Split(std::vector<std::string_view>& entries) {
-    Scanner scanner(text_, begin_);
-    if (!scanner.Skip('[')) {
-      return std::nullopt;
-    }
-    if (scanner.Skip(']')) {
-      return scanner.position();
-    }
-    FindEntryStart(scanner.position());
-    std::size_t at = scanner.position();
-    while (true) {
-      Scanner entry(text_, at);
-      const auto value = entry.Value();
-      if (value && entry.Skip(',')) {
-        entries.push_back(*value);
-        at = entry.position();
-        continue;
-      }
-      if (value && entry.Skip(']') && ListingEndsAfter(entry.position())) {
-        entries.push_back(*value);
-        return entry.position();
-      }
-      // The entry is damaged. It ends before the next one, or with the array.
-      const std::size_t next = NextEntry(at);
-      if (next == std::string_view::npos) {
-        return EndWithDamagedEntry(at, entries);
-      }
-      entries.push_back(text_.substr(at, next - at));
-      at = next;
-    }
-  }
-
- private:
-  // A closing bracket of a damaged entry is not the end of the array.
-  bool ListingEndsAfter(std::size_t at) const {
-    std::vector<JsonMember> members;
-    return ReadAfterArray(text_, at, members);
-  }
-
-  // Finds the text with which each entry starts: up to its first colon.
-  void FindEntryStart(std::size_t at) {
-    const std::size_t colon = text_.find(':', at);
-    if (colon != std::string_view::npos) {
-      entry_start_ = text_.substr(at, colon + 1 - at);
-    }
-  }
-
-  // The start of the next entry after the one at `at`, or npos.
-  std::size_t NextEntry(std::size_t at) const {
-    if (entry_start_.empty()) {
-      return std::string_view::npos;
-    }
-    std::size_t next = text_.find(entry_start_, at + 1);
-    while (next != std::string_view::npos) {
-      const std::size_t before = text_.find_last_not_of(kSpace, next - 1);
-      if (before != std::string_view::npos && before > at &&
-          text_[before] == ',') {
-        return next;
-      }
-      next = text_.find(entry_start_, next + 1);
-    }
-    return next;
-  }
-
-  // The last entry is damaged: the array ends at the last closing bracket.
-  std::optional<std::size_t> EndWithDamagedEntry(
-      std::size_t at,
-      std::vector<std::string_view>& entries) const {
-    const std::size_t end = text_.rfind(']');
-    if (end == std::string_view::npos || end < at) {
-      return std::nullopt;
-    }
-    entries.push_back(text_.substr(at, end - at));
-    return end + 1;
-  }
-
-  std::string_view text_;
-  std::size_t begin_;
-  std::string_view entry_start_;
-};
-
-std::string Unreadable(std::string_view reason) {
-  return nlohmann::json(fmt::format("unreadable value: {}", reason))
-      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
+// Begins the JSON string that replaces a value.
+constexpr std::string_view kUnreadable = "\"unreadable value: ";
 
 }  // namespace
 
@@ -313,38 +202,54 @@
   return it == members.end() ? std::string_view() : it->value;
 }
 
-Result<JsonListing> SplitJsonListing(std::string_view text,
-                                     std::string_view array) {
-  JsonListing listing;
+bool ReadMembersBeforeArray(std::string_view text,
+                            std::string_view array,
+                            std::vector<JsonMember>& members) {
   Scanner scanner(text);
-  if (!scanner.Skip('{') ||
-      ReadMembers(scanner, array, listing.members) != MembersEnd::kAtArray) {
-    return Malformed("not an object with the array of a listing");
-  }
-  const auto end =
-      EntrySplitter(text, scanner.position()).Split(listing.entries);
-  if (!end) {
-    return Malformed("the listing is not an array");
-  }
-  if (!ReadAfterArray(text, *end, listing.members)) {
-    return Malformed("the listing is followed by malformed text");
+  return scanner.Skip('{') &&
+         ReadMembers(scanner, array, members) == MembersEnd::kAtArray;
+}
+
+bool ReadMembersAfterArray(std::string_view text,
+                           std::vector<JsonMember>& members) {
+  Scanner scanner(text);
+  const bool ended = scanner.Skip(',') ? ReadMembers(scanner, "", members) ==
+                                             MembersEnd::kObjectEnded
+                                       : scanner.Skip('}');
+  return ended && scanner.AtEnd();
+}
+
+std::string UnreadableValue(std::string_view reason) {
+  // Longer reasons quote text of the value.
+  constexpr std::size_t kMaxReasonBytes = 100;
+  const std::string quoted =
+      nlohmann::json(reason.substr(0, kMaxReasonBytes))
+          .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return fmt::format("{}{}", kUnreadable, std::string_view(quoted).substr(1));
+}
+
+std::string_view UnreadableReason(std::string_view value) {
+  if (!value.starts_with(kUnreadable) || !value.ends_with('"')) {
+    return {};
   }
-  return listing;
+  value.remove_prefix(kUnreadable.size());
+  return value.substr(0, value.size() - 1);
 }
 
 std::string CompactJson(std::string_view text, std::size_t max_bytes) {
   if (text.empty()) {
-    return Unreadable("missing");
+    return UnreadableValue("missing");
   }
   if (text.size() > max_bytes) {
-    return Unreadable(fmt::format("longer than {} bytes", max_bytes));
+    return UnreadableValue(fmt::format("longer than {} bytes", max_bytes));
   }
   const Result<std::string> compact =
       DecodeJson<std::string>(text, [](const nlohmann::json& value) {
         return value.dump(-1, ' ', false,
                           nlohmann::json::error_handler_t::replace);
       });
-  return compact.ok() ? compact.value() : Unreadable(compact.error().message);
+  return compact.ok() ? compact.value()
+                      : UnreadableValue(compact.error().message);
 }
 
 }  // namespace gcw::platform
--- a/src/platform/platform_json.cc
+++ b/src/platform/platform_json.cc
@@ -19,10 +19,9 @@
 // The platform's limit of a value.
 constexpr std::size_t kMaxValueBytes = 1'048'576;
 
-// Decodes one object. A value that cannot be decoded is replaced, see
-// CompactJson(); a deleted object has none.
-Result<Object> ReadObject(const std::vector<JsonMember>& members,
-                          bool deleted) {
+// Decodes one object. A deleted object has no value.
+Result<Object> ReadMembers(const std::vector<JsonMember>& members,
+                           bool deleted) {
   const auto key = DecodeJson<std::string>(
       FindJsonMember(members, "key"),
       [](const json& value) { return value.get<std::string>(); });
@@ -51,12 +50,6 @@
   return object;
 }
 
-// Reads the revision of the platform from an answer.
-Result<Version> ReadPlatformRevision(const JsonListing& listing) {
-  return DecodeJson<Version>(FindJsonMember(listing.members, "revision"),
-                             ReadUnsigned);
-}
-
 std::vector<Vm> ReadVms(const json& value) {
   std::vector<Vm> vms;
   for (const json& entry : value.at("vms")) {
@@ -73,30 +66,18 @@
 
 }  // namespace
 
-Result<Listing> DecodeListing(std::string_view body) {
-  const auto split = SplitJsonListing(body, "objects");
-  if (!split.ok()) {
-    return split.error();
-  }
-  const auto revision = ReadPlatformRevision(split.value());
-  if (!revision.ok()) {
-    return revision.error();
-  }
-  Listing listing;
-  listing.revision = revision.value();
-  for (const std::string_view entry : split.value().entries) {
-    auto object = ReadObject(SplitJsonObject(entry), false);
-    if (object.ok()) {
-      listing.objects.push_back(std::move(object).value());
-    } else {
-      listing.skipped.Add(object.error());
-    }
-  }
-  return listing;
+Result<Object> ReadObject(std::string_view text) {
+  return ReadMembers(SplitJsonObject(text), false);
 }
 
-Result<Object> DecodeObject(std::string_view body) {
-  return ReadObject(SplitJsonObject(body), false);
+Result<WatchEvent> ReadEvent(std::string_view text) {
+  const auto members = SplitJsonObject(text);
+  const bool deleted = FindJsonMember(members, "deleted") == "true";
+  auto object = ReadMembers(members, deleted);
+  if (!object.ok()) {
+    return object.error();
+  }
+  return WatchEvent{std::move(object).value(), deleted};
 }
 
 Result<Version> DecodeVersion(std::string_view body) {
@@ -105,30 +86,6 @@
   });
 }
 
-Result<WatchAnswer> DecodeWatch(std::string_view body) {
-  const auto split = SplitJsonListing(body, "events");
-  if (!split.ok()) {
-    return split.error();
-  }
-  const auto revision = ReadPlatformRevision(split.value());
-  if (!revision.ok()) {
-    return revision.error();
-  }
-  WatchAnswer answer;
-  answer.revision = revision.value();
-  for (const std::string_view entry : split.value().entries) {
-    const auto members = SplitJsonObject(entry);
-    const bool deleted = FindJsonMember(members, "deleted") == "true";
-    auto object = ReadObject(members, deleted);
-    if (object.ok()) {
-      answer.events.push_back({std::move(object).value(), deleted});
-    } else {
-      answer.skipped.Add(object.error());
-    }
-  }
-  return answer;
-}
-
 Result<std::vector<Vm>> DecodeVms(std::string_view body) {
   return DecodeJson<std::vector<Vm>>(body, ReadVms);
 }
--- a/src/platform/platform_json.h
+++ b/src/platform/platform_json.h
@@ -9,12 +9,13 @@
 
 namespace gcw::platform {
 
-// Decode response bodies of the platform in the format of docs/WIRE.md. Each
-// function fails with kPlatformBadAnswer if the body is invalid. Thread-safe.
-Result<Listing> DecodeListing(std::string_view body);
-Result<Object> DecodeObject(std::string_view body);
+// Decode response bodies of the platform, or their entries, in the format of
+// docs/WIRE.md. Each function fails with kPlatformBadAnswer if the text is
+// invalid. A value that cannot be decoded is replaced, see CompactJson().
+// Thread-safe.
+Result<Object> ReadObject(std::string_view text);
+Result<WatchEvent> ReadEvent(std::string_view text);
 Result<Version> DecodeVersion(std::string_view body);
-Result<WatchAnswer> DecodeWatch(std::string_view body);
 Result<std::vector<Vm>> DecodeVms(std::string_view body);
 
 }  // namespace gcw::platform
--- a/tests/platform/http_platform_client_test.cc
+++ b/tests/platform/http_platform_client_test.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "gcw/platform/api_format.h"
 #include "src/fake_platform/fake_platform.h"
 #include "src/platform/answer_epoch.h"
 #include "src/platform/platform_json.h"
@@ -264,11 +265,11 @@
         R"({"revision":1,"objects":7})", R"({"revision":1,"events":{}})",
         R"({"vms":[{"name":""}]})", R"({"version":-"1"})"}) {
     INFO(body);
-    CHECK(DecodeListing(body).ok() == false);
-    CHECK(DecodeWatch(body).ok() == false);
+    CHECK(FlatApiFormat().DecodeListPage("", body).ok() == false);
+    CHECK(FlatApiFormat().DecodeWatch("", body).ok() == false);
     CHECK(DecodeVms(body).ok() == false);
     CHECK(DecodeVersion(body).ok() == false);
-    CHECK(DecodeObject(body).ok() == false);
+    CHECK(ReadObject(body).ok() == false);
   }
 }
 
--- a/tests/platform/odd_values_test.cc
+++ b/tests/platform/odd_values_test.cc
@@ -9,12 +9,22 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "gcw/platform/api_format.h"
 #include "gcw/platform/json_text.h"
 #include "src/platform/platform_json.h"
 
 namespace gcw::platform {
 namespace {
 
+// The objects of the list answer `body`.
+Result<Listing> DecodeListing(std::string_view body) {
+  auto page = FlatApiFormat().DecodeListPage("config/", body);
+  if (!page.ok()) {
+    return page.error();
+  }
+  return std::move(page).value().listing;
+}
+
 std::string Entry(std::string_view key, int version, const std::string& value) {
   return fmt::format(R"({{"key":"{}","version":{},"created":1,"value":{}}})",
                      key, version, value);
@@ -45,8 +55,8 @@
     for (const Object& object : listing.value().objects) {
       CheckObject(object);
     }
-    const auto answer =
-        DecodeWatch(fmt::format(R"({{"events":[{}],"revision":20}})", entries));
+    const auto answer = FlatApiFormat().DecodeWatch(
+        "config/", fmt::format(R"({{"events":[{}],"revision":20}})", entries));
     REQUIRE(answer.ok());
     REQUIRE(answer.value().events.size() == 3);
     for (const WatchEvent& event : answer.value().events) {
@@ -59,7 +69,7 @@
 TEST_CASE("an odd object is read with its version") {
   for (const test::OddValue& odd : test::OddValues()) {
     INFO(odd.name);
-    const auto object = DecodeObject(Entry("config/zone/b", 12, odd.text));
+    const auto object = ReadObject(Entry("config/zone/b", 12, odd.text));
     REQUIRE(object.ok());
     CHECK(object.value().version == 12);
   }
