--- a/src/platform/json_text.cc
+++ b/src/platform/json_text.cc
@@ -159,6 +159,11 @@
 
 // Begins the JSON string that replaces a value.
 constexpr std::string_view kUnreadable = "\"unreadable value: ";
+// Longer reasons quote text of the value.
+constexpr std::size_t kMaxReasonBytes = 100;
+// JSON escapes a byte with at most six. A longer string is another writer's.
+constexpr std::size_t kMaxUnreadableBytes =
+    kUnreadable.size() + 6 * kMaxReasonBytes + 1;
 
 }  // namespace
 
@@ -220,8 +225,6 @@
 }
 
 std::string UnreadableValue(std::string_view reason) {
-  // Longer reasons quote text of the value.
-  constexpr std::size_t kMaxReasonBytes = 100;
   const std::string quoted =
       nlohmann::json(reason.substr(0, kMaxReasonBytes))
           .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
@@ -229,7 +232,8 @@
 }
 
 std::string_view UnreadableReason(std::string_view value) {
-  if (!value.starts_with(kUnreadable) || !value.ends_with('"')) {
+  if (value.size() > kMaxUnreadableBytes || !value.starts_with(kUnreadable) ||
+      !value.ends_with('"')) {
     return {};
   }
   value.remove_prefix(kUnreadable.size());
