control: idle connections no longer cost a core or keep peers out

Callers saw: 300 idle connections to the control port of a gcw-direct with 200 descriptors took over a core for as long as they stayed, the readiness check was answered no more, and peers were refused.

Cause: AcceptAll returned when accept4 failed with EMFILE, the listener stayed readable and epoll_wait returned at once, for ever. The bound of 2,048 connections did not follow from the descriptors, and at the bound a new connection was refused although idle ones were open.

Test "idle connections to the control port cost a daemon no core", 300 connections, 200 descriptors. The unit tests of the acceptor and the transport were not run on the old code, which has none of the counters.

--- a/include/gcw/control/control_transport.h
+++ b/include/gcw/control/control_transport.h
@@ -65,7 +65,10 @@
   absl::Duration ping_timeout = absl::Seconds(2);
   std::size_t max_queue_bytes = 1 << 20;  // Payloads in the queue of one peer.
   std::size_t max_message_bytes = 2 << 20;  // The payload of one message.
-  std::size_t max_connections = 2048;       // Accepted at the same time.
+  // Accepted at the same time, and at most three eighths of the descriptors
+  // that the process may open. At the bound, the oldest connection without a
+  // verified message is closed in favour of a new one.
+  std::size_t max_connections = 2048;
   // Called when an established outgoing connection ended or stalled, with the
   // time since a byte was last sent or received on it. May be null. Runs on the
   // transport's thread; must not block.
@@ -91,6 +94,12 @@
   // Accepted connections that were closed because a message failed
   // verification.
   std::uint64_t closed_unverified = 0;
+  // Accepted connections without a verified message that were closed in favour
+  // of new ones, new ones that were refused since all had one, and pauses of
+  // accepting since the process was out of descriptors or memory.
+  std::uint64_t closed_for_room = 0;
+  std::uint64_t refused_connections = 0;
+  std::uint64_t accept_pauses = 0;
 };
 
 // Carries signed messages between daemons over HTTP/2 streams on TCP. Each
--- a/src/control/connection.cc
+++ b/src/control/connection.cc
@@ -2,7 +2,6 @@
 
 #include <netinet/tcp.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include <array>
 #include <cerrno>
@@ -12,7 +11,6 @@
 namespace gcw::control {
 namespace {
 
-constexpr int kListenBacklog = 128;
 constexpr std::size_t kReadBufferBytes = 16 * 1024;
 // HTTP/2 frames are collected up to about this size for each write.
 constexpr std::size_t kWriteBatchBytes = 64 * 1024;
@@ -26,11 +24,6 @@
   (void)setsockopt(fd, level, option, &value, sizeof(value));
 }
 
-void SetTcpOptions(int fd) {
-  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kTcpUserTimeoutMillis);
-}
-
 Socket NewSocket() {
   return Socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
@@ -47,29 +40,9 @@
 
 }  // namespace
 
-Socket::~Socket() {
-  if (fd_ >= 0) {
-    close(fd_);
-  }
-}
-
-Socket::Socket(Socket&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
-
-Socket& Socket::operator=(Socket&& other) noexcept {
-  std::swap(fd_, other.fd_);
-  return *this;
-}
-
-Result<Socket> Listen(const Endpoint& address) {
-  Socket socket = NewSocket();
-  if (!socket.valid()) {
-    return SystemError(ResultCode::kBindFailed, "socket");
-  }
-  SetOption(socket.fd(), SOL_SOCKET, SO_REUSEADDR, 1);
-  if (!Bind(socket, address) || listen(socket.fd(), kListenBacklog) != 0) {
-    return SystemError(ResultCode::kBindFailed, ToString(address).c_str());
-  }
-  return socket;
+void SetTcpOptions(int fd) {
+  SetOption(fd, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, kTcpUserTimeoutMillis);
 }
 
 Result<Socket> StartConnect(std::uint32_t from_ip, const Endpoint& to) {
@@ -87,18 +60,6 @@
   return socket;
 }
 
-Socket Accept(const Socket& listener, Endpoint& peer) {
-  sockaddr_in raw{};
-  socklen_t length = sizeof(raw);
-  Socket socket(accept4(listener.fd(), reinterpret_cast<sockaddr*>(&raw),
-                        &length, SOCK_NONBLOCK | SOCK_CLOEXEC));
-  if (socket.valid()) {
-    SetTcpOptions(socket.fd());
-    peer = Endpoint::FromSockaddr(raw);
-  }
-  return socket;
-}
-
 bool IsConnected(const Socket& socket) {
   int error = 0;
   socklen_t length = sizeof(error);
--- a/src/control/connection.h
+++ b/src/control/connection.h
@@ -10,34 +10,18 @@
 #include "gcw/base/endpoint.h"
 #include "gcw/base/result.h"
 #include "src/control/http_stream.h"
+#include "src/kernel/socket.h"
 
 namespace gcw::control {
 
-// Owns a file descriptor and closes it on destruction. Move-only.
-class Socket {
- public:
-  Socket() = default;
-  explicit Socket(int fd) : fd_(fd) {}
-  ~Socket();
-  Socket(Socket&& other) noexcept;
-  Socket& operator=(Socket&& other) noexcept;
-
-  int fd() const { return fd_; }
-  bool valid() const { return fd_ >= 0; }
-
- private:
-  int fd_ = -1;
-};
+using kernel::Socket;
 
-// Makes a socket that listens on `address`. Fails with kBindFailed.
-Result<Socket> Listen(const Endpoint& address);
+// Sets the options that both sides of a connection have.
+void SetTcpOptions(int fd);
 // Starts to connect from the local address `from_ip` to `to`. The socket
 // becomes writable when the connection is established or has failed. Fails with
 // kInternal.
 Result<Socket> StartConnect(std::uint32_t from_ip, const Endpoint& to);
-// Accepts the next waiting connection and sets `peer` to its remote address.
-// Returns an invalid socket if there is none.
-Socket Accept(const Socket& listener, Endpoint& peer);
 // Whether a connection that StartConnect() began was established.
 bool IsConnected(const Socket& socket);
 
--- a/src/control/transport_loop.cc
+++ b/src/control/transport_loop.cc
@@ -2,8 +2,6 @@
 
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
 #include <algorithm>
 #include <array>
@@ -14,6 +12,7 @@
 
 #include "absl/time/clock.h"
 #include "gcw/base/log.h"
+#include "gcw/kernel/event_loop.h"
 
 namespace gcw::control {
 namespace {
@@ -31,6 +30,10 @@
 // The MessageType that precedes the payload in a signed message.
 constexpr std::size_t kTypeBytes = 1;
 constexpr int kMaxBackoffDoublings = 8;
+constexpr int kListenBacklog = 128;
+// Of the process's descriptors for accepted connections. The connections to the
+// same peers need as many.
+constexpr double kMaxDescriptorShare = 0.375;
 
 }  // namespace
 
@@ -61,22 +64,23 @@
 }
 
 Status TransportLoop::Open() {
-  Result<Socket> listener = Listen(options_.listen);
-  if (!listener.ok()) {
-    return listener.error();
-  }
-  listener_ = std::move(listener).value();
-  sockaddr_in raw{};
-  socklen_t length = sizeof(raw);
-  getsockname(listener_.fd(), reinterpret_cast<sockaddr*>(&raw), &length);
-  listen_address_ = Endpoint::FromSockaddr(raw);
+  auto acceptor =
+      kernel::TcpAcceptor::Make({.listen = options_.listen,
+                                 .backlog = kListenBacklog,
+                                 .max_connections = options_.max_connections,
+                                 .max_descriptor_share = kMaxDescriptorShare},
+                                *this);
+  if (!acceptor.ok()) {
+    return acceptor.error();
+  }
+  acceptor_ = std::move(acceptor).value();
   epoll_ = Socket(epoll_create1(EPOLL_CLOEXEC));
   wake_event_ = Socket(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC));
   if (!epoll_.valid() || !wake_event_.valid()) {
     return Error{ResultCode::kInternal, "",
                  "out of file descriptors for epoll or eventfd"};
   }
-  WatchFd(listener_.fd(), EPOLLIN);
+  WatchFd(acceptor_->fd(), EPOLLIN);
   WatchFd(wake_event_.fd(), EPOLLIN);
   return OkStatus();
 }
@@ -86,6 +90,7 @@
     HandleEvents(absl::Now());
     const absl::Time now = absl::Now();
     HandleQueueChanges(now);
+    ResumeAccepting();
     // The second condition keeps timers running after the wall clock was set
     // back.
     if (now >= next_timer_check_ ||
@@ -117,8 +122,8 @@
     if (fd == wake_event_.fd()) {
       eventfd_t value = 0;
       (void)eventfd_read(fd, &value);
-    } else if (fd == listener_.fd()) {
-      AcceptAll(now);
+    } else if (fd == acceptor_->fd()) {
+      Accept();
     } else if (const auto inbound = inbound_.find(fd);
                inbound != inbound_.end()) {
       HandleInbound(*inbound->second, now);
@@ -171,37 +176,56 @@
   }
 }
 
-void TransportLoop::AcceptAll(absl::Time now) {
-  while (true) {
-    Endpoint address;
-    Socket socket = Accept(listener_, address);
-    if (!socket.valid()) {
-      return;
-    }
-    if (inbound_.size() >= options_.max_connections) {
-      kLog.Warning("refused a connection from {}: {} connections are open",
-                   ToString(address), inbound_.size());
-      continue;
-    }
-    const std::size_t max_bytes =
-        options_.max_message_bytes + auth::kSignedOverheadBytes + kTypeBytes;
-    auto inbound = std::make_unique<Inbound>(max_bytes, now);
-    inbound->address = address;
-    Inbound* new_inbound = inbound.get();
-    auto stream = HttpStream::MakeServer([this, new_inbound](auto bytes) {
-      return new_inbound->reader.Feed(bytes, [this, new_inbound](auto message) {
-        return OnMessage(*new_inbound, message);
-      });
+void TransportLoop::Accept() {
+  const absl::Time now = kernel::MonotonicNow();
+  acceptor_->AcceptWaiting(now);
+  if (now < acceptor_->paused_until()) {
+    accepting_ = false;
+    UpdateEvents(acceptor_->fd(), 0);
+  }
+}
+
+void TransportLoop::ResumeAccepting() {
+  if (!accepting_ && kernel::MonotonicNow() >= acceptor_->paused_until()) {
+    accepting_ = true;
+    UpdateEvents(acceptor_->fd(), EPOLLIN);
+  }
+}
+
+void TransportLoop::Add(Socket socket, const Endpoint& from) {
+  SetTcpOptions(socket.fd());
+  const absl::Time now = absl::Now();
+  const std::size_t max_bytes =
+      options_.max_message_bytes + auth::kSignedOverheadBytes + kTypeBytes;
+  auto inbound = std::make_unique<Inbound>(max_bytes, now);
+  inbound->address = from;
+  inbound->number = next_inbound_number_++;
+  Inbound* new_inbound = inbound.get();
+  auto stream = HttpStream::MakeServer([this, new_inbound](auto bytes) {
+    return new_inbound->reader.Feed(bytes, [this, new_inbound](auto message) {
+      return OnMessage(*new_inbound, message);
     });
-    if (!stream) {
-      continue;
-    }
-    const int fd = socket.fd();
-    inbound->connection =
-        std::make_unique<Connection>(std::move(socket), std::move(stream), now);
-    inbound_[fd] = std::move(inbound);
-    WatchFd(fd, EPOLLIN);
+  });
+  if (!stream) {
+    kLog.Warning("closed a connection from {}: out of memory", ToString(from));
+    return;
   }
+  const int fd = socket.fd();
+  inbound->connection =
+      std::make_unique<Connection>(std::move(socket), std::move(stream), now);
+  unverified_[inbound->number] = fd;
+  inbound_[fd] = std::move(inbound);
+  WatchFd(fd, EPOLLIN);
+}
+
+// A peer sends a signed message as soon as it is connected, so the oldest
+// connection without one goes first.
+bool TransportLoop::CloseLeastUseful() {
+  if (unverified_.empty()) {
+    return false;
+  }
+  CloseInbound(unverified_.begin()->second);
+  return true;
 }
 
 void TransportLoop::HandleInbound(Inbound& inbound, absl::Time now) {
@@ -228,6 +252,7 @@
   }
   const auth::VerifiedMessage& verified_message = verified.value();
   inbound.verified = true;
+  unverified_.erase(inbound.number);
   if (Status status = replay_window_.Accept(verified_message, absl::Now());
       !status.ok()) {
     const std::uint64_t refused = ++counters_.refused_messages;
@@ -250,7 +275,9 @@
 }
 
 void TransportLoop::CloseInbound(int fd) {
-  inbound_.erase(fd);
+  const auto it = inbound_.find(fd);
+  unverified_.erase(it->second->number);
+  inbound_.erase(it);
 }
 
 void TransportLoop::Connect(Peer& peer, absl::Time now) {
--- a/src/control/transport_loop.h
+++ b/src/control/transport_loop.h
@@ -18,6 +18,7 @@
 #include "src/control/connection.h"
 #include "src/control/frame_reader.h"
 #include "src/control/send_queues.h"
+#include "src/kernel/tcp_acceptor.h"
 
 namespace gcw::control {
 
@@ -34,9 +35,9 @@
 };
 
 // The event loop of ControlTransport. Owns all sockets and serves them on the
-// thread that calls Run(). Only Wake(), Stop() and listen_address() may be
-// called from another thread.
-class TransportLoop {
+// thread that calls Run(). Only Wake(), Stop(), listen_address() and
+// accept_stats() may be called from another thread.
+class TransportLoop : private kernel::AcceptedConnections {
  public:
   // Listens on the address of the options. Fails with kBindFailed or kInternal.
   // `queues` and `counters` must outlive the loop.
@@ -54,7 +55,8 @@
   // Makes the loop process changes of the queues without waiting for a socket.
   void Wake();
 
-  Endpoint listen_address() const { return listen_address_; }
+  Endpoint listen_address() const { return acceptor_->address(); }
+  kernel::AcceptStats accept_stats() const { return acceptor_->stats(); }
 
  private:
   // A daemon to which messages are sent, and the connection to it.
@@ -79,6 +81,7 @@
         : reader(max_message_bytes), accepted(now) {}
 
     Endpoint address;
+    std::uint64_t number = 0;  // Ascending in order of acceptance.
     FrameReader reader;
     std::unique_ptr<Connection> connection;
     absl::Time accepted;
@@ -96,7 +99,13 @@
   void HandleQueueChanges(absl::Time now);
   void HandleTimers(absl::Time now);
 
-  void AcceptAll(absl::Time now);
+  // kernel::AcceptedConnections:
+  std::size_t size() const override { return inbound_.size(); }
+  void Add(Socket socket, const Endpoint& from) override;
+  bool CloseLeastUseful() override;
+
+  void Accept();
+  void ResumeAccepting();
   void HandleInbound(Inbound& inbound, absl::Time now);
   bool OnMessage(Inbound& inbound, std::span<const std::uint8_t> message);
   void CloseInbound(int fd);
@@ -127,14 +136,18 @@
 
   auth::ReplayWindow replay_window_;
   std::minstd_rand random_;
-  Endpoint listen_address_;
   Socket epoll_;
   Socket wake_event_;
-  Socket listener_;
+  std::unique_ptr<kernel::TcpAcceptor> acceptor_;
+  bool accepting_ = true;  // Whether epoll waits for new connections.
   std::atomic<bool> stop_{false};
   absl::flat_hash_map<Endpoint, std::unique_ptr<Peer>> peers_;
   std::map<int, Peer*> peer_of_fd_;
   std::map<int, std::unique_ptr<Inbound>> inbound_;
+  // The accepted connections without a verified message, in order of
+  // acceptance.
+  std::map<std::uint64_t, int> unverified_;
+  std::uint64_t next_inbound_number_ = 0;
   absl::Time next_timer_check_ = absl::InfinitePast();
 };
 
--- a/tests/control/control_transport_test.cc
+++ b/tests/control/control_transport_test.cc
@@ -11,6 +11,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "tests/support/idle_connections.h"
 #include "tests/support/silent_proxy.h"
 
 namespace gcw::control {
@@ -344,6 +345,43 @@
   CHECK(b.text(0) == "new");
 }
 
+// Idle connections up to the bound made a daemon refuse its peers.
+TEST_CASE("a peer is accepted although idle connections are at the bound") {
+  Options options;
+  options.max_connections = 4;
+  Daemon a("a");
+  Daemon b("b", options);
+  IdleConnections idle;
+  idle.Open(b.address(), 20);
+  REQUIRE(Eventually([&] { return idle.CountOpen() == 4; }));
+  REQUIRE(a.Send(b.address(), "first").ok());
+  REQUIRE(Eventually([&] { return b.received().size() == 1; }));
+  CHECK(b.transport().stats().closed_for_room == 17);
+  idle.Open(b.address(), 20);
+  REQUIRE(Eventually([&] { return idle.CountOpen() == 3; }));
+  REQUIRE(a.Send(b.address(), "second").ok());
+  CHECK(Eventually([&] { return b.received().size() == 2; }));
+  CHECK(a.transport().stats().connects == 1);
+}
+
+// A connection with a verified message was closed in favour of a new one.
+TEST_CASE("connections of peers are not closed in favour of new ones") {
+  Options options;
+  options.max_connections = 1;
+  Daemon a("a");
+  Daemon b("b", options);
+  REQUIRE(a.Send(b.address(), "first").ok());
+  REQUIRE(Eventually([&] { return b.received().size() == 1; }));
+  IdleConnections idle;
+  idle.Open(b.address(), 5);
+  REQUIRE(Eventually(
+      [&] { return b.transport().stats().refused_connections == 5; }));
+  CHECK(idle.CountOpen() == 0);
+  REQUIRE(a.Send(b.address(), "second").ok());
+  CHECK(Eventually([&] { return b.received().size() == 2; }));
+  CHECK(a.transport().stats().connects == 1);
+}
+
 TEST_CASE("Make fails with kBindFailed if the port is in use") {
   Daemon a("a");
   Options options;
--- /dev/null
+++ b/tests/direct_balancer/idle_connections_test.cc
@@ -0,0 +1,103 @@
+#include "tests/support/idle_connections.h"
+
+#include <signal.h>
+
+#include <catch2/catch.hpp>
+
+#include "tests/direct_balancer/process_fixture.h"
+
+namespace gcw::direct_balancer {
+namespace {
+
+// The routers poll the readiness twice a second and wait a second.
+constexpr absl::Duration kPollInterval = absl::Milliseconds(500);
+constexpr absl::Duration kPollTimeout = absl::Seconds(1);
+constexpr absl::Duration kIdleTime = absl::Seconds(3);
+constexpr double kMaxProcessorShare = 0.2;
+constexpr std::uint64_t kMaxDescriptors = 200;
+
+Endpoint ControlOf(const Settings& settings) {
+  return {settings.packets.ip,
+          static_cast<std::uint16_t>(settings.members_port + 1)};
+}
+
+// Accepts connections on the address of the fixture's first server, so that the
+// daemon's probes find it reachable.
+class ReachableServer {
+ public:
+  explicit ReachableServer(const Settings& settings)
+      : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const Endpoint server{kServerIp, settings.packets.port};
+    const sockaddr_in raw = server.ToSockaddr();
+    REQUIRE(bind(socket_, reinterpret_cast<const sockaddr*>(&raw),
+                 sizeof(raw)) == 0);
+    REQUIRE(listen(socket_, 1000) == 0);
+  }
+  ~ReachableServer() { close(socket_); }
+  ReachableServer(const ReachableServer&) = delete;
+  ReachableServer& operator=(const ReachableServer&) = delete;
+
+ private:
+  const int socket_;
+};
+
+// How long the readiness check takes to be answered with 200; infinite if it is
+// not.
+absl::Duration TimeOfReadinessCheck(const Settings& settings) {
+  httplib::Client client(IpToString(settings.ready.ip), settings.ready.port);
+  client.set_connection_timeout(absl::ToChronoMilliseconds(kPollTimeout));
+  client.set_read_timeout(absl::ToChronoMilliseconds(kPollTimeout));
+  const absl::Time start = absl::Now();
+  const auto answer = client.Get("/ready");
+  return answer && answer->status == 200 ? absl::Now() - start
+                                         : absl::InfiniteDuration();
+}
+
+// Polls the readiness like the routers for `period`. Returns the number of
+// checks that failed or were late.
+int FailedReadinessChecks(const Settings& settings, absl::Duration period) {
+  int failed = 0;
+  for (const absl::Time end = absl::Now() + period; absl::Now() < end;) {
+    const absl::Time next = absl::Now() + kPollInterval;
+    failed += TimeOfReadinessCheck(settings) > kPollTimeout ? 1 : 0;
+    absl::SleepFor(next - absl::Now());
+  }
+  return failed;
+}
+
+// Opens idle connections to each of `endpoints` of a daemon with few
+// descriptors and checks that it works on, and stops in time.
+void CheckIdleConnections(ProcessFixture& fixture,
+                          const std::vector<Endpoint>& endpoints) {
+  fixture.AddServer();
+  const Settings settings = fixture.SettingsOf(0);
+  const ReachableServer server(settings);
+  const auto process =
+      fixture.StartProcess(0, lab::ProcessLimits{kMaxDescriptors});
+  REQUIRE(fixture.BecomesReady(0));
+  fixture.OpenFlow(0, 1000);
+  IdleConnections connections;
+  for (const Endpoint& endpoint : endpoints) {
+    connections.Open(endpoint, 300);
+  }
+  const auto before = process->Usage();
+  const int failed = FailedReadinessChecks(settings, kIdleTime);
+  const auto after = process->Usage();
+  REQUIRE((before && after));
+  CHECK(absl::FDivDuration(after->processor_time - before->processor_time,
+                           kIdleTime) < kMaxProcessorShare);
+  CHECK(failed == 0);
+  fixture.OpenFlow(0, 1001);
+  process->Signal(SIGTERM);
+  CHECK(fixture.WaitForExit(*process, settings.stop_limit) == 0);
+}
+
+// Idle connections up to the limit of descriptors kept the control transport
+// accepting in vain with a full core.
+TEST_CASE("idle connections to the control port cost a daemon no core") {
+  ProcessFixture fixture;
+  CheckIdleConnections(fixture, {ControlOf(fixture.SettingsOf(0))});
+}
+
+}  // namespace
+}  // namespace gcw::direct_balancer
