daemon: idle and slow clients no longer delay readiness and stop

Callers saw: with 300 idle connections to the readiness port, or to the metrics port of a daemon with 200 descriptors, no readiness check was answered, so the routers take the daemon out of rotation; SIGTERM took longer than stop_limit_s.

Cause: HttpEndpoint was an httplib server with one thread of its pool and an unbounded queue. Each idle connection held the thread for 200 ms, one that sent a byte now and then for as long as it liked, the queue was worked off at the stop, and a client that did not read held the thread too. httplib's accept loop also turns at the descriptor limit.

HttpEndpointOptions::threads is gone: gcw-balancer answers its status requests one after another.

--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -28,7 +28,6 @@
 // The shutdown completes only after the fabric has sent this daemon nothing for
 // this long, which shows that the fabric has stopped using the daemon.
 constexpr int kMinFabricSilenceMs = 1000;
-constexpr std::size_t kStatusThreads = 2;
 
 // Derives the key number from the secret, so that all daemons use the same
 // number for the same key.
@@ -108,7 +107,6 @@
     options.listen = {settings_.bind, settings_.ports.status};
     options.path = "/status";
     options.content_type = "application/json";
-    options.threads = kStatusThreads;
     auto endpoint = daemon::HttpEndpoint::Make(options, [this] {
       return daemon::HttpAnswer{200, Status().dump()};
     });
--- a/tests/direct_balancer/idle_connections_test.cc
+++ b/tests/direct_balancer/idle_connections_test.cc
@@ -65,6 +65,22 @@
   return failed;
 }
 
+// The descriptors that the process has open once they are at most `expected`,
+// or after `timeout`.
+std::size_t DescriptorsAfter(lab::DaemonProcess& process,
+                             std::size_t expected,
+                             absl::Duration timeout) {
+  const absl::Time deadline = absl::Now() + timeout;
+  while (true) {
+    const auto usage = process.Usage();
+    REQUIRE(usage);
+    if (usage->descriptors <= expected || absl::Now() > deadline) {
+      return usage->descriptors;
+    }
+    absl::SleepFor(absl::Milliseconds(20));
+  }
+}
+
 // Opens idle connections to each of `endpoints` of a daemon with few
 // descriptors and checks that it works on, and stops in time.
 void CheckIdleConnections(ProcessFixture& fixture,
@@ -99,5 +115,82 @@
   CheckIdleConnections(fixture, {ControlOf(fixture.SettingsOf(0))});
 }
 
+// Each idle connection held the thread of the readiness endpoint in turn.
+TEST_CASE("idle connections to the readiness port do not delay its answers") {
+  ProcessFixture fixture;
+  CheckIdleConnections(fixture, {fixture.SettingsOf(0).ready});
+}
+
+// Idle connections to the metrics left the readiness endpoint no descriptors.
+TEST_CASE("idle connections to the metrics port do not delay the readiness") {
+  ProcessFixture fixture;
+  CheckIdleConnections(fixture, {fixture.SettingsOf(0).metrics});
+}
+
+// The endpoints' threads took a core and delayed the stop over stop_limit_s.
+TEST_CASE(
+    "idle connections to all ports neither take a core nor delay a stop") {
+  ProcessFixture fixture;
+  const Settings settings = fixture.SettingsOf(0);
+  CheckIdleConnections(fixture,
+                       {settings.ready, settings.metrics, ControlOf(settings)});
+}
+
+// Clients that send a request byte by byte held the threads of the readiness
+// endpoint, so the routers' checks waited.
+TEST_CASE("slow senders are closed and do not delay the readiness checks") {
+  ProcessFixture fixture;
+  const Settings settings = fixture.SettingsOf(0);
+  const auto process = fixture.StartProcess(0);
+  REQUIRE(fixture.BecomesReady(0));
+  IdleConnections senders;
+  senders.Open(settings.ready, 20);
+  senders.SendOnAll("GET /ready HTTP/1.1\r\nX: ");
+  absl::Duration slowest;
+  const absl::Time end = absl::Now() + absl::Seconds(2);
+  while (absl::Now() < end) {
+    senders.SendOnAll("x");
+    slowest = std::max(slowest, TimeOfReadinessCheck(settings));
+    absl::SleepFor(absl::Milliseconds(100));
+  }
+  CHECK(slowest < kPollTimeout);
+  CHECK(senders.CountOpen() == 0);
+}
+
+// A client that never reads the metrics or never closes its connection must not
+// keep a descriptor of the daemon.
+TEST_CASE("clients that do not read the metrics are closed") {
+  ProcessFixture fixture;
+  const Settings settings = fixture.SettingsOf(0);
+  const auto process = fixture.StartProcess(0);
+  REQUIRE(fixture.BecomesReady(0));
+  const std::size_t before =
+      DescriptorsAfter(*process, 0, absl::Milliseconds(500));
+  IdleConnections clients;
+  clients.Open(settings.metrics, 20);
+  clients.SendOnAll("GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(FailedReadinessChecks(settings, absl::Seconds(1)) == 0);
+  CHECK(DescriptorsAfter(*process, before, absl::Seconds(4)) <= before);
+}
+
+// Many idle connections kept the readiness checks waiting behind them.
+TEST_CASE("a daemon with many idle connections stays ready") {
+  ProcessFixture fixture;
+  fixture.AddServer();
+  const Settings settings = fixture.SettingsOf(0);
+  const ReachableServer server(settings);
+  const auto process = fixture.StartProcess(0);
+  REQUIRE(fixture.BecomesReady(0));
+  IdleConnections connections;
+  for (const Endpoint& endpoint :
+       {settings.ready, settings.metrics, ControlOf(settings)}) {
+    connections.Open(endpoint, 1000);
+  }
+  CHECK(FailedReadinessChecks(settings, kIdleTime) == 0);
+  fixture.OpenFlow(0, 1000);
+  process->Signal(SIGTERM);
+  CHECK(fixture.WaitForExit(*process, settings.stop_limit) == 0);
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
--- a/tests/support/idle_connections.h
+++ b/tests/support/idle_connections.h
@@ -1,12 +1,14 @@
 #ifndef GCW_TESTS_SUPPORT_IDLE_CONNECTIONS_H_
 #define GCW_TESTS_SUPPORT_IDLE_CONNECTIONS_H_
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <catch2/catch.hpp>
 #include <cerrno>
 #include <cstddef>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -51,6 +53,22 @@
     }
   }
 
+  // What the server sends on the first connection until it ends or is silent
+  // for a second.
+  std::string ReadAnswer() {
+    std::string answer;
+    char buffer[4096];
+    pollfd entry{sockets_.front(), POLLIN, 0};
+    while (poll(&entry, 1, 1000) == 1) {
+      const ssize_t received = recv(entry.fd, buffer, sizeof(buffer), 0);
+      if (received <= 0) {
+        break;
+      }
+      answer.append(buffer, static_cast<std::size_t>(received));
+    }
+    return answer;
+  }
+
   // The connections that the server has neither closed nor reset. Reads what
   // has arrived on them.
   std::size_t CountOpen() {
