--- a/tests/direct_balancer/process_fixture.h
+++ b/tests/direct_balancer/process_fixture.h
@@ -61,16 +61,30 @@
       std::uint32_t daemon,
       const nlohmann::json& settings,
       const lab::ProcessLimits& limits = {}) {
-    const std::string path = fmt::format("{}/{}.json", work_dir_, daemon);
-    std::ofstream(path) << settings.dump();
-    auto made =
-        lab::DaemonProcess::Make(Program(), path, LogPath(daemon), limits);
+    std::ofstream(SettingsPath(daemon)) << settings.dump();
+    return StartProcessWithFile(daemon, limits);
+  }
+  // Starts a process with the settings file as it is.
+  std::unique_ptr<lab::DaemonProcess> StartProcessWithFile(
+      std::uint32_t daemon,
+      const lab::ProcessLimits& limits = {}) {
+    auto made = lab::DaemonProcess::Make(Program(), SettingsPath(daemon),
+                                         LogPath(daemon), limits);
     if (!made.ok()) {
       FAIL(gcw::ToString(made.error()));
     }
     return std::move(made).value();
   }
 
+  // The file with the settings of the daemon that was started last.
+  std::string SettingsPath(std::uint32_t daemon) const {
+    return fmt::format("{}/{}.json", work_dir_, daemon);
+  }
+  // The file that becomes standard output and standard error of the daemon.
+  std::string LogPath(std::uint32_t daemon) const {
+    return fmt::format("{}/{}.log", work_dir_, daemon);
+  }
+
   // What the daemon has written to standard output and standard error so far.
   std::string LogOf(std::uint32_t daemon) const {
     std::ifstream log(LogPath(daemon));
@@ -142,10 +156,6 @@
     const char* other = std::getenv("GCW_DIRECT_PROGRAM");
     return other != nullptr ? other : GCW_BIN_DIR "/gcw-direct";
   }
-  std::string LogPath(std::uint32_t daemon) const {
-    return fmt::format("{}/{}.log", work_dir_, daemon);
-  }
-
   const std::string work_dir_;
 };
 
--- a/tests/support/raw_server.h
+++ b/tests/support/raw_server.h
@@ -82,14 +82,15 @@
   };
   using Handler = std::function<void(Connection&)>;
 
-  // Listens on a free port of 127.0.0.1.
-  explicit RawServer(Handler handler) : handler_(std::move(handler)) {
+  // Listens on `listen`, by default on a free port of 127.0.0.1.
+  explicit RawServer(Handler handler, const Endpoint& listen = {0x7f000001, 0})
+      : handler_(std::move(handler)) {
     listener_ = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in address = Endpoint{0x7f000001, 0}.ToSockaddr();
+    sockaddr_in address = listen.ToSockaddr();
     socklen_t length = sizeof(address);
     REQUIRE(bind(listener_, reinterpret_cast<sockaddr*>(&address), length) ==
             0);
-    REQUIRE(listen(listener_, SOMAXCONN) == 0);
+    REQUIRE(::listen(listener_, SOMAXCONN) == 0);
     getsockname(listener_, reinterpret_cast<sockaddr*>(&address), &length);
     endpoint_ = Endpoint::FromSockaddr(address);
     acceptor_ = std::thread([this] { Accept(); });
