base, kernel: errors say whether they pass by themselves

Callers could not tell a port in use or a lack of descriptors from a wrong address: both were kBindFailed or kInternal with a text. A thread that could not be started threw std::system_error through Task::Start() and ControlTransport::Make(), and the process aborted.

Error::retry says whether to try again, SystemError() sets it from errno, and StartThread() returns an error. Codes and their meaning stay.

--- a/include/gcw/base/result.h
+++ b/include/gcw/base/result.h
@@ -2,6 +2,7 @@
 #define GCW_BASE_RESULT_H_
 
 #include <cassert>
+#include <cstdint>
 #include <string>
 #include <utility>
 #include <variant>
@@ -10,12 +11,25 @@
 
 namespace gcw {
 
+// Whether an operation that failed may succeed later without a change by a
+// person.
+enum class Retry : std::uint8_t {
+  kNever,
+  // The cause passes soon or not at all, such as an address that the machine
+  // does not have while its network starts.
+  kBriefly,
+  // The cause passes, such as a port in use or a lack of file descriptors,
+  // memory or threads.
+  kAlways,
+};
+
 // Why an operation failed: the result code, the path of the invalid field (may
-// be empty) and a message for people.
+// be empty), a message for people and whether to try again.
 struct Error {
   ResultCode code = ResultCode::kInternal;
   std::string field;
   std::string message;
+  Retry retry = Retry::kNever;
 
   bool operator==(const Error&) const = default;
 };
--- a/include/gcw/kernel/task.h
+++ b/include/gcw/kernel/task.h
@@ -28,8 +28,8 @@
 
   // Runs Setup on the calling thread, then starts the task's thread, which runs
   // the event loop. Returns the error of Setup if it fails, or kInternal if the
-  // process is out of file descriptors. Precondition: Start was not called
-  // before. Not thread-safe.
+  // process is out of file descriptors or the thread cannot be started.
+  // Precondition: Start was not called before. Not thread-safe.
   Status Start();
 
   // The CPU time that the task's thread has used so far, or zero if the
--- a/src/base/event_log.cc
+++ b/src/base/event_log.cc
@@ -16,6 +16,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
 #include "absl/time/clock.h"
+#include "gcw/base/thread.h"
 
 namespace gcw {
 namespace {
@@ -72,11 +73,11 @@
   }
 
   Status Start() {
-    try {
-      thread_ = std::thread([this] { Run(); });
-    } catch (const std::system_error& error) {
-      return Error{ResultCode::kInternal, "", error.what()};
+    Result<std::thread> thread = StartThread([this] { Run(); });
+    if (!thread.ok()) {
+      return thread.error();
     }
+    thread_ = std::move(thread).value();
     pthread_setname_np(thread_.native_handle(), "log");
     return OkStatus();
   }
--- a/src/control/connection.cc
+++ b/src/control/connection.cc
@@ -6,9 +6,11 @@
 
 #include <array>
 #include <cerrno>
-#include <cstring>
+#include <string>
 #include <utility>
 
+#include "gcw/base/system_error.h"
+
 namespace gcw::control {
 namespace {
 
@@ -35,10 +37,6 @@
   return Socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
-Error SystemError(ResultCode code, const char* what) {
-  return Error{code, "", std::string(what) + ": " + std::strerror(errno)};
-}
-
 bool Bind(const Socket& socket, const Endpoint& address) {
   const sockaddr_in raw = address.ToSockaddr();
   return bind(socket.fd(), reinterpret_cast<const sockaddr*>(&raw),
@@ -63,11 +61,13 @@
 Result<Socket> Listen(const Endpoint& address) {
   Socket socket = NewSocket();
   if (!socket.valid()) {
-    return SystemError(ResultCode::kBindFailed, "socket");
+    return SystemError(ResultCode::kBindFailed, "cannot open a TCP socket",
+                       errno);
   }
   SetOption(socket.fd(), SOL_SOCKET, SO_REUSEADDR, 1);
   if (!Bind(socket, address) || listen(socket.fd(), kListenBacklog) != 0) {
-    return SystemError(ResultCode::kBindFailed, ToString(address).c_str());
+    return SystemError(ResultCode::kBindFailed,
+                       "cannot bind TCP " + ToString(address), errno);
   }
   return socket;
 }
@@ -75,14 +75,14 @@
 Result<Socket> StartConnect(std::uint32_t from_ip, const Endpoint& to) {
   Socket socket = NewSocket();
   if (!socket.valid() || !Bind(socket, Endpoint{from_ip, 0})) {
-    return SystemError(ResultCode::kInternal, "socket");
+    return SystemError(ResultCode::kInternal, "socket", errno);
   }
   SetTcpOptions(socket.fd());
   const sockaddr_in raw = to.ToSockaddr();
   const int result = connect(
       socket.fd(), reinterpret_cast<const sockaddr*>(&raw), sizeof(raw));
   if (result != 0 && errno != EINPROGRESS) {
-    return SystemError(ResultCode::kInternal, "connect");
+    return SystemError(ResultCode::kInternal, "connect", errno);
   }
   return socket;
 }
--- a/src/control/control_transport.cc
+++ b/src/control/control_transport.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "absl/time/clock.h"
+#include "gcw/base/thread.h"
 #include "src/control/send_queues.h"
 #include "src/control/transport_loop.h"
 
@@ -28,7 +29,11 @@
       return loop.error();
     }
     loop_ = std::move(loop).value();
-    thread_ = std::thread([this] { loop_->Run(); });
+    Result<std::thread> thread = StartThread([this] { loop_->Run(); });
+    if (!thread.ok()) {
+      return thread.error();
+    }
+    thread_ = std::move(thread).value();
     return OkStatus();
   }
 
--- a/src/kernel/event_loop.cc
+++ b/src/kernel/event_loop.cc
@@ -1,6 +1,5 @@
 #include "gcw/kernel/event_loop.h"
 
-#include <fmt/format.h>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <time.h>
@@ -15,6 +14,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "gcw/base/system_error.h"
 
 namespace gcw::kernel {
 namespace {
@@ -45,9 +45,12 @@
 
   Status Open() {
     epoll_fd_ = epoll_create1(EPOLL_CLOEXEC);
+    if (epoll_fd_ < 0) {
+      return SystemError(ResultCode::kInternal, "epoll_create1", errno);
+    }
     wake_fd_ = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
-    if (epoll_fd_ < 0 || wake_fd_ < 0) {
-      return Error{ResultCode::kInternal, "", "out of file descriptors"};
+    if (wake_fd_ < 0) {
+      return SystemError(ResultCode::kInternal, "eventfd", errno);
     }
     return Watch(wake_fd_, EPOLLIN, [this] { DrainWake(); });
   }
@@ -57,8 +60,7 @@
     event.events = events;
     event.data.fd = fd;
     if (epoll_ctl(epoll_fd_, EPOLL_CTL_ADD, fd, &event) != 0) {
-      return Error{ResultCode::kInternal, "",
-                   fmt::format("epoll_ctl failed: errno {}", errno)};
+      return SystemError(ResultCode::kInternal, "epoll_ctl", errno);
     }
     handlers_[fd] = std::make_shared<Handler>(std::move(handler));
     return OkStatus();
--- a/src/kernel/task.cc
+++ b/src/kernel/task.cc
@@ -6,6 +6,8 @@
 #include <cassert>
 #include <utility>
 
+#include "gcw/base/thread.h"
+
 namespace gcw::kernel {
 
 Task::Task(std::string name) : name_(std::move(name)) {}
@@ -25,7 +27,11 @@
   if (!setup_status.ok()) {
     return setup_status;
   }
-  thread_ = std::thread([this] { loop_->Run(); });
+  Result<std::thread> thread = StartThread([this] { loop_->Run(); });
+  if (!thread.ok()) {
+    return thread.error();
+  }
+  thread_ = std::move(thread).value();
   pthread_setname_np(thread_.native_handle(), name_.substr(0, 15).c_str());
   return OkStatus();
 }
--- a/src/kernel/udp_socket.cc
+++ b/src/kernel/udp_socket.cc
@@ -7,9 +7,10 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <cstring>
 #include <utility>
 
+#include "gcw/base/system_error.h"
+
 namespace gcw::kernel {
 namespace {
 
@@ -129,7 +130,8 @@
 Result<std::unique_ptr<UdpSocket>> UdpSocket::Make(const Endpoint& bind_to) {
   const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0) {
-    return Error{ResultCode::kBindFailed, "", "out of file descriptors"};
+    return SystemError(ResultCode::kBindFailed, "cannot open a UDP socket",
+                       errno);
   }
   setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &kSocketBufferBytes,
              sizeof(kSocketBufferBytes));
@@ -140,9 +142,9 @@
       0) {
     const int error = errno;
     close(fd);
-    return Error{ResultCode::kBindFailed, "",
-                 fmt::format("cannot bind UDP {}: {}", ToString(bind_to),
-                             std::strerror(error))};
+    return SystemError(ResultCode::kBindFailed,
+                       fmt::format("cannot bind UDP {}", ToString(bind_to)),
+                       error);
   }
   return std::unique_ptr<UdpSocket>(new UdpSocket(std::make_unique<Impl>(fd)));
 }
--- a/src/kernel/wake_fd.cc
+++ b/src/kernel/wake_fd.cc
@@ -3,15 +3,18 @@
 #include <sys/eventfd.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <utility>
 
+#include "gcw/base/system_error.h"
+
 namespace gcw::kernel {
 
 Result<WakeFd> WakeFd::Make() {
   const int fd = eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC);
   if (fd < 0) {
-    return Error{ResultCode::kInternal, "", "out of file descriptors"};
+    return SystemError(ResultCode::kInternal, "eventfd", errno);
   }
   return WakeFd(fd);
 }
--- a/tests/kernel/kernel_test.cc
+++ b/tests/kernel/kernel_test.cc
@@ -1,7 +1,8 @@
 #include "gcw/kernel/kernel.h"
 
-#include <catch2/catch.hpp>
+#include <sys/resource.h>
 
+#include <catch2/catch.hpp>
 #include <string>
 #include <variant>
 #include <vector>
@@ -156,6 +157,25 @@
   REQUIRE_FALSE(second.ok());
   CHECK(second.error().code == ResultCode::kBindFailed);
   CHECK(second.error().message.find("127.77.0.1:9125") != std::string::npos);
+  CHECK(second.error().retry == Retry::kAlways);
+}
+
+// A task that was out of file descriptors reported a fault that stays.
+TEST_CASE("a lack of file descriptors passes") {
+  rlimit limit{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  const rlimit none{0, limit.rlim_max};
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &none) == 0);
+  const auto loop = EventLoop::Make();
+  const auto wake = WakeFd::Make();
+  const auto socket = UdpSocket::Make({0x7f4d0001, 9126});
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  REQUIRE_FALSE(loop.ok());
+  CHECK(loop.error().retry == Retry::kAlways);
+  REQUIRE_FALSE(wake.ok());
+  CHECK(wake.error().retry == Retry::kAlways);
+  REQUIRE_FALSE(socket.ok());
+  CHECK(socket.error().retry == Retry::kAlways);
 }
 
 }  // namespace
