gcw-direct: a port, descriptor or thread that is lacking delays the start

A daemon ended with exit code 5 within a second if another process held one of its five ports, such as an old process that still drained; with 16 descriptors it ended too, and without memory for a thread it aborted without a log line. A supervisor that starts it again sees an end each time. Metrics ended a daemon that already served.

Daemon::Make() starts what can be started. What fails for now (Error::retry) is tried again at least twice a second, with jitter, while the rest serves; the packets and readiness come first, metrics last. MemberLink opens its ports later (may_open_later) and is alone until then, so the daemon reads the store itself. start_delayed and gcw_start_delays_total say what is delayed. SIGTERM ends a delayed start at once with 0.

--- a/include/gcw/cluster/member_link.h
+++ b/include/gcw/cluster/member_link.h
@@ -28,6 +28,11 @@
   std::uint16_t control_port = 0;
   // Addresses of other members to contact first.
   std::vector<membership::Seed> seeds;
+  // Whether Make() succeeds although the ports cannot be opened for now, for
+  // example because another process holds one. OnTick() then tries again, and
+  // until it succeeds this member is alone: members() is empty and Send() finds
+  // nobody.
+  bool may_open_later = false;
 };
 
 // Counters since the creation of the link, for metrics and status.
@@ -62,11 +67,16 @@
     // other handlers.
     std::function<void(const Endpoint& peer, absl::Duration idle)>
         on_connection_lost;
+    // The ports could not be opened in `attempts` attempts, the last of which
+    // failed with `error`. May be null. Also runs within Make().
+    std::function<void(const Error& error, std::uint64_t attempts)>
+        on_open_delayed;
   };
 
   // Opens both ports and starts the thread of the control transport. Fails with
   // kBindFailed if a port cannot be opened, with kInvalidField for invalid
-  // options, and with kInternal if the process is out of file descriptors.
+  // options, and with kInternal if the process is out of file descriptors or
+  // threads.
   // `random_seed` seeds the random choices of the membership. `loop` must
   // outlive the link.
   static Result<std::unique_ptr<MemberLink>> Make(
@@ -79,7 +89,8 @@
   MemberLink(const MemberLink&) = delete;
   MemberLink& operator=(const MemberLink&) = delete;
 
-  // Runs the timers of the membership. `now` is monotonic time. Call about
+  // Opens the ports if they are not open yet, and runs the timers of the
+  // membership. `now` is monotonic time. Call about
   // every 50 ms.
   void OnTick(absl::Time now);
 
--- a/include/gcw/kernel/mailbox.h
+++ b/include/gcw/kernel/mailbox.h
@@ -66,6 +66,9 @@
     return loop.WatchReadable(wake_.fd(), [this] { DeliverMessages(); });
   }
 
+  // Undoes Attach(). Not thread-safe.
+  void Detach(EventLoop& loop) { loop.Unwatch(wake_.fd()); }
+
  private:
   Mailbox(WakeFd wake, std::size_t capacity)
       : wake_(std::move(wake)), capacity_(capacity) {}
--- a/src/cluster/member_link.cc
+++ b/src/cluster/member_link.cc
@@ -7,11 +7,15 @@
 #include "gcw/auth/replay_window.h"
 #include "gcw/kernel/mailbox.h"
 #include "gcw/kernel/udp_socket.h"
+#include "gcw/platform/backoff.h"
 
 namespace gcw::cluster {
 namespace {
 
 constexpr std::size_t kMailboxCapacity = 20'000;  // Messages.
+// The pauses between the attempts to open the ports.
+constexpr platform::BackoffOptions kOpenBackoff{absl::Milliseconds(100),
+                                                absl::Milliseconds(500)};
 
 }  // namespace
 
@@ -22,7 +26,8 @@
        Handlers handlers)
       : options_(options),
         signer_(std::move(signer)),
-        handlers_(std::move(handlers)) {}
+        handlers_(std::move(handlers)),
+        open_backoff_(kOpenBackoff, signer_->sender_id()) {}
 
   Status Open(std::uint64_t random_seed, kernel::EventLoop& loop) {
     auto membership = membership::Membership::Make(options_.membership,
@@ -32,20 +37,22 @@
     }
     membership_ = std::move(membership).value();
     membership_->SetSettingsSeeds(options_.seeds);
-    Status status = OpenSocket(loop);
-    if (!status.ok()) {
-      return status;
-    }
-    status = OpenMailbox(loop);
-    if (!status.ok()) {
-      return status;
-    }
-    return OpenTransport();
+    loop_ = &loop;
+    Status opened = TryOpenPorts(kernel::MonotonicNow());
+    const bool later = options_.may_open_later && !opened.ok() &&
+                       opened.error().retry != Retry::kNever;
+    return later ? OkStatus() : opened;
   }
 
   void OnTick(absl::Time now) {
-    ApplyActions(membership_->OnTick(now));
-    socket_->Flush();
+    if (!is_open() && now >= next_open_attempt_) {
+      // The handler learns of the error, and OnTick() tries again.
+      (void)TryOpenPorts(now);
+    }
+    if (is_open()) {
+      ApplyActions(membership_->OnTick(now));
+      socket_->Flush();
+    }
   }
 
   membership::Membership& membership() { return *membership_; }
@@ -56,8 +63,11 @@
   }
 
   void Leave(absl::Time now) {
-    ApplyActions(membership_->Leave(now));
-    socket_->Flush();
+    const membership::Actions actions = membership_->Leave(now);
+    if (is_open()) {
+      ApplyActions(actions);
+      socket_->Flush();
+    }
   }
 
   Status Send(std::string_view name,
@@ -65,37 +75,79 @@
               std::span<const std::uint8_t> bytes,
               control::OverflowPolicy overflow) {
     const auto member = membership_->Find(name);
-    if (!member.has_value()) {
+    if (!member.has_value() || !is_open()) {
       return Error{ResultCode::kUnknownMember, "", std::string(name)};
     }
     return transport_->Send(ControlAddress(*member), type, bytes, overflow);
   }
 
   MemberLinkStats stats() const {
+    if (!is_open()) {
+      return {};
+    }
     const control::Stats control = transport_->stats();
     return {control.bytes_sent + socket_->bytes_sent(),
             control.refused_messages + refused_messages_};
   }
 
  private:
-  Status OpenSocket(kernel::EventLoop& loop) {
+  // Whether both ports are open.
+  bool is_open() const { return transport_ != nullptr; }
+
+  Status TryOpenPorts(absl::Time now) {
+    ++open_attempts_;
+    Status opened = OpenPorts();
+    if (!opened.ok()) {
+      ClosePorts();
+      next_open_attempt_ = now + open_backoff_.Next();
+      if (handlers_.on_open_delayed != nullptr) {
+        handlers_.on_open_delayed(opened.error(), open_attempts_);
+      }
+    }
+    return opened;
+  }
+
+  // Opens both ports; a member with only one of them would not be reachable.
+  Status OpenPorts() {
+    for (const auto step :
+         {&Impl::OpenSocket, &Impl::OpenMailbox, &Impl::OpenTransport}) {
+      Status done = (this->*step)();
+      if (!done.ok()) {
+        return done;
+      }
+    }
+    return OkStatus();
+  }
+
+  void ClosePorts() {
+    if (socket_ != nullptr) {
+      loop_->Unwatch(socket_->fd());
+      socket_.reset();
+    }
+    if (mailbox_ != nullptr) {
+      mailbox_->Detach(*loop_);
+      mailbox_.reset();
+    }
+  }
+
+  Status OpenSocket() {
     auto socket = kernel::UdpSocket::Make(
         {options_.bind_ip, options_.membership.advertise.port});
     if (!socket.ok()) {
       return socket.error();
     }
     socket_ = std::move(socket).value();
-    return loop.WatchReadable(socket_->fd(), [this] { ReceiveDatagrams(); });
+    return loop_->WatchReadable(socket_->fd(), [this] { ReceiveDatagrams(); });
   }
 
-  Status OpenMailbox(kernel::EventLoop& loop) {
+  Status OpenMailbox() {
     auto mailbox =
         kernel::Mailbox<control::ReceivedMessage>::Make(kMailboxCapacity);
     if (!mailbox.ok()) {
       return mailbox.error();
     }
     mailbox_ = std::move(mailbox).value();
-    return mailbox_->Attach(loop, [this](control::ReceivedMessage& message) {
+    return mailbox_->Attach(*loop_, [this](control::ReceivedMessage& message) {
       OnControlMessage(message);
     });
   }
@@ -110,7 +162,11 @@
           mailbox->Send(std::move(message));
         });
     if (!transport.ok()) {
-      return transport.error();
+      Error error = transport.error();
+      if (error.code == ResultCode::kInternal) {
+        error.retry = Retry::kAlways;  // Out of descriptors or threads.
+      }
+      return error;
     }
     transport_ = std::move(transport).value();
     return OkStatus();
@@ -193,6 +249,10 @@
   const MemberLinkOptions options_;
   const std::shared_ptr<auth::Signer> signer_;
   const Handlers handlers_;
+  kernel::EventLoop* loop_ = nullptr;
+  platform::Backoff open_backoff_;
+  std::uint64_t open_attempts_ = 0;
+  absl::Time next_open_attempt_ = absl::InfinitePast();
   std::unique_ptr<membership::Membership> membership_;
   std::unique_ptr<kernel::UdpSocket> socket_;
   std::shared_ptr<kernel::Mailbox<control::ReceivedMessage>> mailbox_;
--- a/src/direct_balancer/daemon.cc
+++ b/src/direct_balancer/daemon.cc
@@ -4,6 +4,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <bit>
 #include <random>
 #include <utility>
 #include <variant>
@@ -13,7 +14,9 @@
 #include "gcw/kernel/event_loop.h"
 #include "gcw/kernel/kernel.h"
 #include "platform/ready.h"
+#include "src/daemon/bind_failure.h"
 #include "src/daemon/http_endpoint.h"
+#include "src/daemon/start_sequence.h"
 #include "src/direct_balancer/event_writer.h"
 #include "src/direct_balancer/metrics.h"
 #include "src/direct_balancer/packet_task.h"
@@ -38,6 +41,21 @@
 constexpr absl::Duration kProcessExitMargin = absl::Milliseconds(800);
 constexpr absl::Duration kShutdownPollInterval = absl::Milliseconds(50);
 
+// The parts of the daemon that are started one after another. The names are
+// those of the settings whose addresses they open, as far as they open any.
+constexpr char kPacketsPart[] = "packets";
+constexpr char kReadyPart[] = "ready";
+constexpr char kStatePart[] = "state";
+constexpr char kMetricsPart[] = "metrics_port";
+
+// The error of an endpoint that could not be opened on `address`, with its
+// cause.
+Error ExplainFailure(const Error& error, const Endpoint& address) {
+  return error.code == ResultCode::kBindFailed
+             ? daemon::ExplainBindFailure(address)
+             : error;
+}
+
 // Identifies one version of a file: modification time and size. All zero if the
 // file cannot be read.
 struct FileStamp {
@@ -74,22 +92,14 @@
     writer_ = std::make_unique<EventWriter>(*log_);
     writer_->Write(ProcessStarted{settings_.name, settings_.zone,
                                   ToString(settings_.packets)});
-    const std::uint64_t seed = std::random_device{}();
-    packets_ = std::make_unique<PacketTask>(settings_, seed, kernel_, *writer_,
-                                            shared_, metrics_);
-    Status started = packets_->Start();
-    if (!started.ok()) {
-      return started;
-    }
-    state_ = std::make_unique<StateTask>(settings_, seed + 1, kernel_, *writer_,
-                                         metrics_);
-    started = state_->Start();
-    if (!started.ok()) {
-      return started;
-    }
-    return OpenEndpoints();
+    AddParts();
+    return ContinueStart();
   }
 
+  Status ContinueStart() { return start_.Run(kernel::MonotonicNow()); }
+
+  absl::Time next_start_attempt() const { return start_.next_attempt(); }
+
   void Reload() {
     stamp_ = ReadFileStamp(path_);
     const auto read = ReadSettings(path_);
@@ -115,6 +125,12 @@
     const absl::Time start = kernel::MonotonicNow();
     writer_->Write(ProcessStopping{signal});
     shared_.leaving.store(true, std::memory_order_relaxed);
+    if (!start_.running(kStatePart)) {
+      // Without state the daemon was never ready, so no router uses it.
+      writer_->Write(
+          ProcessStopped{absl::ZeroDuration(), absl::InfiniteDuration(), 0});
+      return;
+    }
     const absl::Time deadline =
         start + settings_.stop_limit - kProcessExitMargin;
     const absl::Time earliest = std::min(start + kRouterFailoverTime, deadline);
@@ -130,7 +146,29 @@
   }
 
  private:
-  Status OpenEndpoints() {
+  void AddParts() {
+    start_.Add(kPacketsPart, "", [this] { return StartPackets(); });
+    start_.Add(kReadyPart, "", [this] { return OpenReady(); });
+    // The state task sends the packet task each state once.
+    start_.Add(kStatePart, kPacketsPart, [this] { return StartState(); });
+    if (settings_.metrics.port != 0) {
+      start_.Add(kMetricsPart, "", [this] { return OpenMetrics(); });
+    }
+  }
+
+  Status StartPackets() {
+    packets_ = std::make_unique<PacketTask>(settings_, seed_, kernel_, *writer_,
+                                            shared_, metrics_);
+    return packets_->Start();
+  }
+
+  Status StartState() {
+    state_ = std::make_unique<StateTask>(settings_, seed_ + 1, kernel_,
+                                         *writer_, metrics_);
+    return state_->Start();
+  }
+
+  Status OpenReady() {
     auto ready = daemon::HttpEndpoint::Make(
         {.listen = settings_.ready, .path = adapter::kReadyPath},
         [this]() -> daemon::HttpAnswer {
@@ -139,30 +177,43 @@
           return {ready ? kOk : kUnavailable, ""};
         });
     if (!ready.ok()) {
-      return ready.error();
+      return ExplainFailure(ready.error(), settings_.ready);
     }
     ready_ = std::move(ready).value();
-    if (settings_.metrics.port == 0) {
-      return OkStatus();
-    }
+    return OkStatus();
+  }
+
+  Status OpenMetrics() {
     auto metrics = daemon::HttpEndpoint::Make(
         {.listen = settings_.metrics, .path = kMetricsPath},
         [this]() -> daemon::HttpAnswer {
           return {kOk, metrics_.Render(log_->stats())};
         });
     if (!metrics.ok()) {
-      return metrics.error();
+      return ExplainFailure(metrics.error(), settings_.metrics);
     }
     metrics_endpoint_ = std::move(metrics).value();
     return OkStatus();
   }
 
+  void OnStartDelayed(std::string_view part,
+                      const Error& error,
+                      std::uint64_t attempts) {
+    metrics_.CountStartDelay();
+    // Twice as many attempts between two lines each time.
+    if (std::has_single_bit(attempts)) {
+      writer_->Write(
+          StartDelayed{std::string(part), ToString(error), attempts});
+    }
+  }
+
   absl::Time LastPacket() const {
     return absl::FromUnixNanos(
         shared_.last_packet_ns.load(std::memory_order_relaxed));
   }
 
   Settings settings_;
+  const std::uint64_t seed_ = std::random_device{}();
   const std::string path_;
   FileStamp stamp_;
   SharedState shared_;
@@ -174,6 +225,11 @@
   std::unique_ptr<StateTask> state_;
   std::unique_ptr<daemon::HttpEndpoint> ready_;
   std::unique_ptr<daemon::HttpEndpoint> metrics_endpoint_;
+  daemon::StartSequence start_{seed_, [this](std::string_view part,
+                                             const Error& error,
+                                             std::uint64_t attempts) {
+                                 OnStartDelayed(part, error, attempts);
+                               }};
 };
 
 Result<std::unique_ptr<Daemon>> Daemon::Make(const Settings& settings,
@@ -189,6 +245,12 @@
 Daemon::Daemon(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) {}
 Daemon::~Daemon() = default;
 
+Status Daemon::ContinueStart() {
+  return impl_->ContinueStart();
+}
+absl::Time Daemon::next_start_attempt() const {
+  return impl_->next_start_attempt();
+}
 void Daemon::Reload() {
   impl_->Reload();
 }
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -74,6 +74,9 @@
   LogHeading operator()(const ProcessStarted&) const {
     return {LogLevel::kInfo, kProcess, "process_started"};
   }
+  LogHeading operator()(const StartDelayed&) const {
+    return {LogLevel::kWarning, kProcess, "start_delayed"};
+  }
   LogHeading operator()(const ProcessStopping&) const {
     return {LogLevel::kInfo, kProcess, "process_stopping"};
   }
@@ -222,6 +225,10 @@
   ordered_json operator()(const ProcessStarted& e) const {
     return {{"name", e.name}, {"zone", e.zone}, {"packets", e.packets}};
   }
+  ordered_json operator()(const StartDelayed& e) const {
+    // Not `part`, which each line has.
+    return {{"delayed", e.part}, {"error", e.error}, {"attempts", e.attempts}};
+  }
   ordered_json operator()(const ProcessStopping& e) const {
     return {{"signal", e.signal}};
   }
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -20,6 +20,13 @@
   std::string packets;  // UDP address that receives packets from the routers.
 };
 
+// A part of the process could not be started and is tried again.
+struct StartDelayed {
+  std::string part;   // Field of the settings, "state" or "members_port".
+  std::string error;  // Of the last attempt.
+  std::uint64_t attempts = 0;
+};
+
 // The process received a signal to stop and begins its graceful shutdown.
 struct ProcessStopping {
   int signal = 0;
@@ -138,6 +145,7 @@
 
 // Events of the process and the fleet; direct::Event has those of the router.
 using ProcessEvent = std::variant<ProcessStarted,
+                                  StartDelayed,
                                   ProcessStopping,
                                   ProcessStopped,
                                   SettingsReloaded,
--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -175,6 +175,9 @@
                    absl::ToDoubleSeconds(router_.feed_ages[i]));
   }
   latency_histograms_->Render(out);
+  AppendSample(out, "gcw_start_delays_total", "counter",
+               "Failed attempts to open a port or to start a thread.",
+               start_delays_.load(std::memory_order_relaxed));
   AppendSample(out, "gcw_log_lines_total", "counter", "Log lines written.",
                log.written);
   AppendSample(out, "gcw_log_suppressed_total", "counter",
--- a/src/direct_balancer/metrics.h
+++ b/src/direct_balancer/metrics.h
@@ -35,6 +35,11 @@
         1, std::memory_order_relaxed);
   }
 
+  // Counts one failed attempt to start a part of the process.
+  void CountStartDelay() {
+    start_delays_.fetch_add(1, std::memory_order_relaxed);
+  }
+
   // Replaces the router's gauges.
   void SetRouterStats(direct::RouterStats stats) {
     absl::MutexLock lock(&mutex_);
@@ -51,6 +56,7 @@
   class LatencyHistograms;
 
   std::array<std::atomic<std::uint64_t>, direct::kReasonCount> packets_{};
+  std::atomic<std::uint64_t> start_delays_ = 0;
   CallMetrics calls_;
   mutable absl::Mutex mutex_;
   direct::RouterStats router_ ABSL_GUARDED_BY(mutex_);
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <bit>
 #include <span>
 #include <string>
 #include <utility>
@@ -61,6 +62,9 @@
 // the fleet's network.
 constexpr std::string_view kUnkeyedSecret = "goldcrestwheel: no key was set";
 
+// The field of the settings with the ports for other daemons.
+constexpr char kMembersField[] = "members_port";
+
 // Asks the task to announce that this daemon leaves the fleet.
 struct LeaveRequest {};
 
@@ -107,8 +111,8 @@
         confirmation_log_(ConfirmationLimits(settings), log) {}
 
   Status Setup(kernel::EventLoop& loop) {
-    for (const auto step : {&Impl::OpenMailbox, &Impl::MakeLink,
-                            &Impl::MakeRelays, &Impl::StartCallers}) {
+    for (const auto step : {&Impl::OpenMailbox, &Impl::MakeRelays,
+                            &Impl::StartCallers, &Impl::MakeLink}) {
       Status done = (this->*step)(loop);
       if (!done.ok()) {
         return done;
@@ -150,6 +154,7 @@
     options.bind_ip = settings_.packets.ip;
     options.control_port =
         static_cast<std::uint16_t>(settings_.members_port + 1);
+    options.may_open_later = true;
     for (const Endpoint& seed : settings_.seeds) {
       if (seed.ip != settings_.packets.ip) {
         options.seeds.push_back({"", "", {seed.ip, settings_.members_port}});
@@ -173,15 +178,32 @@
                                                 absl::Duration idle) {
       log.Write(PeerConnectionLost{peer, idle});
     };
+    handlers.on_open_delayed = [this](const Error& error,
+                                      std::uint64_t attempts) {
+      OnLinkDelayed(error, attempts);
+    };
     auto link = cluster::MemberLink::Make(options, std::move(signer).value(),
                                           seed_, loop, std::move(handlers));
     if (!link.ok()) {
-      return link.error();
+      Error error = link.error();
+      error.field = kMembersField;
+      return error;
     }
     link_ = std::move(link).value();
     return OkStatus();
   }
 
+  // Until the ports for other daemons can be opened, this daemon works as the
+  // only one of the fleet.
+  void OnLinkDelayed(Error error, std::uint64_t attempts) {
+    metrics_.CountStartDelay();
+    error.field = kMembersField;
+    // Twice as many attempts between two lines each time.
+    if (std::has_single_bit(attempts)) {
+      log_.Write(StartDelayed{kMembersField, ToString(error), attempts});
+    }
+  }
+
   Status MakeRelays(kernel::EventLoop& /*loop*/) {
     for (std::size_t i = 0; i < kFeedCount; ++i) {
       const relay::Options options =
