--- a/src/control/connection.cc
+++ b/src/control/connection.cc
@@ -5,9 +5,11 @@
 
 #include <array>
 #include <cerrno>
-#include <cstring>
+#include <string>
 #include <utility>
 
+#include "gcw/base/system_error.h"
+
 namespace gcw::control {
 namespace {
 
@@ -28,10 +30,6 @@
   return Socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
 }
 
-Error SystemError(ResultCode code, const char* what) {
-  return Error{code, "", std::string(what) + ": " + std::strerror(errno)};
-}
-
 bool Bind(const Socket& socket, const Endpoint& address) {
   const sockaddr_in raw = address.ToSockaddr();
   return bind(socket.fd(), reinterpret_cast<const sockaddr*>(&raw),
@@ -48,14 +46,14 @@
 Result<Socket> StartConnect(std::uint32_t from_ip, const Endpoint& to) {
   Socket socket = NewSocket();
   if (!socket.valid() || !Bind(socket, Endpoint{from_ip, 0})) {
-    return SystemError(ResultCode::kInternal, "socket");
+    return SystemError(ResultCode::kInternal, "socket", errno);
   }
   SetTcpOptions(socket.fd());
   const sockaddr_in raw = to.ToSockaddr();
   const int result = connect(
       socket.fd(), reinterpret_cast<const sockaddr*>(&raw), sizeof(raw));
   if (result != 0 && errno != EINPROGRESS) {
-    return SystemError(ResultCode::kInternal, "connect");
+    return SystemError(ResultCode::kInternal, "connect", errno);
   }
   return socket;
 }
--- a/src/daemon/http_endpoint.cc
+++ b/src/daemon/http_endpoint.cc
@@ -10,13 +10,13 @@
 #include <list>
 #include <memory>
 #include <optional>
-#include <system_error>
 #include <thread>
 #include <utility>
 #include <vector>
 
 #include "absl/time/clock.h"
 #include "gcw/base/log.h"
+#include "gcw/base/thread.h"
 #include "gcw/kernel/event_loop.h"
 #include "gcw/kernel/wake_fd.h"
 #include "src/daemon/http_connection.h"
@@ -80,12 +80,11 @@
       return acceptor.error();
     }
     acceptor_ = std::move(acceptor).value();
-    try {
-      thread_ = std::thread([this] { Run(); });
-    } catch (const std::system_error& error) {
-      return Error{ResultCode::kInternal, "",
-                   fmt::format("cannot start a thread: {}", error.what())};
+    Result<std::thread> thread = StartThread([this] { Run(); });
+    if (!thread.ok()) {
+      return thread.error();
     }
+    thread_ = std::move(thread).value();
     return OkStatus();
   }
 
--- a/src/kernel/tcp_acceptor.cc
+++ b/src/kernel/tcp_acceptor.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "gcw/base/log.h"
+#include "gcw/base/system_error.h"
 
 namespace gcw::kernel {
 namespace {
@@ -77,9 +78,9 @@
 }
 
 Error BindError(const Endpoint& listen) {
-  return {ResultCode::kBindFailed, "",
-          fmt::format("cannot listen on TCP {}: {}", ToString(listen),
-                      std::strerror(errno))};
+  return SystemError(ResultCode::kBindFailed,
+                     fmt::format("cannot listen on TCP {}", ToString(listen)),
+                     errno);
 }
 
 }  // namespace
--- a/tests/direct_balancer/process_troubles_test.cc
+++ b/tests/direct_balancer/process_troubles_test.cc
@@ -39,7 +39,7 @@
 struct Observed {
   std::string trouble;
   std::unique_ptr<lab::DaemonProcess> process;
-  std::optional<lab::ProcessUsage> before;
+  std::optional<ProcessUsage> before;
   std::optional<int> early_exit;
   double share = 0;
   std::int64_t peak_bytes = 0;
