direct balancer: log at most 20 unreadable objects in 30 s

Thousands of entries of another writer filled the log: up to 500 keys in 30 s, 200 lines at once by the rate limit of the log. object_unreadable is now written for at most 20 keys in 30 s; its last line has the number left out.

--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -260,7 +260,8 @@
     return {{"key", e.key},
             {"revision", RevisionOf(e.revision)},
             {"epoch", EpochOf(e.revision)},
-            {"error", e.error}};
+            {"error", e.error},
+            {"left_out", e.left_out}};
   }
   ordered_json operator()(const StoreEpochChanged& e) const {
     return {{"feed", e.feed},
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -1,6 +1,7 @@
 #ifndef GCW_DIRECT_BALANCER_EVENT_WRITER_H_
 #define GCW_DIRECT_BALANCER_EVENT_WRITER_H_
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -80,6 +81,8 @@
   std::string key;
   direct::Version revision = 0;  // Of the object's last change.
   std::string error;
+  // The number of further objects at that time that are not logged.
+  std::size_t left_out = 0;
 };
 
 // The platform's store was restored from an older copy: its answer for a feed
--- a/src/direct_balancer/unreadable_log.h
+++ b/src/direct_balancer/unreadable_log.h
@@ -12,18 +12,23 @@
 namespace gcw::direct_balancer {
 
 // Logs objects that could not be decoded. A writer may replace such an object
-// again and again, so a key is logged at most once per interval. Not
-// thread-safe.
+// again and again and may leave thousands, so a key is logged at most once per
+// interval, and a limited number of keys. Not thread-safe.
 class UnreadableLog {
  public:
   // `log` must outlive this object.
   explicit UnreadableLog(EventWriter& log) : log_(log) {}
 
-  // Logs those of `objects` whose keys are due.
+  // Logs those of `objects` whose keys are due. The last line has the number of
+  // those that are beyond the limit.
   void OnUnreadable(std::span<const UnreadableObject> objects, absl::Time now);
 
  private:
-  bool IsDue(const std::string& key, absl::Time now);
+  enum class Verdict { kDue, kLogged, kLeftOut };
+
+  // Whether the object `key` is to be logged, has been in this interval, or is
+  // beyond the limit. Counts a due one as logged.
+  Verdict Check(const std::string& key, absl::Time now);
 
   EventWriter& log_;
   // When each key was logged, for the keys of the last interval.
