fake platform: pages by bytes, long values without decoding

A list of many long values took seconds: each was decoded, copied and written in hex, and each page copied the whole store. Values over 4,096 bytes now stand in an answer as they are, a page copies its own objects only, and page_bytes limits the bytes of its values, as a real store does.

--- a/src/fake_platform/answers.cc
+++ b/src/fake_platform/answers.cc
@@ -11,8 +11,23 @@
 namespace gcw::fake_platform {
 namespace {
 
-// Begins the JSON string that stands for the bytes of a value, in hex.
-constexpr std::string_view kRawMarker = "fake-platform-raw:";
+// Begins the JSON string that stands for the bytes of a value.
+constexpr std::string_view kMarker = "fake-platform-value:";
+// Longer values are not decoded to be encoded again.
+constexpr std::size_t kMaxPlainBytes = 4096;
+
+bool IsPlain(const std::string& value) {
+  return value.size() <= kMaxPlainBytes &&
+         !platform::IsNestedDeeper(value, platform::kMaxJsonDepth) &&
+         nlohmann::json::accept(value);
+}
+
+// The marker for the value of `object`, without characters that JSON escapes.
+std::string MarkerOf(const platform::Object& object) {
+  std::string key;
+  boost::algorithm::hex_lower(object.key, std::back_inserter(key));
+  return fmt::format("{}{}:{}", kMarker, key, object.version);
+}
 
 }  // namespace
 
@@ -23,27 +38,37 @@
 using platform::WatchEvent;
 
 json ValueToJson(const Object& object) {
-  if (!platform::IsNestedDeeper(object.value, platform::kMaxJsonDepth) &&
-      json::accept(object.value)) {
-    return json::parse(object.value);
+  return IsPlain(object.value) ? json::parse(object.value)
+                               : json(MarkerOf(object));
+}
+
+void RawValues::Add(const Object& object) {
+  if (!IsPlain(object.value)) {
+    values_[MarkerOf(object)] = object.value;
   }
-  std::string hex;
-  boost::algorithm::hex_lower(object.value, std::back_inserter(hex));
-  return fmt::format("{}{}", kRawMarker, hex);
 }
 
-std::string WithRawValues(std::string answer) {
-  const std::string marker = fmt::format("\"{}", kRawMarker);
-  std::size_t begin = answer.find(marker);
+std::string RawValues::InsertInto(const std::string& answer) const {
+  std::size_t bytes = answer.size();
+  for (const auto& [marker, value] : values_) {
+    bytes += value.size();
+  }
+  std::string text;
+  text.reserve(bytes);
+  const std::string begin_text = fmt::format("\"{}", kMarker);
+  std::size_t copied = 0;
+  std::size_t begin = answer.find(begin_text);
   while (begin != std::string::npos) {
-    const std::size_t hex_begin = begin + marker.size();
-    const std::size_t end = answer.find('"', hex_begin);
-    const std::string bytes =
-        boost::algorithm::unhex(answer.substr(hex_begin, end - hex_begin));
-    answer.replace(begin, end + 1 - begin, bytes);
-    begin = answer.find(marker, begin + bytes.size());
+    const std::size_t end = answer.find('"', begin + 1);
+    const auto value = values_.find(
+        std::string_view(answer).substr(begin + 1, end - begin - 1));
+    text.append(answer, copied, begin - copied);
+    text.append(value == values_.end() ? "null" : value->second);
+    copied = end + 1;
+    begin = answer.find(begin_text, copied);
   }
-  return answer;
+  text.append(answer, copied);
+  return text;
 }
 
 json ToJson(const Object& object) {
--- a/src/fake_platform/fake_platform.cc
+++ b/src/fake_platform/fake_platform.cc
@@ -32,9 +32,29 @@
 constexpr absl::Duration kMaxWatchWait = absl::Seconds(120);
 constexpr char kJsonContentType[] = "application/json";
 
-void Answer(int status, const json& body, httplib::Response* response) {
+void Answer(int status,
+            const json& body,
+            httplib::Response* response,
+            const RawValues& values = {}) {
   response->status = status;
-  response->set_content(WithRawValues(body.dump()), kJsonContentType);
+  response->body = values.InsertInto(body.dump());
+  response->set_header("Content-Type", kJsonContentType);
+}
+
+RawValues ValuesOf(const Listing& listing) {
+  RawValues values;
+  for (const Object& object : listing.objects) {
+    values.Add(object);
+  }
+  return values;
+}
+
+RawValues ValuesOf(const WatchAnswer& answer) {
+  RawValues values;
+  for (const WatchEvent& event : answer.events) {
+    values.Add(event.object);
+  }
+  return values;
 }
 
 // Closes the connection before the response is complete. For the caller this is
@@ -251,16 +271,11 @@
   void ServeList(const ApiCall& call,
                  const FaultDecision& decision,
                  httplib::Response* response) {
-    Listing listing = StoreFor(decision).List(call.prefix);
-    std::erase_if(listing.objects, [&](const Object& object) {
-      return object.key <= call.list_after;
-    });
-    const bool more =
-        options_.page_size != 0 && listing.objects.size() > options_.page_size;
-    if (more) {
-      listing.objects.resize(options_.page_size);
-    }
-    Answer(200, options_.format->ListAnswer(listing, more), response);
+    const StorePage page =
+        StoreFor(decision).ListPage(call.prefix, call.list_after,
+                                    {options_.page_size, options_.page_bytes});
+    Answer(200, options_.format->ListAnswer(page.listing, page.more), response,
+           ValuesOf(page.listing));
   }
 
   void ServeGet(const ApiCall& call,
@@ -268,7 +283,10 @@
                 httplib::Response* response) {
     const Result<Object> object = StoreFor(decision).Get(call.key);
     if (object.ok()) {
-      Answer(200, options_.format->ObjectAnswer(object.value()), response);
+      RawValues values;
+      values.Add(object.value());
+      Answer(200, options_.format->ObjectAnswer(object.value()), response,
+             values);
     } else {
       Answer(StatusOf(object.error().code), json::object(), response);
     }
@@ -304,7 +322,8 @@
     } else if (faults_.outage() == Outage::kRefusing) {
       Answer(503, json::object(), response);
     } else if (answer.ok()) {
-      Answer(200, options_.format->WatchAnswer(answer.value()), response);
+      Answer(200, options_.format->WatchAnswer(answer.value()), response,
+             ValuesOf(answer.value()));
     } else {
       Answer(StatusOf(answer.error().code), json::object(), response);
     }
--- a/src/fake_platform/fake_platform.h
+++ b/src/fake_platform/fake_platform.h
@@ -24,6 +24,9 @@
   std::size_t max_log_events = 100'000;  // Number of events kept for watches.
   std::size_t page_size =
       0;  // Maximum number of objects in one page of a listing; 0: no limit.
+  // Maximum number of bytes of the values in one page of a listing, which has
+  // at least one object; 0: no limit.
+  std::size_t page_bytes = 0;
   // Encoding of requests and responses. Must outlive the FakePlatform.
   const ServerApiFormat* format = &FlatServerApiFormat();
 };
--- a/src/fake_platform/store.cc
+++ b/src/fake_platform/store.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
+#include <vector>
 
 namespace gcw::fake_platform {
 namespace {
@@ -76,13 +77,30 @@
 }
 
 Listing Store::List(std::string_view prefix) const {
-  Listing listing;
-  listing.revision = revision_;
-  for (auto it = objects_.lower_bound(prefix);
-       it != objects_.end() && it->first.starts_with(prefix); ++it) {
-    listing.objects.push_back(it->second);
+  return ListPage(prefix, "", {}).listing;
+}
+
+StorePage Store::ListPage(std::string_view prefix,
+                          std::string_view after,
+                          const PageLimits& limits) const {
+  StorePage page;
+  page.listing.revision = revision_;
+  std::vector<Object>& objects = page.listing.objects;
+  std::size_t bytes = 0;
+  auto it = after < prefix ? objects_.lower_bound(prefix)
+                           : objects_.upper_bound(after);
+  for (; it != objects_.end() && it->first.starts_with(prefix); ++it) {
+    bytes += it->second.value.size();
+    const bool full =
+        (limits.objects != 0 && objects.size() == limits.objects) ||
+        (limits.bytes != 0 && bytes > limits.bytes);
+    if (full && !objects.empty()) {
+      page.more = true;
+      break;
+    }
+    objects.push_back(it->second);
   }
-  return listing;
+  return page;
 }
 
 Result<WatchAnswer> Store::EventsAfter(std::string_view prefix,
--- a/src/fake_platform/store.h
+++ b/src/fake_platform/store.h
@@ -20,6 +20,18 @@
 // Maximum size of the value of one object, in bytes.
 inline constexpr std::size_t kMaxStoredBytes = 1'000'000;
 
+// The limits of one page of a listing; 0: no limit.
+struct PageLimits {
+  std::size_t objects = 0;
+  std::size_t bytes = 0;  // Of the values; one object exceeds it if need be.
+};
+
+// One page of a listing.
+struct StorePage {
+  Listing listing;
+  bool more = false;  // Whether more pages follow.
+};
+
 // In-memory store of versioned objects. All writes draw their versions from one
 // counter and are conditional on the current version of the object. A log keeps
 // the most recent events for watches. Does no I/O. Not thread-safe.
@@ -44,6 +56,11 @@
   Result<Object> Get(std::string_view key) const;
   // Returns all objects whose key starts with `prefix`, sorted by key.
   Listing List(std::string_view prefix) const;
+  // Returns one page of the objects whose key starts with `prefix`: those with
+  // keys after `after`, sorted by key.
+  StorePage ListPage(std::string_view prefix,
+                     std::string_view after,
+                     const PageLimits& limits) const;
   // Returns the events after version `after` on keys that start with `prefix`.
   // Fails with kPlatformCompacted if some of these events have been compacted
   // or if no change has the version `after`, because the store was restored.
