--- a/tests/direct_balancer/daemon_fixture.h
+++ b/tests/direct_balancer/daemon_fixture.h
@@ -47,8 +47,10 @@
 // as backend servers and as the caller.
 class DaemonFixture {
  public:
-  DaemonFixture() : port_(NextFreePort()) {
+  // The platform lists in pages of at most `page_bytes`; 0: in one page.
+  explicit DaemonFixture(std::size_t page_bytes = 0) : port_(NextFreePort()) {
     fake_platform::FakePlatformOptions options;
+    options.page_bytes = page_bytes;
     options.listen = {kLoopback, 0};
     options.format = &adapter::ObjectForm();
     auto made = fake_platform::FakePlatform::Make(options);
--- a/tests/direct_balancer/process_fixture.h
+++ b/tests/direct_balancer/process_fixture.h
@@ -24,8 +24,9 @@
 // such as that of an earlier release.
 class ProcessFixture : public DaemonFixture {
  public:
-  ProcessFixture()
-      : work_dir_(fmt::format("/tmp/gcw-direct-process-{}-{}",
+  explicit ProcessFixture(std::size_t page_bytes = 0)
+      : DaemonFixture(page_bytes),
+        work_dir_(fmt::format("/tmp/gcw-direct-process-{}-{}",
                               getpid(),
                               SettingsOf(0).packets.port)) {
     std::filesystem::create_directories(work_dir_);
--- a/tests/direct_balancer/unreadable_log_test.cc
+++ b/tests/direct_balancer/unreadable_log_test.cc
@@ -35,6 +35,7 @@
 
 std::vector<UnreadableObject> MakeObjects(int count) {
   std::vector<UnreadableObject> objects;
+  objects.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) {
     objects.push_back({fmt::format("servers/x{}", i),
                        static_cast<direct::Version>(i + 1),
