platform: an answer of the store without end neither fills nor stalls a process

What callers saw: a store, or what answers in its place, that sends a body without end filled a daemon with 3 GB in 5 s and used a full core, and SIGTERM took 6.1 s. Supervisors then kill the process for its memory.

Cause: cpp-httplib's client reads a body, a header block, a chunk line and interim answers without a bound, expands compressed bodies, and begins its timeout again with each byte.

Change: HttpConnection, on plain sockets with poll() and the parser of Boost.Beast. Lists and watches pass their bytes to the format's decoders. A list ends as a bad answer if its pages do not go on or take more than 64 MiB. Cancelling now also ends a call that connects, and the later pages of a list.

--- a/src/platform/http_platform_client.cc
+++ b/src/platform/http_platform_client.cc
@@ -1,51 +1,49 @@
 #include "gcw/platform/http_platform_client.h"
 
 #include <fmt/format.h>
-#include <httplib.h>
-#include <netinet/tcp.h>
 
-#include <algorithm>
-#include <chrono>
+#include <cstdint>
 #include <iterator>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "src/platform/answer_epoch.h"
+#include "src/platform/body_sink.h"
+#include "src/platform/http_connection.h"
 
 namespace gcw::platform {
 namespace {
 
-constexpr int kOkStatus = 200;
-constexpr int kFirstRedirectStatus = 300;
 constexpr int kNotFoundStatus = 404;
 constexpr int kConflictStatus = 409;
 constexpr int kGoneStatus = 410;
 constexpr int kRateLimitedStatus = 429;
 constexpr char kJsonContentType[] = "application/json";
-// The kernel closes a connection after this many unanswered keep-alive probes.
-constexpr int kMaxMissedProbes = 2;
+// The largest answer that is kept whole until it is decoded.
+constexpr std::uint64_t kMaxBufferedBytes = 4 * 1024 * 1024;
+// The largest answer that is decoded while it arrives: a page has at most about
+// 500 objects of at most 1 MiB.
+constexpr std::uint64_t kMaxStreamedBytes = 512 * 1024 * 1024;
+// The most keys and values of a listing with all its pages.
+constexpr std::size_t kMaxListingBytes = 64 * 1024 * 1024;
 
 enum class CallKind { kRead, kWrite };
 
-// Returns whether the error shows that the request cannot have reached the
-// platform.
-bool FailedBeforeSending(httplib::Error error) {
-  return error == httplib::Error::Connection ||
-         error == httplib::Error::ConnectionTimeout ||
-         error == httplib::Error::BindIPAddress;
-}
-
-// Returns the error of a call that got no answer. A write that may have reached
-// the platform has an unknown outcome.
-Error NoAnswer(CallKind kind, httplib::Error error) {
-  const bool may_have_run =
-      kind == CallKind::kWrite && !FailedBeforeSending(error);
-  return {may_have_run ? ResultCode::kPlatformOutcomeUnknown
-                       : ResultCode::kPlatformUnavailable,
-          "",
-          fmt::format("no answer from the platform: {}",
-                      httplib::to_string(error))};
+// Returns the error of a call whose exchange failed. A write that may have
+// reached the platform has an unknown outcome.
+Error ExchangeError(CallKind kind, const Error& error) {
+  if (error.code == ResultCode::kPlatformUnavailable) {
+    return error;
+  }
+  if (kind == CallKind::kWrite) {
+    return {ResultCode::kPlatformOutcomeUnknown, "", error.message};
+  }
+  return error.code == ResultCode::kPlatformOutcomeUnknown
+             ? Error{ResultCode::kPlatformUnavailable, "", error.message}
+             : error;
 }
 
 ResultCode CodeOfStatus(int status) {
@@ -64,17 +62,9 @@
   }
 }
 
-// A successful response.
-struct Answer {
-  std::string body;
-  StoreEpoch epoch = 0;
-};
-
-// Returns the platform's epoch in the header `name`, or 0 if there is none.
-Result<StoreEpoch> ReadEpoch(const httplib::Response& response,
-                             const char* name) {
-  return response.has_header(name) ? ParseEpoch(response.get_header_value(name))
-                                   : Result<StoreEpoch>(0);
+// Returns the platform's epoch in an answer, or 0 if there is none.
+Result<StoreEpoch> ReadEpoch(const HttpAnswer& answer) {
+  return answer.header ? ParseEpoch(*answer.header) : Result<StoreEpoch>(0);
 }
 
 // The error of a call that was answered with a status other than success.
@@ -83,28 +73,67 @@
           fmt::format("the platform answered with HTTP status {}", status)};
 }
 
-bool IsSuccess(int status) {
-  return status >= kOkStatus && status < kFirstRedirectStatus;
-}
-
 // The error of a call with a version from before the platform was restored.
 Error FromBeforeRestore(ResultCode code) {
   return {code, "", "the platform was restored after this version"};
 }
 
-// Turns on TCP keep-alive probes, so that a dead connection is closed.
-void EnableKeepAlive(int socket, absl::Duration interval) {
-  const int on = 1;
-  const auto seconds = static_cast<int>(absl::ToInt64Seconds(interval));
-  const auto timeout_ms = static_cast<unsigned>(
-      absl::ToInt64Milliseconds(kMaxMissedProbes * interval));
-  setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
-  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kMaxMissedProbes,
-             sizeof(kMaxMissedProbes));
-  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms,
-             sizeof(timeout_ms));
+Error BadListing(std::string_view why) {
+  return {ResultCode::kPlatformBadAnswer, "",
+          fmt::format("the platform's listing is refused: {}", why)};
+}
+
+std::string_view MethodName(ApiMethod method) {
+  switch (method) {
+    case ApiMethod::kGet:
+      return "GET";
+    case ApiMethod::kPost:
+      return "POST";
+    case ApiMethod::kPut:
+      return "PUT";
+    case ApiMethod::kDelete:
+      break;
+  }
+  return "DELETE";
+}
+
+bool HasBody(ApiMethod method) {
+  return method == ApiMethod::kPost || method == ApiMethod::kPut;
+}
+
+// Passes a body to a ListDecoder or a WatchDecoder.
+template <typename Decoder>
+class DecoderSink : public BodySink {
+ public:
+  explicit DecoderSink(std::unique_ptr<Decoder> decoder)
+      : decoder_(std::move(decoder)) {}
+
+  Status OnBytes(std::string_view bytes) override {
+    return decoder_->OnBytes(bytes);
+  }
+
+  // What the whole body says. Precondition: not called before.
+  auto Finish() { return decoder_->Finish(); }
+
+ private:
+  const std::unique_ptr<Decoder> decoder_;
+};
+
+std::size_t SizeOf(const std::vector<Object>& objects) {
+  std::size_t bytes = 0;
+  for (const Object& object : objects) {
+    bytes += object.key.size() + object.value.size();
+  }
+  return bytes;
+}
+
+HttpConnectionOptions ConnectionOptions(const HttpPlatformOptions& options) {
+  return {.server = options.platform,
+          .bind_ip = options.bind_ip,
+          .connect_timeout = options.connect_timeout,
+          .call_timeout = options.call_timeout,
+          .keep_alive_interval = options.keep_alive_interval,
+          .max_idle = options.max_idle};
 }
 
 }  // namespace
@@ -112,46 +141,36 @@
 class HttpPlatformClient::Impl {
  public:
   explicit Impl(const HttpPlatformOptions& options)
-      : options_(options),
-        client_(IpToString(options.platform.ip), options.platform.port) {
-    client_.set_keep_alive(true);
-    client_.set_tcp_nodelay(true);
-    client_.set_connection_timeout(
-        absl::ToChronoMicroseconds(options.connect_timeout));
-    client_.set_write_timeout(absl::ToChronoMicroseconds(options.call_timeout));
-    if (options.bind_ip != 0) {
-      client_.set_interface(IpToString(options.bind_ip));
-    }
-    if (options.keep_alive_interval > absl::ZeroDuration()) {
-      client_.set_socket_options(
-          [interval = options.keep_alive_interval](int socket) {
-            EnableKeepAlive(socket, interval);
-          });
-    }
-  }
-
-  // Sends one request and waits for the response. `wait` is added to the usual
-  // read timeout.
-  Result<Answer> Call(const ApiRequest& request,
-                      absl::Duration wait = absl::ZeroDuration()) {
-    client_.set_read_timeout(
-        absl::ToChronoMicroseconds(options_.call_timeout + wait));
+      : options_(options), connection_(ConnectionOptions(options)) {}
+
+  // Sends one request and passes the body of the answer to `sink`. Returns the
+  // answer's epoch. `wait` is added to the usual timeout. Precondition: an
+  // operation of connection() exists.
+  Result<StoreEpoch> Call(const ApiRequest& request,
+                          BodySink& sink,
+                          std::uint64_t max_answer_bytes,
+                          absl::Duration wait = absl::ZeroDuration()) {
     const CallKind kind =
         request.method == ApiMethod::kGet ? CallKind::kRead : CallKind::kWrite;
-    CloseIfIdle();
-    httplib::Result response = Send(request);
-    last_call_end_ = std::chrono::steady_clock::now();
-    if (!response) {
-      return NoAnswer(kind, response.error());
+    const HttpExchange exchange{
+        .method = MethodName(request.method),
+        .target = request.target,
+        .content_type = HasBody(request.method) ? kJsonContentType : "",
+        .body = request.body,
+        .header = format().EpochHeader(),
+        .wait = wait,
+        .max_answer_bytes = max_answer_bytes};
+    const Result<HttpAnswer> answer = connection_.Exchange(exchange, sink);
+    if (!answer.ok()) {
+      return ExchangeError(kind, answer.error());
     }
-    const Result<StoreEpoch> epoch =
-        ReadEpoch(*response, format().EpochHeader());
+    Result<StoreEpoch> epoch = ReadEpoch(answer.value());
     const Status current = CheckEpoch(epoch);
-    if (!IsSuccess(response->status)) {
-      return StatusError(response->status);
+    if (!answer.value().IsSuccess()) {
+      return StatusError(answer.value().status);
     }
     if (current.ok()) {
-      return Answer{std::move(response->body), epoch.value()};
+      return epoch;
     }
     // A write has been executed, but its version is not known.
     return kind == CallKind::kRead ? current.error()
@@ -167,13 +186,15 @@
     if (if_version != 0 && IsBeforeRestore(if_version)) {
       return FromBeforeRestore(ResultCode::kPlatformConflict);
     }
-    const Result<Answer> answer = Call(request);
-    if (!answer.ok()) {
-      return answer.error();
+    const HttpConnection::Operation operation(connection_);
+    BufferSink sink;
+    const Result<StoreEpoch> epoch = Call(request, sink, kMaxBufferedBytes);
+    if (!epoch.ok()) {
+      return epoch.error();
     }
-    Result<Version> version = format().DecodeVersion(answer.value().body);
+    Result<Version> version = format().DecodeVersion(sink.body());
     if (version.ok()) {
-      version = WithEpoch(answer.value().epoch, version.value());
+      version = WithEpoch(epoch.value(), version.value());
     }
     if (!version.ok()) {
       return Error{ResultCode::kPlatformOutcomeUnknown, "",
@@ -191,7 +212,7 @@
   const ApiFormat& format() const { return *options_.format; }
   StoreEpoch epoch() const { return latest_epoch_; }
 
-  void CancelCall() { client_.stop(); }
+  HttpConnection& connection() { return connection_; }
 
  private:
   // Records the epoch of an answer. Fails if it cannot be read, or if the
@@ -208,33 +229,8 @@
     return OkStatus();
   }
 
-  // Closes a connection that has been idle for too long. It may no longer work
-  // although nothing shows it; the call would then wait for its timeout.
-  void CloseIfIdle() {
-    const auto idle = std::chrono::steady_clock::now() - last_call_end_;
-    if (absl::FromChrono(idle) > options_.max_idle) {
-      client_.stop();
-    }
-  }
-
-  httplib::Result Send(const ApiRequest& request) {
-    switch (request.method) {
-      case ApiMethod::kGet:
-        return client_.Get(request.target);
-      case ApiMethod::kPost:
-        return client_.Post(request.target, request.body, kJsonContentType);
-      case ApiMethod::kPut:
-        return client_.Put(request.target, request.body, kJsonContentType);
-      case ApiMethod::kDelete:
-        break;
-    }
-    return client_.Delete(request.target);
-  }
-
   HttpPlatformOptions options_;
-  httplib::Client client_;
-  std::chrono::steady_clock::time_point last_call_end_ =
-      std::chrono::steady_clock::now();
+  HttpConnection connection_;
   // The highest epoch in any answer.
   StoreEpoch latest_epoch_ = 0;
 };
@@ -250,26 +246,32 @@
 HttpPlatformClient::~HttpPlatformClient() = default;
 
 Result<Listing> HttpPlatformClient::List(std::string_view prefix) {
+  const HttpConnection::Operation operation(impl_->connection());
   Listing merged;
-  std::optional<StoreEpoch> epoch;
+  std::optional<StoreEpoch> first_epoch;
+  std::size_t merged_bytes = 0;
   std::string after;
   do {
-    const Result<Answer> answer =
-        impl_->Call(impl_->format().List(prefix, after));
-    if (!answer.ok()) {
-      return answer.error();
+    DecoderSink sink(impl_->format().MakeListDecoder(prefix));
+    const Result<StoreEpoch> epoch = impl_->Call(
+        impl_->format().List(prefix, after), sink, kMaxStreamedBytes);
+    if (!epoch.ok()) {
+      return epoch.error();
     }
-    if (epoch.value_or(answer.value().epoch) != answer.value().epoch) {
+    if (first_epoch.value_or(epoch.value()) != epoch.value()) {
       return Error{ResultCode::kPlatformUnavailable, "",
                    "the platform was restored between two pages"};
     }
-    epoch = answer.value().epoch;
-    Result<ListPage> page =
-        impl_->format().DecodeListPage(prefix, answer.value().body);
+    first_epoch = epoch.value();
+    Result<ListPage> page = sink.Finish();
     if (!page.ok()) {
       return page.error();
     }
     Listing& page_listing = page.value().listing;
+    merged_bytes += SizeOf(page_listing.objects);
+    if (merged_bytes > kMaxListingBytes) {
+      return BadListing("its pages are too large");
+    }
     // The listing gets the revision of its first page, so that a watch after
     // that revision also reports changes made while the later pages were read.
     if (after.empty()) {
@@ -278,22 +280,28 @@
     std::move(page_listing.objects.begin(), page_listing.objects.end(),
               std::back_inserter(merged.objects));
     merged.skipped.Add(page_listing.skipped);
-    after = std::move(page.value().continue_after);
+    std::string next = std::move(page.value().continue_after);
+    if (!next.empty() && next <= after) {
+      return BadListing("its pages do not go on");
+    }
+    after = std::move(next);
   } while (!after.empty());
-  return WithEpoch(*epoch, std::move(merged));
+  return WithEpoch(*first_epoch, std::move(merged));
 }
 
 Result<Object> HttpPlatformClient::Get(std::string_view key) {
-  const Result<Answer> answer = impl_->Call(impl_->format().Get(key));
-  if (!answer.ok()) {
-    return answer.error();
+  const HttpConnection::Operation operation(impl_->connection());
+  BufferSink sink;
+  const Result<StoreEpoch> epoch =
+      impl_->Call(impl_->format().Get(key), sink, kMaxBufferedBytes);
+  if (!epoch.ok()) {
+    return epoch.error();
   }
-  Result<Object> object =
-      impl_->format().DecodeObject(key, answer.value().body);
+  Result<Object> object = impl_->format().DecodeObject(key, sink.body());
   if (!object.ok()) {
     return object;
   }
-  return WithEpoch(answer.value().epoch, std::move(object).value());
+  return WithEpoch(epoch.value(), std::move(object).value());
 }
 
 Result<Version> HttpPlatformClient::Put(std::string_view key,
@@ -316,12 +324,15 @@
   if (!from_start && impl_->IsBeforeRestore(after)) {
     return FromBeforeRestore(ResultCode::kPlatformCompacted);
   }
-  const Result<Answer> answer =
-      impl_->Call(impl_->format().Watch(prefix, RevisionOf(after), wait), wait);
-  if (!answer.ok()) {
-    return answer.error();
+  const HttpConnection::Operation operation(impl_->connection());
+  DecoderSink sink(impl_->format().MakeWatchDecoder(prefix));
+  const Result<StoreEpoch> answered =
+      impl_->Call(impl_->format().Watch(prefix, RevisionOf(after), wait), sink,
+                  kMaxStreamedBytes, wait);
+  if (!answered.ok()) {
+    return answered.error();
   }
-  const StoreEpoch epoch = answer.value().epoch;
+  const StoreEpoch epoch = answered.value();
   // If the epochs differ, the platform has looked for the events after another
   // change than the caller meant.
   if (!from_start && EpochOf(after) < epoch) {
@@ -330,8 +341,7 @@
   if (EpochOf(after) > epoch) {
     return FromBeforeRestore(ResultCode::kPlatformUnavailable);
   }
-  Result<WatchAnswer> watched =
-      impl_->format().DecodeWatch(prefix, answer.value().body);
+  Result<WatchAnswer> watched = sink.Finish();
   if (!watched.ok()) {
     return watched;
   }
@@ -339,11 +349,14 @@
 }
 
 Result<std::vector<Vm>> HttpPlatformClient::Vms() {
-  const Result<Answer> answer = impl_->Call(impl_->format().Vms());
-  if (!answer.ok()) {
-    return answer.error();
+  const HttpConnection::Operation operation(impl_->connection());
+  BufferSink sink;
+  const Result<StoreEpoch> epoch =
+      impl_->Call(impl_->format().Vms(), sink, kMaxBufferedBytes);
+  if (!epoch.ok()) {
+    return epoch.error();
   }
-  return impl_->format().DecodeVms(answer.value().body);
+  return impl_->format().DecodeVms(sink.body());
 }
 
 StoreEpoch HttpPlatformClient::epoch() const {
@@ -351,7 +364,7 @@
 }
 
 void HttpPlatformClient::CancelCall() {
-  impl_->CancelCall();
+  impl_->connection().Cancel();
 }
 
 }  // namespace gcw::platform
--- a/tests/adapter/platform_client_test.cc
+++ b/tests/adapter/platform_client_test.cc
@@ -1,5 +1,6 @@
 #include <catch2/catch.hpp>
 #include <memory>
+#include <string>
 #include <thread>
 
 #include "absl/time/clock.h"
@@ -7,6 +8,7 @@
 #include "platform/object_format.h"
 #include "platform/stand_in_form.h"
 #include "src/fake_platform/fake_platform.h"
+#include "tests/support/raw_server.h"
 #include "tests/support/silent_proxy.h"
 
 namespace gcw::adapter {
@@ -101,6 +103,22 @@
   CHECK(listing.value().revision == 31);
 }
 
+// Each page said that more follow, so the list never ended.
+TEST_CASE("a list whose pages do not go on fails") {
+  const std::string page = R"({"store_revision":7,"has_more":true,"items":[)"
+                           R"({"meta":{"name":"a","revision":1},"spec":{}}]})";
+  RawServer server([&](RawServer::Connection& connection) {
+    while (!connection.ReadHead().empty() &&
+           connection.Write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                            std::to_string(page.size()) + "\r\n\r\n" + page)) {
+    }
+  });
+  const auto client = HttpPlatformClient::Make(
+      {.platform = server.endpoint(), .format = &ObjectFormat()});
+  CHECK(client->List("servers/").error().code ==
+        ResultCode::kPlatformBadAnswer);
+}
+
 TEST_CASE("a watch returns events, or kPlatformCompacted if they are gone") {
   const auto platform = MakePlatform();
   const auto client = MakeClient(*platform);
