known red: a list of the store whose parts are valid has no end

A list whose every part is valid, but that never ends, is read up to the limit of an answer (512 MiB) or of its decoded entries (64 MiB).

The decoder knows what a page may hold; the client does not.

--- a/tests/direct_balancer/store_without_end_test.cc
+++ b/tests/direct_balancer/store_without_end_test.cc
@@ -89,6 +89,12 @@
   CheckHolds(test::EndlessAnswers());
 }
 
+// Each part of the answer is valid, so the daemon decoded it until it was full.
+TEST_CASE("a store whose list never ends does not fill the daemon",
+          "[known-red][!mayfail]") {
+  CheckHolds(test::EndlessLists());
+}
+
 // A call whose answer comes byte by byte never ended.
 TEST_CASE("a store whose answer is slow or stops does not stall the daemon") {
   CheckHolds(test::SlowAnswers());
--- a/tests/support/endless_answers.h
+++ b/tests/support/endless_answers.h
@@ -120,6 +120,36 @@
   };
 }
 
+// Returns `text` repeated, 16 KB in all.
+inline std::string Block(std::string_view text) {
+  std::string block;
+  while (block.size() < 16'384) {
+    block += text;
+  }
+  return block;
+}
+
+// Answers in the users' format, of which each part is one that a store may
+// give, but that have no end.
+inline std::vector<EndlessAnswer> EndlessLists() {
+  const std::string begin =
+      "HTTP/1.1 200 OK\r\n\r\n"
+      R"({"store_revision":7,"items":[)";
+  const std::string entry =
+      R"({"meta":{"name":"i-1","revision":1},"spec":{"zone":"z"}})";
+  return {
+      {"entries", Endless(begin + entry, Block("," + entry))},
+      {"an entry", Endless(begin + R"({"meta":{"name":"i-1","revision":1},)"
+                                   R"("spec":{"zone":")",
+                           std::string(16384, 'x'))},
+      {"entries that have no end",
+       Endless(begin, Block(R"({"meta":{"name":")"))},
+      {"spaces between entries",
+       Endless(begin + entry + ",", std::string(16384, ' '))},
+      {"entries with no name", Endless(begin + "{}", Block(R"(,{"spec":{}})"))},
+  };
+}
+
 // Answers that come slowly and have no end, or that stop in the middle.
 inline std::vector<EndlessAnswer> SlowAnswers() {
   const std::string ok =
