platform: read an answer that arrived while the process was paused

The daemon would have lost its feeds for a pause with each watch.

Change: a wait looks at the socket at least once. A trickle still ends, since its next byte is not there yet.

The tests of slow answers hold.

--- a/src/platform/http_connection.cc
+++ b/src/platform/http_connection.cc
@@ -425,18 +425,19 @@
   }
 
   // Waits until the socket is ready for `events` or has failed. Returns false
-  // once `left` is not positive, or after Cancel().
+  // if it is not ready once `left` is not positive, or after Cancel(). What
+  // arrived while this process was paused is ready, although the time is over.
   template <typename Left>
   bool Wait(short events, const Left& left) {
     while (!cancelled_) {
       const absl::Duration timeout = left();
-      if (timeout <= absl::ZeroDuration()) {
-        return false;
-      }
       pollfd ready{socket_, events, 0};
       if (poll(&ready, 1, PollTimeout(timeout)) > 0) {
         return !cancelled_;
       }
+      if (timeout <= absl::ZeroDuration()) {
+        return false;
+      }
     }
     return false;
   }
--- a/tests/platform/http_platform_client_limits_test.cc
+++ b/tests/platform/http_platform_client_limits_test.cc
@@ -7,6 +7,7 @@
 
 #include "absl/time/clock.h"
 #include "gcw/platform/http_platform_client.h"
+#include "src/platform/http_connection.h"
 #include "tests/support/endless_answers.h"
 #include "tests/support/raw_server.h"
 
@@ -80,6 +81,37 @@
   }
 }
 
+// Passes the first bytes of a body, then nothing for longer than the timeout,
+// as a decoder does whose process was paused. In that time the rest arrives.
+class PausingSink : public BodySink {
+ public:
+  Status OnBytes(std::string_view bytes) override {
+    if (received_ == 0) {
+      absl::SleepFor(2 * kCallTimeout);
+    }
+    received_ += bytes.size();
+    return OkStatus();
+  }
+  std::size_t received() const { return received_; }
+
+ private:
+  std::size_t received_ = 0;
+};
+
+// After a pause the time of a call is over, but its answer is there.
+TEST_CASE("an answer that arrives while the process is paused is read") {
+  RawServer server(Answering(Ok(std::string(100'000, ' '))));
+  HttpConnection connection({.server = server.endpoint(),
+                             .connect_timeout = absl::Seconds(1),
+                             .call_timeout = kCallTimeout});
+  const HttpConnection::Operation operation(connection);
+  PausingSink sink;
+  const auto answer = connection.Exchange(
+      {.method = "GET", .target = "/", .max_answer_bytes = 1'000'000}, sink);
+  REQUIRE(answer.ok());
+  CHECK(sink.received() == 100'000);
+}
+
 TEST_CASE("a compressed answer is neither asked for nor read") {
   std::string request;
   RawServer server([&](RawServer::Connection& connection) {
