direct: log and count connections that are closed at the bound

Operators could not see that connections were opened for nothing: the control transport wrote a plain line to standard error and the metrics had nothing.

--- a/include/gcw/cluster/member_link.h
+++ b/include/gcw/cluster/member_link.h
@@ -36,6 +36,7 @@
   // Messages received on either port that were refused because they had a wrong
   // signature, were replayed or were malformed.
   std::uint64_t refused_messages = 0;
+  control::AcceptStats accepts;  // Of the control transport.
 };
 
 // Connects a daemon to the other members of the fleet: tracks which members
@@ -62,6 +63,12 @@
     // other handlers.
     std::function<void(const Endpoint& peer, absl::Duration idle)>
         on_connection_lost;
+    // The bound on accepted control connections took effect; see
+    // control::Options. May be null. Runs on another thread than the other
+    // handlers.
+    std::function<void(const Endpoint& listen,
+                       const control::AcceptStats& stats)>
+        on_bound_reached;
   };
 
   // Opens both ports and starts the thread of the control transport. Fails with
--- a/include/gcw/control/control_transport.h
+++ b/include/gcw/control/control_transport.h
@@ -39,6 +39,15 @@
   std::vector<std::uint8_t> payload;
 };
 
+// How often the bound on accepted connections took effect since the transport
+// was made.
+struct AcceptStats {
+  // Accepted ones without a verified message, closed in favour of new ones.
+  std::uint64_t closed_for_room = 0;
+  std::uint64_t refused = 0;  // New ones, since all others are of peers.
+  std::uint64_t pauses = 0;   // Out of descriptors or memory for a new one.
+};
+
 struct Options {
   // The address to listen on. Port 0 lets the system choose. Outgoing
   // connections are made from the same IP address.
@@ -69,6 +78,12 @@
   // that the process may open. At the bound, the oldest connection without a
   // verified message is closed in favour of a new one.
   std::size_t max_connections = 2048;
+  // Called when accepted connections were closed for new ones, new ones refused
+  // or accepting paused since the process was out of descriptors or memory, at
+  // most once in 10 s. May be null. Runs on the transport's thread; must not
+  // block.
+  std::function<void(const Endpoint& listen, const AcceptStats& stats)>
+      on_bound_reached;
   // Called when an established outgoing connection ended or stalled, with the
   // time since a byte was last sent or received on it. May be null. Runs on the
   // transport's thread; must not block.
@@ -94,12 +109,7 @@
   // Accepted connections that were closed because a message failed
   // verification.
   std::uint64_t closed_unverified = 0;
-  // Accepted connections without a verified message that were closed in favour
-  // of new ones, new ones that were refused since all had one, and pauses of
-  // accepting since the process was out of descriptors or memory.
-  std::uint64_t closed_for_room = 0;
-  std::uint64_t refused_connections = 0;
-  std::uint64_t accept_pauses = 0;
+  AcceptStats accepts;
 };
 
 // Carries signed messages between daemons over HTTP/2 streams on TCP. Each
--- a/src/cluster/member_link.cc
+++ b/src/cluster/member_link.cc
@@ -74,7 +74,7 @@
   MemberLinkStats stats() const {
     const control::Stats control = transport_->stats();
     return {control.bytes_sent + socket_->bytes_sent(),
-            control.refused_messages + refused_messages_};
+            control.refused_messages + refused_messages_, control.accepts};
   }
 
  private:
@@ -104,6 +104,7 @@
     control::Options options;
     options.listen = {options_.bind_ip, options_.control_port};
     options.on_connection_lost = handlers_.on_connection_lost;
+    options.on_bound_reached = handlers_.on_bound_reached;
     auto transport = control::ControlTransport::Make(
         options, signer_,
         [mailbox = mailbox_](control::ReceivedMessage message) {
--- a/src/control/control_transport.cc
+++ b/src/control/control_transport.cc
@@ -107,10 +107,7 @@
   stats.connects = counters.connects;
   stats.connect_failures = counters.connect_failures;
   stats.closed_unverified = counters.closed_unverified;
-  const kernel::AcceptStats accepts = impl_->loop().accept_stats();
-  stats.closed_for_room = accepts.closed_for_room;
-  stats.refused_connections = accepts.refused;
-  stats.accept_pauses = accepts.pauses;
+  stats.accepts = impl_->loop().accept_stats();
   return stats;
 }
 
--- a/src/control/transport_loop.cc
+++ b/src/control/transport_loop.cc
@@ -7,6 +7,7 @@
 #include <array>
 #include <bit>
 #include <cmath>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -35,6 +36,21 @@
 // same peers need as many.
 constexpr double kMaxDescriptorShare = 0.375;
 
+AcceptStats ToPublicStats(const kernel::AcceptStats& stats) {
+  return {stats.closed_for_room, stats.refused, stats.pauses};
+}
+
+std::function<void(const Endpoint&, const kernel::AcceptStats&)>
+MakeBoundHandler(const Options& options) {
+  if (!options.on_bound_reached) {
+    return nullptr;
+  }
+  return [handler = options.on_bound_reached](
+             const Endpoint& listen, const kernel::AcceptStats& stats) {
+    handler(listen, ToPublicStats(stats));
+  };
+}
+
 }  // namespace
 
 TransportLoop::TransportLoop(const Options& options,
@@ -64,12 +80,13 @@
 }
 
 Status TransportLoop::Open() {
-  auto acceptor =
-      kernel::TcpAcceptor::Make({.listen = options_.listen,
-                                 .backlog = kListenBacklog,
-                                 .max_connections = options_.max_connections,
-                                 .max_descriptor_share = kMaxDescriptorShare},
-                                *this);
+  auto acceptor = kernel::TcpAcceptor::Make(
+      {.listen = options_.listen,
+       .backlog = kListenBacklog,
+       .max_connections = options_.max_connections,
+       .max_descriptor_share = kMaxDescriptorShare,
+       .on_bound_reached = MakeBoundHandler(options_)},
+      *this);
   if (!acceptor.ok()) {
     return acceptor.error();
   }
@@ -176,6 +193,10 @@
   }
 }
 
+AcceptStats TransportLoop::accept_stats() const {
+  return ToPublicStats(acceptor_->stats());
+}
+
 void TransportLoop::Accept() {
   const absl::Time now = kernel::MonotonicNow();
   acceptor_->AcceptWaiting(now);
--- a/src/control/transport_loop.h
+++ b/src/control/transport_loop.h
@@ -56,7 +56,7 @@
   void Wake();
 
   Endpoint listen_address() const { return acceptor_->address(); }
-  kernel::AcceptStats accept_stats() const { return acceptor_->stats(); }
+  AcceptStats accept_stats() const;
 
  private:
   // A daemon to which messages are sent, and the connection to it.
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -96,6 +96,9 @@
   LogHeading operator()(const PeerConnectionLost&) const {
     return {LogLevel::kWarning, kFleet, "peer_connection_lost"};
   }
+  LogHeading operator()(const ConnectionsBounded&) const {
+    return {LogLevel::kWarning, kProcess, "connections_bounded"};
+  }
   LogHeading operator()(const EntriesSkipped&) const {
     return {LogLevel::kWarning, kState, "entries_skipped"};
   }
@@ -253,6 +256,12 @@
     return {{"peer", ToString(e.peer)},
             {"idle_ms", MillisecondsOrNull(e.idle)}};
   }
+  ordered_json operator()(const ConnectionsBounded& e) const {
+    return {{"listen", ToString(e.listen)},
+            {"closed", e.closed},
+            {"refused", e.refused},
+            {"pauses", e.pauses}};
+  }
   ordered_json operator()(const EntriesSkipped& e) const {
     return {{"feed", e.feed}, {"entries", e.entries}, {"error", e.error}};
   }
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -67,6 +67,15 @@
   absl::Duration idle;  // Since a byte was last sent or received.
 };
 
+// The bound on accepted connections to a port took effect. The counters are
+// since the start.
+struct ConnectionsBounded {
+  Endpoint listen;
+  std::uint64_t closed = 0;   // Idle ones, in favour of new ones.
+  std::uint64_t refused = 0;  // New ones, since none was idle.
+  std::uint64_t pauses = 0;   // Out of descriptors or memory for a new one.
+};
+
 // Entries in an answer of the platform's store have no readable name or version
 // and are left out.
 struct EntriesSkipped {
@@ -145,6 +154,7 @@
                                   StateConfirmedAgain,
                                   StoreCallTimedOut,
                                   PeerConnectionLost,
+                                  ConnectionsBounded,
                                   EntriesSkipped,
                                   ObjectUnreadable,
                                   StoreEpochChanged,
--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -130,6 +130,16 @@
   latency_histograms_->Add(wait);
 }
 
+void Metrics::SetAcceptStats(std::string_view port, const AcceptStats& stats) {
+  absl::MutexLock lock(&mutex_);
+  const auto it = accepts_.find(port);
+  if (it == accepts_.end()) {
+    accepts_.emplace(port, stats);
+  } else {
+    it->second = stats;
+  }
+}
+
 std::string Metrics::Render(const EventLogStats& log) const {
   std::string out;
   const auto end = std::back_inserter(out);
@@ -174,6 +184,21 @@
                    direct::FeedName(static_cast<direct::Feed>(i)),
                    absl::ToDoubleSeconds(router_.feed_ages[i]));
   }
+  AppendHeader(out, "gcw_connections_closed_total", "counter",
+               "Accepted connections closed at the bound, by port and result.");
+  for (const auto& [port, stats] : accepts_) {
+    fmt::format_to(
+        end,
+        "gcw_connections_closed_total{{port=\"{0}\",result=\"idle\"}} {1}\n"
+        "gcw_connections_closed_total{{port=\"{0}\",result=\"refused\"}} {2}\n",
+        port, stats.closed, stats.refused);
+  }
+  AppendHeader(out, "gcw_accept_pauses_total", "counter",
+               "Times without a descriptor or memory for a connection.");
+  for (const auto& [port, stats] : accepts_) {
+    fmt::format_to(end, "gcw_accept_pauses_total{{port=\"{}\"}} {}\n", port,
+                   stats.pauses);
+  }
   latency_histograms_->Render(out);
   AppendSample(out, "gcw_log_lines_total", "counter", "Log lines written.",
                log.written);
--- a/src/direct_balancer/metrics.h
+++ b/src/direct_balancer/metrics.h
@@ -4,9 +4,11 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <utility>
 
 #include "absl/base/thread_annotations.h"
@@ -17,6 +19,13 @@
 
 namespace gcw::direct_balancer {
 
+// How often the bound on accepted connections took effect.
+struct AcceptStats {
+  std::uint64_t closed = 0;   // Idle ones, in favour of new ones.
+  std::uint64_t refused = 0;  // New ones, since none was idle.
+  std::uint64_t pauses = 0;   // Out of descriptors or memory for a new one.
+};
+
 // The daemon's metrics, written by its tasks and rendered by the metrics
 // endpoint. Thread-safe.
 class Metrics {
@@ -41,6 +50,9 @@
     router_ = std::move(stats);
   }
 
+  // Replaces the counters of connections to a TCP port, named `port`.
+  void SetAcceptStats(std::string_view port, const AcceptStats& stats);
+
   // Counters of calls to the platform.
   CallMetrics& calls() { return calls_; }
 
@@ -54,6 +66,8 @@
   CallMetrics calls_;
   mutable absl::Mutex mutex_;
   direct::RouterStats router_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, AcceptStats, std::less<>> accepts_
+      ABSL_GUARDED_BY(mutex_);  // By port.
   const std::unique_ptr<LatencyHistograms> latency_histograms_
       ABSL_GUARDED_BY(mutex_);
 };
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -173,6 +173,12 @@
                                                 absl::Duration idle) {
       log.Write(PeerConnectionLost{peer, idle});
     };
+    handlers.on_bound_reached = [&log = log_](
+                                    const Endpoint& listen,
+                                    const control::AcceptStats& stats) {
+      log.Write(ConnectionsBounded{listen, stats.closed_for_room, stats.refused,
+                                   stats.pauses});
+    };
     auto link = cluster::MemberLink::Make(options, std::move(signer).value(),
                                           seed_, loop, std::move(handlers));
     if (!link.ok()) {
@@ -478,6 +484,9 @@
   void OnTick() {
     const absl::Time now = kernel::MonotonicNow();
     link_->OnTick(now);
+    const control::AcceptStats accepts = link_->stats().accepts;
+    metrics_.SetAcceptStats(
+        "control", {accepts.closed_for_room, accepts.refused, accepts.pauses});
     for (std::size_t i = 0; i < kFeedCount; ++i) {
       TickFeed(static_cast<Feed>(i), now);
     }
--- a/src/kernel/tcp_acceptor.cc
+++ b/src/kernel/tcp_acceptor.cc
@@ -21,7 +21,7 @@
 // many.
 constexpr int kMaxAcceptsPerCall = 4;
 constexpr absl::Duration kPause = absl::Milliseconds(100);
-constexpr absl::Duration kLogInterval = absl::Seconds(10);
+constexpr absl::Duration kReportInterval = absl::Seconds(10);
 // A server accepts this many connections however few descriptors there are.
 constexpr std::size_t kMinConnections = 8;
 
@@ -86,35 +86,37 @@
 
 TcpAcceptor::TcpAcceptor(const TcpAcceptorOptions& options,
                          AcceptedConnections& connections)
-    : max_connections_(MaxConnections(options)), connections_(connections) {}
+    : options_(options),
+      max_connections_(MaxConnections(options)),
+      connections_(connections) {}
 
 Result<std::unique_ptr<TcpAcceptor>> TcpAcceptor::Make(
     const TcpAcceptorOptions& options,
     AcceptedConnections& connections) {
   std::unique_ptr<TcpAcceptor> acceptor(new TcpAcceptor(options, connections));
-  const Status listening = acceptor->Listen(options);
+  const Status listening = acceptor->Listen();
   if (!listening.ok()) {
     return listening.error();
   }
   return acceptor;
 }
 
-Status TcpAcceptor::Listen(const TcpAcceptorOptions& options) {
+Status TcpAcceptor::Listen() {
   listener_ =
       Socket(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!listener_.valid()) {
-    return BindError(options.listen);
+    return BindError(options_.listen);
   }
   const int on = 1;
   // Errors are ignored: bind() fails if the option was needed.
   (void)setsockopt(listener_.fd(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
-  sockaddr_in raw = options.listen.ToSockaddr();
+  sockaddr_in raw = options_.listen.ToSockaddr();
   socklen_t length = sizeof(raw);
   auto* const address = reinterpret_cast<sockaddr*>(&raw);
   if (bind(listener_.fd(), address, length) != 0 ||
-      listen(listener_.fd(), options.backlog) != 0 ||
+      listen(listener_.fd(), options_.backlog) != 0 ||
       getsockname(listener_.fd(), address, &length) != 0) {
-    return BindError(options.listen);
+    return BindError(options_.listen);
   }
   address_ = Endpoint::FromSockaddr(raw);
   return OkStatus();
@@ -128,7 +130,7 @@
   while (accepted < kMaxAcceptsPerCall && AcceptOne(now)) {
     ++accepted;
   }
-  LogIfDue(now);
+  ReportIfDue(now);
 }
 
 // Returns whether another connection may be waiting.
@@ -155,7 +157,8 @@
   if (IsOfOneConnection(error)) {
     return true;
   }
-  Pause(now, error);
+  paused_until_ = now + kPause;
+  ++pauses_;
   return false;
 }
 
@@ -175,20 +178,17 @@
   return true;
 }
 
-void TcpAcceptor::Pause(absl::Time now, int error) {
-  paused_until_ = now + kPause;
-  ++pauses_;
-  if (now >= next_log_) {
-    kLog.Warning("cannot accept a connection to {}: {}", ToString(address_),
-                 std::strerror(error));
-  }
-}
-
-void TcpAcceptor::LogIfDue(absl::Time now) {
+void TcpAcceptor::ReportIfDue(absl::Time now) {
   const AcceptStats current = stats();
   const std::uint64_t sum =
       current.closed_for_room + current.refused + current.pauses;
-  if (sum == logged_ || now < next_log_) {
+  if (sum == reported_ || now < next_report_) {
+    return;
+  }
+  reported_ = sum;
+  next_report_ = now + kReportInterval;
+  if (options_.on_bound_reached) {
+    options_.on_bound_reached(address_, current);
     return;
   }
   kLog.Warning(
@@ -196,8 +196,6 @@
       "refused, {} pauses so far",
       connections_.size(), max_connections_, ToString(address_),
       current.closed_for_room, current.refused, current.pauses);
-  logged_ = sum;
-  next_log_ = now + kLogInterval;
 }
 
 AcceptStats TcpAcceptor::stats() const {
--- a/src/kernel/tcp_acceptor.h
+++ b/src/kernel/tcp_acceptor.h
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 
 #include "absl/time/time.h"
@@ -27,6 +28,13 @@
   virtual bool CloseLeastUseful() = 0;
 };
 
+// Counters since the acceptor was made.
+struct AcceptStats {
+  std::uint64_t closed_for_room = 0;  // Open ones, in favour of new ones.
+  std::uint64_t refused = 0;  // New ones, since no open one could be closed.
+  std::uint64_t pauses = 0;   // No descriptor or memory for a new one.
+};
+
 struct TcpAcceptorOptions {
   Endpoint listen;  // Port 0: any free port.
   int backlog = 128;
@@ -35,13 +43,10 @@
   // They take at most this share of the descriptors that the process may open,
   // so that its other sockets are left some.
   double max_descriptor_share = 1;
-};
-
-// Counters since the acceptor was made.
-struct AcceptStats {
-  std::uint64_t closed_for_room = 0;  // Open ones, in favour of new ones.
-  std::uint64_t refused = 0;  // New ones, since no open one could be closed.
-  std::uint64_t pauses = 0;   // No descriptor or memory for a new one.
+  // Called in AcceptWaiting() after a counter has grown, at most once in 10 s.
+  // Null: a log line is written instead.
+  std::function<void(const Endpoint& listen, const AcceptStats& stats)>
+      on_bound_reached;
 };
 
 // Accepts TCP connections and bounds how many are open. While the system has no
@@ -78,20 +83,20 @@
   TcpAcceptor(const TcpAcceptorOptions& options,
               AcceptedConnections& connections);
 
-  Status Listen(const TcpAcceptorOptions& options);
+  Status Listen();
   bool AcceptOne(absl::Time now);
   void AddOrRefuse(Socket socket, const Endpoint& from);
   bool MakeRoom();
-  void Pause(absl::Time now, int error);
-  void LogIfDue(absl::Time now);
+  void ReportIfDue(absl::Time now);
 
+  const TcpAcceptorOptions options_;
   const std::size_t max_connections_;
   AcceptedConnections& connections_;
   Socket listener_;
   Endpoint address_;
   absl::Time paused_until_ = absl::InfinitePast();
-  absl::Time next_log_ = absl::InfinitePast();
-  std::uint64_t logged_ = 0;  // The sum of the counters in the last line.
+  absl::Time next_report_ = absl::InfinitePast();
+  std::uint64_t reported_ = 0;  // The sum of the counters in the last report.
   std::atomic<std::uint64_t> closed_for_room_{0};
   std::atomic<std::uint64_t> refused_{0};
   std::atomic<std::uint64_t> pauses_{0};
--- a/tests/control/control_transport_test.cc
+++ b/tests/control/control_transport_test.cc
@@ -356,7 +356,7 @@
   REQUIRE(Eventually([&] { return idle.CountOpen() == 4; }));
   REQUIRE(a.Send(b.address(), "first").ok());
   REQUIRE(Eventually([&] { return b.received().size() == 1; }));
-  CHECK(b.transport().stats().closed_for_room == 17);
+  CHECK(b.transport().stats().accepts.closed_for_room == 17);
   idle.Open(b.address(), 20);
   REQUIRE(Eventually([&] { return idle.CountOpen() == 3; }));
   REQUIRE(a.Send(b.address(), "second").ok());
@@ -374,8 +374,8 @@
   REQUIRE(Eventually([&] { return b.received().size() == 1; }));
   IdleConnections idle;
   idle.Open(b.address(), 5);
-  REQUIRE(Eventually(
-      [&] { return b.transport().stats().refused_connections == 5; }));
+  REQUIRE(
+      Eventually([&] { return b.transport().stats().accepts.refused == 5; }));
   CHECK(idle.CountOpen() == 0);
   REQUIRE(a.Send(b.address(), "second").ok());
   CHECK(Eventually([&] { return b.received().size() == 2; }));
--- a/tests/direct_balancer/idle_connections_test.cc
+++ b/tests/direct_balancer/idle_connections_test.cc
@@ -113,6 +113,7 @@
 TEST_CASE("idle connections to the control port cost a daemon no core") {
   ProcessFixture fixture;
   CheckIdleConnections(fixture, {ControlOf(fixture.SettingsOf(0))});
+  CHECK(fixture.LogContains(0, R"("event":"connections_bounded")"));
 }
 
 // Each idle connection held the thread of the readiness endpoint in turn.
@@ -173,6 +174,24 @@
   CHECK(DescriptorsAfter(*process, before, absl::Seconds(4)) <= before);
 }
 
+// Nothing showed that connections were opened for nothing.
+TEST_CASE("the metrics count connections that were closed at the bound") {
+  ProcessFixture fixture;
+  const Settings settings = fixture.SettingsOf(0);
+  const auto process =
+      fixture.StartProcess(0, lab::ProcessLimits{kMaxDescriptors});
+  REQUIRE(fixture.BecomesReady(0));
+  IdleConnections connections;
+  // Three eighths of the descriptors, and 25 more.
+  connections.Open(ControlOf(settings), 100);
+  CHECK_FALSE(
+      fixture
+          .MetricsWith(
+              0, R"(gcw_connections_closed_total{port="control",result="idle"})"
+                 " 25\n")
+          .empty());
+}
+
 // Many idle connections kept the readiness checks waiting behind them.
 TEST_CASE("a daemon with many idle connections stays ready") {
   ProcessFixture fixture;
