control: parts of unverified messages no longer fill the memory

Anybody can connect to the port between daemons, announce a message of 2 MB and send all but its last byte; the daemon held it for 5 s for each of up to 2,048 connections.

Change: incomplete first messages of all accepted connections together take at most eight times the largest message (16 MB); beyond, the oldest connection that holds such a part is closed, counted in closed_unverified and logged at powers of two.

--- a/include/gcw/control/control_transport.h
+++ b/include/gcw/control/control_transport.h
@@ -107,7 +107,8 @@
   std::uint64_t connects = 0;
   std::uint64_t connect_failures = 0;
   // Accepted connections that were closed because a message failed
-  // verification.
+  // verification, or because the incomplete first messages on all of them took
+  // more than eight times Options::max_message_bytes.
   std::uint64_t closed_unverified = 0;
   AcceptStats accepts;
 };
--- a/src/control/frame_reader.h
+++ b/src/control/frame_reader.h
@@ -29,6 +29,9 @@
   // returned false. The reader must not be used after that.
   bool Feed(std::span<const std::uint8_t> bytes, const Handler& handler);
 
+  // The bytes that wait for the rest of their message.
+  std::size_t waiting_bytes() const { return buffer_.size(); }
+
  private:
   std::size_t max_message_bytes_;
   std::vector<std::uint8_t> buffer_;
--- a/src/control/transport_loop.cc
+++ b/src/control/transport_loop.cc
@@ -32,6 +32,9 @@
 constexpr std::size_t kTypeBytes = 1;
 constexpr int kMaxBackoffDoublings = 8;
 constexpr int kListenBacklog = 128;
+// The bytes of incomplete first messages on all accepted connections are at
+// most this many times the largest message, since anybody can send them.
+constexpr std::size_t kMaxUnverifiedMessages = 8;
 // Of the process's descriptors for accepted connections. The connections to the
 // same peers need as many.
 constexpr double kMaxDescriptorShare = 0.375;
@@ -259,6 +262,40 @@
   }
   UpdateEvents(connection.fd(),
                connection.blocked() ? EPOLLIN | EPOLLOUT : EPOLLIN);
+  CountUnverifiedBytes(inbound);
+  // May close this connection.
+  BoundUnverifiedBytes();
+}
+
+void TransportLoop::CountUnverifiedBytes(Inbound& inbound) {
+  unverified_bytes_ -= inbound.unverified_bytes;
+  inbound.unverified_bytes =
+      inbound.verified ? 0 : inbound.reader.waiting_bytes();
+  unverified_bytes_ += inbound.unverified_bytes;
+}
+
+// Closes the oldest connections that hold a part of a first message until the
+// parts are within the bound.
+void TransportLoop::BoundUnverifiedBytes() {
+  const std::size_t max_bytes =
+      kMaxUnverifiedMessages * options_.max_message_bytes;
+  while (unverified_bytes_ > max_bytes) {
+    const auto oldest = std::find_if(
+        unverified_.begin(), unverified_.end(), [this](const auto& entry) {
+          return inbound_.at(entry.second)->unverified_bytes > 0;
+        });
+    const int fd = oldest->second;
+    const std::uint64_t closed = ++counters_.closed_unverified;
+    // Logged only when the count is a power of two, so that a flood of
+    // connections does not fill the log.
+    if (std::has_single_bit(closed)) {
+      kLog.Warning(
+          "closed the connection from {}: incomplete first messages take over "
+          "{} bytes ({} closed unverified so far)",
+          ToString(inbound_.at(fd)->address), max_bytes, closed);
+    }
+    CloseInbound(fd);
+  }
 }
 
 bool TransportLoop::OnMessage(Inbound& inbound,
@@ -298,6 +335,7 @@
 void TransportLoop::CloseInbound(int fd) {
   const auto it = inbound_.find(fd);
   unverified_.erase(it->second->number);
+  unverified_bytes_ -= it->second->unverified_bytes;
   inbound_.erase(it);
 }
 
--- a/src/control/transport_loop.h
+++ b/src/control/transport_loop.h
@@ -86,6 +86,8 @@
     std::unique_ptr<Connection> connection;
     absl::Time accepted;
     bool verified = false;  // Whether a verified message has arrived.
+    // Bytes of a first message that is not complete.
+    std::size_t unverified_bytes = 0;
   };
 
   TransportLoop(const Options& options,
@@ -109,6 +111,8 @@
   void HandleInbound(Inbound& inbound, absl::Time now);
   bool OnMessage(Inbound& inbound, std::span<const std::uint8_t> message);
   void CloseInbound(int fd);
+  void CountUnverifiedBytes(Inbound& inbound);
+  void BoundUnverifiedBytes();
 
   void Connect(Peer& peer, absl::Time now);
   void FinishConnect(Peer& peer, absl::Time now);
@@ -148,6 +152,7 @@
   // acceptance.
   std::map<std::uint64_t, int> unverified_;
   std::uint64_t next_inbound_number_ = 0;
+  std::size_t unverified_bytes_ = 0;  // The sum over all connections.
   absl::Time next_timer_check_ = absl::InfinitePast();
 };
 
--- a/tests/direct_balancer/idle_connections_test.cc
+++ b/tests/direct_balancer/idle_connections_test.cc
@@ -2,8 +2,12 @@
 
 #include <signal.h>
 
+#include <array>
 #include <catch2/catch.hpp>
+#include <memory>
+#include <vector>
 
+#include "src/control/connection.h"
 #include "tests/direct_balancer/process_fixture.h"
 
 namespace gcw::direct_balancer {
@@ -174,6 +178,48 @@
   CHECK(DescriptorsAfter(*process, before, absl::Seconds(4)) <= before);
 }
 
+// Connections that send the begin of a large message and then nothing filled
+// the memory of a daemon before it could verify any of them.
+TEST_CASE("unverified messages do not fill the memory of a daemon") {
+  ProcessFixture fixture;
+  const Settings settings = fixture.SettingsOf(0);
+  const auto process = fixture.StartProcess(0);
+  REQUIRE(fixture.BecomesReady(0));
+  constexpr std::size_t kMessageBytes = 2 << 20;
+  constexpr std::int64_t kMaxPeakBytes = 80 << 20;
+  std::vector<std::size_t> sent(100, 0);
+  std::vector<std::unique_ptr<control::Connection>> senders;
+  for (std::size_t& bytes : sent) {
+    auto socket = control::StartConnect(kCallerIp, ControlOf(settings));
+    REQUIRE(socket.ok());
+    auto stream = control::HttpStream::MakeClient([&bytes](auto out) {
+      // The length prefix is followed by all but the last byte.
+      const std::array<std::uint8_t, 4> prefix{0, 0x20, 0, 0};
+      std::size_t filled = 0;
+      for (; filled < out.size() && bytes < kMessageBytes; ++filled, ++bytes) {
+        out[filled] = bytes < prefix.size() ? prefix[bytes] : 0;
+      }
+      return filled;
+    });
+    senders.push_back(std::make_unique<control::Connection>(
+        std::move(socket).value(), std::move(stream), absl::Now()));
+  }
+  for (const absl::Time end = absl::Now() + absl::Seconds(3);
+       absl::Now() < end;) {
+    for (auto& sender : senders) {
+      if (sender &&
+          !(sender->Read(absl::Now()) && sender->Write(absl::Now()))) {
+        sender.reset();
+      }
+    }
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  const auto usage = process->Usage();
+  REQUIRE(usage);
+  CHECK(usage->peak_resident_bytes < kMaxPeakBytes);
+  CHECK(TimeOfReadinessCheck(settings) < kPollTimeout);
+}
+
 // Nothing showed that connections were opened for nothing.
 TEST_CASE("the metrics count connections that were closed at the bound") {
   ProcessFixture fixture;
