--- a/include/gcw/cluster/member_link.h
+++ b/include/gcw/cluster/member_link.h
@@ -41,6 +41,7 @@
   // Messages received on either port that were refused because they had a wrong
   // signature, were replayed or were malformed.
   std::uint64_t refused_messages = 0;
+  control::AcceptStats accepts;  // Of the control transport.
 };
 
 // Connects a daemon to the other members of the fleet: tracks which members
@@ -71,6 +72,12 @@
     // failed with `error`. May be null. Also runs within Make().
     std::function<void(const Error& error, std::uint64_t attempts)>
         on_open_delayed;
+    // The bound on accepted control connections took effect; see
+    // control::Options. May be null. Runs on another thread than the other
+    // handlers.
+    std::function<void(const Endpoint& listen,
+                       const control::AcceptStats& stats)>
+        on_bound_reached;
   };
 
   // Opens both ports and starts the thread of the control transport. Fails with
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -182,6 +182,12 @@
                                       std::uint64_t attempts) {
       OnLinkDelayed(error, attempts);
     };
+    handlers.on_bound_reached = [&log = log_](
+                                    const Endpoint& listen,
+                                    const control::AcceptStats& stats) {
+      log.Write(ConnectionsBounded{listen, stats.closed_for_room, stats.refused,
+                                   stats.pauses});
+    };
     auto link = cluster::MemberLink::Make(options, std::move(signer).value(),
                                           seed_, loop, std::move(handlers));
     if (!link.ok()) {
@@ -501,6 +507,9 @@
   void OnTick() {
     const absl::Time now = kernel::MonotonicNow();
     link_->OnTick(now);
+    const control::AcceptStats accepts = link_->stats().accepts;
+    metrics_.SetAcceptStats(
+        "control", {accepts.closed_for_room, accepts.refused, accepts.pauses});
     for (std::size_t i = 0; i < kFeedCount; ++i) {
       TickFeed(static_cast<Feed>(i), now);
     }
