gcw-direct: unknown fields and unusual times no longer end the daemon

Settings with one field of a newer template, with stop_limit_s 0.5, max_flow_s 90000, a deadline below 1 ms, or a bound that is true ended the daemon with exit code 4 at each start.

Negative numbers and other types stay errors.

--- a/include/gcw/config/object_reader.h
+++ b/include/gcw/config/object_reader.h
@@ -103,6 +103,8 @@
   // Reports kUnknownField for each field that no read method has been called
   // for. To be called after all fields have been read.
   void Finish();
+  // As Finish(), but appends the errors to `target`.
+  void ReportUnknown(std::vector<Error>* target) const;
 
  private:
   // Returns the value of the field `key`, or null if the field is absent; an
--- a/src/config/object_reader.cc
+++ b/src/config/object_reader.cc
@@ -302,12 +302,17 @@
 }
 
 void ObjectReader::Finish() {
+  ReportUnknown(errors_);
+}
+
+void ObjectReader::ReportUnknown(std::vector<Error>* target) const {
   if (!value_.is_object()) {
     return;
   }
   for (const auto& [key, unused] : value_.items()) {
     if (!read_keys_.contains(key)) {
-      Report(ResultCode::kUnknownField, key, "is not a known field");
+      target->push_back({ResultCode::kUnknownField, FieldPath(path_, key),
+                         "is not a known field"});
     }
   }
 }
--- a/src/direct_balancer/daemon.cc
+++ b/src/direct_balancer/daemon.cc
@@ -92,6 +92,7 @@
     writer_ = std::make_unique<EventWriter>(*log_);
     writer_->Write(ProcessStarted{settings_.name, settings_.zone,
                                   ToString(settings_.packets)});
+    LogIgnored(settings_);
     AddParts();
     return ContinueStart();
   }
@@ -108,6 +109,7 @@
       return;
     }
     const auto& updated = std::get<Settings>(read);
+    LogIgnored(updated);
     log_->set_level(updated.log_level);
     writer_->Write(SettingsReloaded{
         true, "", ChangedRestartOnlyFields(settings_, updated)});
@@ -146,6 +148,12 @@
   }
 
  private:
+  void LogIgnored(const Settings& settings) {
+    for (const Error& error : settings.ignored) {
+      writer_->Write(SettingIgnored{error.field, error.message});
+    }
+  }
+
   void AddParts() {
     start_.Add(kPacketsPart, "", [this] { return StartPackets(); });
     start_.Add(kReadyPart, "", [this] { return OpenReady(); });
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -87,6 +87,9 @@
     return {e.accepted ? LogLevel::kInfo : LogLevel::kError, kProcess,
             "settings_reloaded"};
   }
+  LogHeading operator()(const SettingIgnored&) const {
+    return {LogLevel::kWarning, kProcess, "setting_ignored"};
+  }
   LogHeading operator()(const StateUnconfirmed&) const {
     return {LogLevel::kWarning, kState, "state_unconfirmed"};
   }
@@ -242,6 +245,9 @@
             {"error", e.error},
             {"needs_restart", e.needs_restart}};
   }
+  ordered_json operator()(const SettingIgnored& e) const {
+    return {{"field", e.field}, {"error", e.error}};
+  }
   ordered_json operator()(const StateUnconfirmed& e) const {
     return {{"feed", e.feed},
             {"last_from", e.last_from},
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -48,6 +48,12 @@
   std::vector<std::string_view> needs_restart;
 };
 
+// A field of the settings file is ignored.
+struct SettingIgnored {
+  std::string field;
+  std::string error;
+};
+
 // The state of a feed has not been confirmed to be up to date for too long.
 struct StateUnconfirmed {
   std::string feed;
@@ -149,6 +155,7 @@
                                   ProcessStopping,
                                   ProcessStopped,
                                   SettingsReloaded,
+                                  SettingIgnored,
                                   StateUnconfirmed,
                                   StateConfirmedAgain,
                                   StoreCallTimedOut,
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -2,6 +2,9 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+#include <limits>
+
 #include "gcw/config/object_reader.h"
 #include "src/daemon/settings_file.h"
 
@@ -12,28 +15,53 @@
 using config::Presence;
 
 constexpr std::size_t kMaxSeeds = 1000;
-constexpr double kMaxSeconds = 86'400;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxPort = 65'535;
 
-// Reads an optional number of seconds, which may have a fraction; without it,
-// `target` keeps its value.
-void ReadSeconds(ObjectReader& reader,
-                 std::string_view key,
-                 absl::Duration* target) {
-  double seconds = absl::ToDoubleSeconds(*target);
-  reader.ReadNumber(key, Presence::kOptional, 1, kMaxSeconds, &seconds);
-  *target = absl::Seconds(seconds);
+// Reads an optional number of `unit`, which may have a fraction; without it,
+// `target` keeps its value. The platform may state `true` for a bound that
+// holds but has no figure.
+void ReadTime(ObjectReader& reader,
+              std::string_view key,
+              absl::Duration unit,
+              std::vector<Error>* ignored,
+              absl::Duration* target) {
+  bool has_figure = true;
+  reader.ReadValue(key, Presence::kOptional,
+                   [&](const nlohmann::json& value, const std::string& path) {
+                     has_figure = value != true;
+                     if (!has_figure) {
+                       ignored->push_back({ResultCode::kInvalidField, path,
+                                           "is true, which states no time"});
+                     }
+                   });
+  if (!has_figure) {
+    return;
+  }
+  double count = absl::FDivDuration(*target, unit);
+  reader.ReadNumber(key, Presence::kOptional, 0,
+                    std::numeric_limits<double>::max(), &count);
+  *target = std::clamp(unit * count, kMinTime, kMaxTime);
 }
 
-// As ReadSeconds(), for a number of milliseconds.
-void ReadMilliseconds(ObjectReader& reader,
-                      std::string_view key,
-                      absl::Duration* target) {
-  double milliseconds = absl::ToDoubleMilliseconds(*target);
-  reader.ReadNumber(key, Presence::kOptional, 1, kMaxSeconds * 1000,
-                    &milliseconds);
-  *target = absl::Milliseconds(milliseconds);
+void ReadTimes(ObjectReader& reader, Settings* settings) {
+  struct Field {
+    std::string_view key;
+    absl::Duration unit;
+    absl::Duration* target;
+  };
+  const Field fields[] = {
+      {"max_flow_s", absl::Seconds(1), &settings->max_flow_age},
+      {"stop_limit_s", absl::Seconds(1), &settings->stop_limit},
+      {"configuration_deadline_ms", absl::Milliseconds(1),
+       &settings->configuration_deadline},
+      {"servers_deadline_ms", absl::Milliseconds(1),
+       &settings->servers_deadline},
+      {"zones_deadline_ms", absl::Milliseconds(1), &settings->zones_deadline},
+  };
+  for (const Field& field : fields) {
+    ReadTime(reader, field.key, field.unit, &settings->ignored, field.target);
+  }
 }
 
 void ReadSeeds(ObjectReader& reader,
@@ -83,15 +111,12 @@
                   &members_port);
   settings.members_port = static_cast<std::uint16_t>(members_port);
   ReadSeeds(reader, &errors, &settings.seeds);
-  ReadSeconds(reader, "max_flow_s", &settings.max_flow_age);
-  ReadSeconds(reader, "stop_limit_s", &settings.stop_limit);
-  ReadMilliseconds(reader, "configuration_deadline_ms",
-                   &settings.configuration_deadline);
-  ReadMilliseconds(reader, "servers_deadline_ms", &settings.servers_deadline);
-  ReadMilliseconds(reader, "zones_deadline_ms", &settings.zones_deadline);
+  ReadTimes(reader, &settings);
   ReadLogLevel(reader, &settings.log_level);
-  reader.Finish();
+  reader.ReportUnknown(&settings.ignored);
   if (!errors.empty()) {
+    errors.insert(errors.end(), settings.ignored.begin(),
+                  settings.ignored.end());
     return errors;
   }
   return settings;
--- a/src/direct_balancer/settings.h
+++ b/src/direct_balancer/settings.h
@@ -37,14 +37,23 @@
   absl::Duration servers_deadline = absl::Seconds(3);
   absl::Duration zones_deadline = absl::Seconds(5);
   LogLevel log_level = LogLevel::kInfo;
+  // The fields that were ignored and why: unknown ones, which another release
+  // may know, and times that are `true`, which states no time.
+  std::vector<Error> ignored;
 
   bool operator==(const Settings&) const = default;
 };
 
 using SettingsErrors = std::vector<Error>;
 
-// Parses `text` (JSON) strictly: returns one error, with the path of the field,
-// for every field that is invalid or unknown. Thread-safe.
+// The shortest and the longest time that the daemon works with. A shorter or
+// longer one in the settings becomes this one.
+inline constexpr absl::Duration kMinTime = absl::Milliseconds(1);
+inline constexpr absl::Duration kMaxTime = absl::Hours(24 * 3650);
+
+// Parses `text` (JSON). Returns one error, with the path of the field, for
+// every field that is invalid; fields in Settings::ignored are errors as well
+// if there are others. Thread-safe.
 std::variant<Settings, SettingsErrors> ParseSettings(std::string_view text);
 
 // Reads and parses the file at `path`. Returns kSettingsUnreadable if it cannot
--- a/tests/direct_balancer/process_start_test.cc
+++ b/tests/direct_balancer/process_start_test.cc
@@ -101,6 +101,24 @@
   CHECK(ProcessFixture::WaitForExit(*process, absl::Seconds(1)) == 0);
 }
 
+// One field of a newer template, or a limit below a second, ended the process
+// with exit code 4.
+TEST_CASE("a daemon serves with an unknown field and unusual times") {
+  ProcessFixture fixture;
+  fixture.AddServer();
+  nlohmann::json settings = fixture.SettingsFileOf(0);
+  settings["newer"] = true;
+  settings["stop_limit_s"] = 0.5;
+  settings["max_flow_s"] = 90'000;
+  settings["servers_deadline_ms"] = 0.25;
+  settings["zones_deadline_ms"] = 1e18;
+  const auto process = fixture.StartProcess(0, settings);
+  CHECK(fixture.BecomesReady(0));
+  CHECK(fixture.LogContains(0, "setting_ignored"));
+  process->Signal(SIGTERM);
+  CHECK(ProcessFixture::WaitForExit(*process, absl::Seconds(1)) == 0);
+}
+
 // A lack of file descriptors or of memory for threads ended the process, with
 // or without a line in the log.
 TEST_CASE("a daemon short of descriptors or memory waits and says so") {
--- a/tests/direct_balancer/program_test.cc
+++ b/tests/direct_balancer/program_test.cc
@@ -32,6 +32,8 @@
   CHECK(CheckSettings(kValid) == 0);
   CHECK(CheckSettings(R"({"name":"a","odd":1})") == 4);
   CHECK(CheckSettings("no JSON") == 4);
+  const std::string newer = R"({"newer":1,)" + std::string(kValid).substr(1);
+  CHECK(CheckSettings(newer) == 4);
   const std::string program = std::string(GCW_BIN_DIR) + "/gcw-direct";
   CHECK(WEXITSTATUS(std::system(
             (program + " --settings /nowhere 2>/dev/null").c_str())) == 3);
--- a/tools/gcw-direct/main.cc
+++ b/tools/gcw-direct/main.cc
@@ -75,8 +75,11 @@
   if (const auto* errors = std::get_if<SettingsErrors>(&settings)) {
     return gcw::daemon::PrintSettingsErrors(kName, *errors);
   }
-  if (arguments.check) {
-    return 0;
+  const auto& valid = std::get<Settings>(settings);
+  if (!arguments.check) {
+    return Serve(valid, arguments.settings);
   }
-  return Serve(std::get<Settings>(settings), arguments.settings);
+  return valid.ignored.empty()
+             ? 0
+             : gcw::daemon::PrintSettingsErrors(kName, valid.ignored);
 }
