daemon: a program prints the exception that ends it

A process that an exception ended, such as std::system_error of a thread in a library, left nothing in its log. The three programs install a terminate handler that writes a line with the exception to standard error before the process aborts.

--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -6,8 +6,36 @@
 #include <CLI/CLI.hpp>
 #include <cassert>
 #include <cstdio>
+#include <cstdlib>
+#include <exception>
+#include <string>
 
 namespace gcw::daemon {
+namespace {
+
+const char* program_name = "";
+
+// The text of the exception that ends the process.
+std::string FatalExceptionText() {
+  const std::exception_ptr exception = std::current_exception();
+  if (exception == nullptr) {
+    return "std::terminate was called";
+  }
+  try {
+    std::rethrow_exception(exception);
+  } catch (const std::exception& error) {
+    return error.what();
+  } catch (...) {
+    return "an exception of an unknown type";
+  }
+}
+
+[[noreturn]] void OnTerminate() {
+  PrintError(program_name, {ResultCode::kInternal, "", FatalExceptionText()});
+  std::abort();
+}
+
+}  // namespace
 
 std::variant<Arguments, Exit> ReadArguments(int argc,
                                             const char* const* argv,
@@ -50,6 +78,11 @@
                              : ResultCode::kSettingsInvalid);
 }
 
+void PrintFatalExceptions(const char* program) {
+  program_name = program;
+  std::set_terminate(OnTerminate);
+}
+
 sigset_t BlockSignals(std::initializer_list<int> signals) {
   sigset_t blocked;
   sigemptyset(&blocked);
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -49,6 +49,10 @@
 int PrintSettingsErrors(std::string_view program,
                         std::span<const Error> errors);
 
+// Makes the process print the exception that ends it, if one does, before it
+// aborts. `program` is the name to print and must be a literal.
+void PrintFatalExceptions(const char* program);
+
 // Blocks `signals` in this thread and in all threads that it starts later, so
 // that only a call like sigtimedwait() receives them. Returns the set of
 // blocked signals. To be called before any thread is started.
--- a/tools/gcw-api/main.cc
+++ b/tools/gcw-api/main.cc
@@ -61,6 +61,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  gcw::daemon::PrintFatalExceptions("gcw-api");
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
   if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
     return exit->code;
--- a/tools/gcw-balancer/main.cc
+++ b/tools/gcw-balancer/main.cc
@@ -33,6 +33,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  gcw::daemon::PrintFatalExceptions(kName);
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
   if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
     return exit->code;
--- a/tools/gcw-direct/main.cc
+++ b/tools/gcw-direct/main.cc
@@ -66,6 +66,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  gcw::daemon::PrintFatalExceptions(kName);
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
   if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
     return exit->code;
