gcw-balancer, gcw-api: a port in use delays the start

Both programs ended with exit code 5 if another process held one of their ports when they started. They now try to start as a whole again (StartRetry) while the error passes by itself, print it less often the longer it lasts, and end with 0 on SIGTERM meanwhile. Balancer::Make() and ApiServer::Make() still fail at once, now with the cause.

--- a/src/api/api_server.cc
+++ b/src/api/api_server.cc
@@ -19,6 +19,7 @@
 #include "src/api/message.h"
 #include "src/api/resource_service.h"
 #include "src/api/watch_stream.h"
+#include "src/daemon/bind_failure.h"
 #include "src/daemon/connection_thread_pool.h"
 
 namespace gcw::api {
@@ -303,8 +304,9 @@
     const ApiSettings& settings) {
   auto impl = std::make_unique<Impl>(settings);
   if (!impl->Start()) {
-    return Error{ResultCode::kBindFailed, "listen",
-                 fmt::format("cannot listen on {}", ToString(settings.listen))};
+    Error error = daemon::ExplainBindFailure(settings.listen);
+    error.field = "listen";
+    return error;
   }
   return std::unique_ptr<ApiServer>(new ApiServer(std::move(impl)));
 }
--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -14,6 +14,7 @@
 #include "src/balancer/packet_task.h"
 #include "src/balancer/platform_task.h"
 #include "src/balancer/status_writer_task.h"
+#include "src/daemon/bind_failure.h"
 #include "src/daemon/http_endpoint.h"
 
 namespace gcw::balancer {
@@ -113,7 +114,7 @@
       return daemon::HttpAnswer{200, Status().dump()};
     });
     if (!endpoint.ok()) {
-      return endpoint.error();
+      return daemon::ExplainBindFailure(options.listen);
     }
     status_endpoint_ = std::move(endpoint).value();
     return OkStatus();
--- a/tools/gcw-api/main.cc
+++ b/tools/gcw-api/main.cc
@@ -11,6 +11,7 @@
 #include "gcw/base/result_code.h"
 #include "src/daemon/program.h"
 #include "src/daemon/settings_file.h"
+#include "src/daemon/start_retry.h"
 
 namespace {
 
@@ -23,11 +24,14 @@
 
 int Serve(const gcw::api::ApiSettings& settings) {
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
+  gcw::daemon::StartRetry retry("gcw-api", signals);
   gcw::Result<std::unique_ptr<gcw::api::ApiServer>> server =
       gcw::api::ApiServer::Make(settings);
-  if (!server.ok()) {
-    kLog.Error("{}.", gcw::ToString(server.error()));
-    return ExitCode(server.error().code);
+  while (!server.ok()) {
+    if (const auto exit_code = retry.OnFailure(server.error())) {
+      return *exit_code;
+    }
+    server = gcw::api::ApiServer::Make(settings);
   }
   int signal = 0;
   sigwait(&signals, &signal);
--- a/tools/gcw-balancer/main.cc
+++ b/tools/gcw-balancer/main.cc
@@ -5,6 +5,7 @@
 #include "src/balancer/balancer.h"
 #include "src/balancer/settings.h"
 #include "src/daemon/program.h"
+#include "src/daemon/start_retry.h"
 
 namespace {
 
@@ -20,9 +21,13 @@
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
   std::signal(SIGPIPE, SIG_IGN);
   gcw::SetLogLevel(settings.log_level);
-  const auto balancer = gcw::balancer::Balancer::Make(settings);
-  if (!balancer.ok()) {
-    return gcw::daemon::PrintError(kName, balancer.error());
+  gcw::daemon::StartRetry retry(kName, signals);
+  auto balancer = gcw::balancer::Balancer::Make(settings);
+  while (!balancer.ok()) {
+    if (const auto exit_code = retry.OnFailure(balancer.error())) {
+      return *exit_code;
+    }
+    balancer = gcw::balancer::Balancer::Make(settings);
   }
   int signal = 0;
   sigwait(&signals, &signal);
