gcw-direct: a bound that is false does not end the daemon either

The platform's bounds may be true or false; the template leaves out one that is false, but a time that is false in the settings still ended the daemon with exit code 4. It is ignored like one that is true, and named.

--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -19,22 +19,23 @@
 constexpr std::uint32_t kMaxPort = 65'535;
 
 // Reads an optional number of `unit`, which may have a fraction; without it,
-// `target` keeps its value. The platform may state `true` for a bound that
-// holds but has no figure.
+// `target` keeps its value. The platform may state `true` or `false`
+// for a bound without a figure.
 void ReadTime(ObjectReader& reader,
               std::string_view key,
               absl::Duration unit,
               std::vector<Error>* ignored,
               absl::Duration* target) {
   bool has_figure = true;
-  reader.ReadValue(key, Presence::kOptional,
-                   [&](const nlohmann::json& value, const std::string& path) {
-                     has_figure = value != true;
-                     if (!has_figure) {
-                       ignored->push_back({ResultCode::kInvalidField, path,
-                                           "is true, which states no time"});
-                     }
-                   });
+  reader.ReadValue(
+      key, Presence::kOptional,
+      [&](const nlohmann::json& value, const std::string& path) {
+        has_figure = !value.is_boolean();
+        if (!has_figure) {
+          ignored->push_back({ResultCode::kInvalidField, path,
+                              "is true or false, which states no time"});
+        }
+      });
   if (!has_figure) {
     return;
   }
--- a/src/direct_balancer/settings.h
+++ b/src/direct_balancer/settings.h
@@ -38,7 +38,7 @@
   absl::Duration zones_deadline = absl::Seconds(5);
   LogLevel log_level = LogLevel::kInfo;
   // The fields that were ignored and why: unknown ones, which another release
-  // may know, and times that are `true`, which states no time.
+  // may know, and times that are `true` or `false`.
   std::vector<Error> ignored;
 
   bool operator==(const Settings&) const = default;
