--- a/tools/gcw-api/main.cc
+++ b/tools/gcw-api/main.cc
@@ -11,6 +11,7 @@
 #include "gcw/base/result_code.h"
 #include "src/daemon/program.h"
 #include "src/daemon/settings_file.h"
+#include "src/daemon/start_retry.h"
 
 namespace {
 
@@ -24,11 +25,14 @@
 // Runs the server until one of `signals`, which are blocked, arrives. Returns
 // the exit code.
 int Serve(const gcw::api::ApiSettings& settings, const sigset_t& signals) {
+  gcw::daemon::StartRetry retry("gcw-api", signals);
   gcw::Result<std::unique_ptr<gcw::api::ApiServer>> server =
       gcw::api::ApiServer::Make(settings);
-  if (!server.ok()) {
-    kLog.Error("{}.", gcw::ToString(server.error()));
-    return ExitCode(server.error().code);
+  while (!server.ok()) {
+    if (const auto exit_code = retry.OnFailure(server.error())) {
+      return *exit_code;
+    }
+    server = gcw::api::ApiServer::Make(settings);
   }
   int signal = 0;
   sigwait(&signals, &signal);
@@ -63,6 +67,7 @@
 
 int main(int argc, char** argv) {
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
+  gcw::daemon::PrintFatalExceptions("gcw-api");
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
   if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
     return exit->code;
--- a/tools/gcw-direct/main.cc
+++ b/tools/gcw-direct/main.cc
@@ -69,6 +69,7 @@
 
 int main(int argc, char** argv) {
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT, SIGHUP});
+  gcw::daemon::PrintFatalExceptions(kName);
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
   if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
     return exit->code;
@@ -78,8 +79,11 @@
   if (const auto* errors = std::get_if<SettingsErrors>(&settings)) {
     return gcw::daemon::PrintSettingsErrors(kName, *errors);
   }
-  if (arguments.check) {
-    return 0;
+  const auto& valid = std::get<Settings>(settings);
+  if (!arguments.check) {
+    return Serve(valid, arguments.settings, signals);
   }
-  return Serve(std::get<Settings>(settings), arguments.settings, signals);
+  return valid.ignored.empty()
+             ? 0
+             : gcw::daemon::PrintSettingsErrors(kName, valid.ignored);
 }
