daemon, tools: log lines go to no socket when standard output is closed

Callers that start gcw-direct with its standard streams closed saw no log, and an eventfd, an epoll or a socket had the numbers 0 to 2: the log wrote its lines into an eventfd of an event loop.

Cause: the kernel gives out the lowest free number. Change: main() opens /dev/null in place of a closed standard stream, in all three programs.

--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -1,7 +1,9 @@
 #include "src/daemon/program.h"
 
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <pthread.h>
+#include <unistd.h>
 
 #include <CLI/CLI.hpp>
 #include <cassert>
@@ -66,4 +68,13 @@
   }
 }
 
+void OpenClosedStandardStreams() {
+  for (int stream = STDIN_FILENO; stream <= STDERR_FILENO; ++stream) {
+    if (fcntl(stream, F_GETFD) < 0) {
+      // The lowest number that is free, which is `stream`.
+      (void)open("/dev/null", O_RDWR);
+    }
+  }
+}
+
 }  // namespace gcw::daemon
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -59,6 +59,11 @@
 // SIGPIPE, and those that supervisors and log rotation send to other programs.
 void IgnoreUnusedSignals();
 
+// Opens /dev/null as each of standard input, output and error that is closed.
+// Otherwise the next socket or eventfd gets its number, and log lines go there.
+// To be called at the start of main().
+void OpenClosedStandardStreams();
+
 }  // namespace gcw::daemon
 
 #endif  // GCW_DAEMON_PROGRAM_H_
--- a/tests/direct_balancer/process_fixture.h
+++ b/tests/direct_balancer/process_fixture.h
@@ -76,6 +76,12 @@
     return std::move(made).value();
   }
 
+  // The program that is run.
+  static std::string Program() {
+    const char* other = std::getenv("GCW_DIRECT_PROGRAM");
+    return other != nullptr ? other : GCW_BIN_DIR "/gcw-direct";
+  }
+
   // The file with the settings of the daemon that was started last.
   std::string SettingsPath(std::uint32_t daemon) const {
     return fmt::format("{}/{}.json", work_dir_, daemon);
@@ -152,10 +158,6 @@
   }
 
  private:
-  static std::string Program() {
-    const char* other = std::getenv("GCW_DIRECT_PROGRAM");
-    return other != nullptr ? other : GCW_BIN_DIR "/gcw-direct";
-  }
   const std::string work_dir_;
 };
 
--- a/tests/direct_balancer/process_troubles_test.cc
+++ b/tests/direct_balancer/process_troubles_test.cc
@@ -5,6 +5,7 @@
 #include <fcntl.h>
 #include <sys/socket.h>
 #include <sys/stat.h>
+#include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -781,6 +782,33 @@
   close(unread);
 }
 
+// With standard output closed, an eventfd got its number, and the log wrote its
+// lines there.
+TEST_CASE("closed standard streams are not taken by sockets") {
+  ProcessFixture fixture;
+  std::ofstream(fixture.SettingsPath(0)) << fixture.SettingsFileOf(0).dump();
+  const std::string program = fixture.Program();
+  const std::string settings = fixture.SettingsPath(0);
+  const pid_t pid = fork();
+  if (pid == 0) {
+    for (const int stream : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+      close(stream);
+    }
+    execl(program.c_str(), program.c_str(), "--settings", settings.c_str(),
+          nullptr);
+    _exit(1);
+  }
+  CHECK(fixture.BecomesReady(0));
+  for (const int stream : {STDIN_FILENO, STDOUT_FILENO, STDERR_FILENO}) {
+    const std::string link = fmt::format("/proc/{}/fd/{}", pid, stream);
+    CHECK(std::filesystem::read_symlink(link) == "/dev/null");
+  }
+  kill(pid, SIGTERM);
+  int status = -1;
+  CHECK(waitpid(pid, &status, 0) == pid);
+  CHECK(status == 0);
+}
+
 // The settings file.
 
 // A settings file that cannot be used at a reload must leave the daemon with
--- a/tools/gcw-api/main.cc
+++ b/tools/gcw-api/main.cc
@@ -62,6 +62,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  gcw::daemon::OpenClosedStandardStreams();
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
   gcw::daemon::IgnoreUnusedSignals();
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
--- a/tools/gcw-balancer/main.cc
+++ b/tools/gcw-balancer/main.cc
@@ -32,6 +32,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  gcw::daemon::OpenClosedStandardStreams();
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
   gcw::daemon::IgnoreUnusedSignals();
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
--- a/tools/gcw-direct/main.cc
+++ b/tools/gcw-direct/main.cc
@@ -47,6 +47,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  gcw::daemon::OpenClosedStandardStreams();
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT, SIGHUP});
   gcw::daemon::IgnoreUnusedSignals();
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
