--- a/tools/gcw-direct/main.cc
+++ b/tools/gcw-direct/main.cc
@@ -37,7 +37,6 @@
 int Serve(const Settings& settings,
           const std::string& path,
           const sigset_t& signals) {
-  std::signal(SIGPIPE, SIG_IGN);
   gcw::daemon::StartRetry retry(kName, signals);
   auto daemon = Daemon::Make(settings, path);
   while (!daemon.ok()) {
@@ -45,9 +44,6 @@
       return *exit_code;
     }
     daemon = Daemon::Make(settings, path);
-  const auto daemon = Daemon::Make(settings, path);
-  if (!daemon.ok()) {
-    return gcw::daemon::PrintError(kName, daemon.error());
   }
   for (;;) {
     const timespec wait = WaitTime(*daemon.value());
