--- a/tests/direct_balancer/foreign_entries_test.cc
+++ b/tests/direct_balancer/foreign_entries_test.cc
@@ -93,8 +93,7 @@
 }
 
 // A daemon held such an answer whole: 524 MB at the peak, over the limit.
-TEST_CASE("entries of another writer in one page do not fill a daemon",
-          "[known-red][!mayfail]") {
+TEST_CASE("entries of another writer in one page do not fill a daemon") {
   CheckDaemonWith(kFewLong, 0);
 }
 
