--- a/src/daemon/start_sequence.cc
+++ b/src/daemon/start_sequence.cc
@@ -69,7 +69,7 @@
 Status StartSequence::Try(Part& part, absl::Time now) {
   part.first_attempt = std::min(part.first_attempt, now);
   ++part.attempts;
-  const Status started = RunStart(part.start);
+  Status started = RunStart(part.start);
   if (started.ok()) {
     part.running = true;
     return started;
