platform: a list of the store without end is refused at a bound

Callers saw a daemon that used up to 1.9 of a core for as long as the store sent a list without end, and over 60 MB for valid entries. Cause: the decoder read on until 512 MiB of text or 64 MiB of entries. Change: a decoder refuses an answer in which one entry does not begin within 4 MiB of the last one, with over 32,768 entries or 4,096 without a name, and a page of over 8 MiB, decoded. Its events may take 32 MiB.

--- a/include/gcw/platform/listing_decoder.h
+++ b/include/gcw/platform/listing_decoder.h
@@ -10,9 +10,13 @@
 
 namespace gcw::platform {
 
-// The most bytes that the objects or events of one answer take, decoded. A
-// decoder fails with kPlatformBadAnswer beyond.
-inline constexpr std::size_t kMaxDecodedBytes = 64 * 1'048'576;
+// The most that one answer may have. A decoder fails with kPlatformBadAnswer
+// beyond. The events of a watch are not divided into pages.
+inline constexpr std::size_t kMaxPageBytes = 8 * 1'048'576;     // Decoded.
+inline constexpr std::size_t kMaxEventsBytes = 32 * 1'048'576;  // Decoded.
+inline constexpr std::size_t kMaxEntries = 32'768;
+// Entries whose key or version cannot be decoded.
+inline constexpr std::size_t kMaxSkippedEntries = 4096;
 
 // The names of the members of an answer that is a listing. All point to
 // constants.
--- a/src/platform/json_listing_reader.cc
+++ b/src/platform/json_listing_reader.cc
@@ -19,6 +19,9 @@
 // this limit, plus one byte for each byte of the text, an entry ends where the
 // next one may begin.
 constexpr std::size_t kMaxRereadBytes = 8 * 1'048'576;
+// The most text from the beginning of one entry to that of the next one. What
+// is longer is no listing, since its values are bounded.
+constexpr std::size_t kMaxEntryDistanceBytes = 4 * 1'048'576;
 
 bool IsSpace(char c) {
   return c == ' ' || c == '\t' || c == '\r' || c == '\n';
@@ -42,6 +45,8 @@
       held_.append(part);
       Run();
       DropRead();
+      invalid_ = invalid_ || dropped_bytes_ + cursor_ - last_entry_ >
+                                 kMaxEntryDistanceBytes;
     }
     return invalid_ ? Status(NoListing()) : OkStatus();
   }
@@ -131,6 +136,7 @@
 
   void BeginEntry(std::size_t begin) {
     state_ = State::kEntry;
+    last_entry_ = dropped_bytes_ + begin;
     begin_ = begin;
     cursor_ = begin;
     members_end_ = begin;
@@ -340,6 +346,7 @@
   bool seen_colon_ = false;  // In the current entry.
 
   std::size_t dropped_bytes_ = 0;
+  std::size_t last_entry_ = 0;  // Where the last entry begins in all the text.
   std::size_t reread_bytes_ = 0;
   bool reread_limit_passed_ = false;
 };
--- a/src/platform/listing_decoder.cc
+++ b/src/platform/listing_decoder.cc
@@ -27,11 +27,19 @@
  public:
   using Read = std::function<Result<Entry>(std::string_view text)>;
 
-  explicit EntryCollector(Read read) : read_(std::move(read)) {}
+  EntryCollector(Read read, std::size_t max_bytes)
+      : read_(std::move(read)), max_bytes_(max_bytes) {}
 
-  void OnEntry(std::string_view text) override { Add(read_(text)); }
+  void OnEntry(std::string_view text) override {
+    if (!too_many()) {
+      Add(read_(text));
+    }
+  }
 
   void OnLongEntry(std::string_view beginning) override {
+    if (too_many()) {
+      return;
+    }
     Result<Entry> entry = read_(beginning);
     if (!entry.ok()) {
       entry = UndecodableText(fmt::format("an entry longer than {} bytes",
@@ -40,15 +48,15 @@
     Add(std::move(entry));
   }
 
-  bool too_many() const { return bytes_ > kMaxDecodedBytes; }
+  bool too_many() const {
+    return bytes_ > max_bytes_ || entries_.size() > kMaxEntries ||
+           skipped_.count > kMaxSkippedEntries;
+  }
   std::vector<Entry>& entries() { return entries_; }
   SkippedEntries& skipped() { return skipped_; }
 
  private:
   void Add(Result<Entry> entry) {
-    if (too_many()) {
-      return;
-    }
     if (!entry.ok()) {
       skipped_.Add(entry.error());
       return;
@@ -58,6 +66,7 @@
   }
 
   Read read_;
+  const std::size_t max_bytes_;
   std::vector<Entry> entries_;
   SkippedEntries skipped_;
   std::size_t bytes_ = 0;
@@ -68,9 +77,10 @@
 class AnswerReader {
  public:
   AnswerReader(const ListingNames& names,
-               typename EntryCollector<Entry>::Read read)
+               typename EntryCollector<Entry>::Read read,
+               std::size_t max_bytes)
       : names_(names),
-        collector_(std::move(read)),
+        collector_(std::move(read), max_bytes),
         reader_(names.array, collector_) {}
 
   Status OnBytes(std::string_view bytes) {
@@ -102,9 +112,8 @@
 
  private:
   static Status TooMany() {
-    return Error{
-        ResultCode::kPlatformBadAnswer, "",
-        fmt::format("entries of more than {} bytes", kMaxDecodedBytes)};
+    return Error{ResultCode::kPlatformBadAnswer, "",
+                 "too many or too large entries"};
   }
 
   const ListingNames names_;
@@ -116,7 +125,7 @@
 class ListingListDecoder : public ListDecoder {
  public:
   ListingListDecoder(const ListingNames& names, ReadObjectText read_object)
-      : reader_(names, std::move(read_object)) {}
+      : reader_(names, std::move(read_object), kMaxPageBytes) {}
 
   Status OnBytes(std::string_view bytes) override {
     return reader_.OnBytes(bytes);
@@ -147,7 +156,7 @@
 class ListingWatchDecoder : public WatchDecoder {
  public:
   ListingWatchDecoder(const ListingNames& names, ReadEventText read_event)
-      : reader_(names, std::move(read_event)) {}
+      : reader_(names, std::move(read_event), kMaxEventsBytes) {}
 
   Status OnBytes(std::string_view bytes) override {
     return reader_.OnBytes(bytes);
