direct_balancer, balancer: the endpoint itself says why it cannot listen

A thread that could not be started is no longer reported as a port in use. The test of a start without memory takes 70 MB of address space instead of 100, with which the daemon now starts: it has fewer threads.

--- a/src/balancer/balancer.cc
+++ b/src/balancer/balancer.cc
@@ -14,7 +14,6 @@
 #include "src/balancer/packet_task.h"
 #include "src/balancer/platform_task.h"
 #include "src/balancer/status_writer_task.h"
-#include "src/daemon/bind_failure.h"
 #include "src/daemon/http_endpoint.h"
 
 namespace gcw::balancer {
@@ -112,7 +111,7 @@
       return daemon::HttpAnswer{200, Status().dump()};
     });
     if (!endpoint.ok()) {
-      return daemon::ExplainBindFailure(options.listen);
+      return endpoint.error();
     }
     status_endpoint_ = std::move(endpoint).value();
     return OkStatus();
--- a/src/direct_balancer/daemon.cc
+++ b/src/direct_balancer/daemon.cc
@@ -14,7 +14,6 @@
 #include "gcw/kernel/event_loop.h"
 #include "gcw/kernel/kernel.h"
 #include "platform/ready.h"
-#include "src/daemon/bind_failure.h"
 #include "src/daemon/http_endpoint.h"
 #include "src/daemon/start_sequence.h"
 #include "src/direct_balancer/event_writer.h"
@@ -48,14 +47,6 @@
 constexpr char kStatePart[] = "state";
 constexpr char kMetricsPart[] = "metrics_port";
 
-// The error of an endpoint that could not be opened on `address`, with its
-// cause.
-Error ExplainFailure(const Error& error, const Endpoint& address) {
-  return error.code == ResultCode::kBindFailed
-             ? daemon::ExplainBindFailure(address)
-             : error;
-}
-
 // Identifies one version of a file: modification time and size. All zero if the
 // file cannot be read.
 struct FileStamp {
@@ -185,7 +176,7 @@
           return {ready ? kOk : kUnavailable, ""};
         });
     if (!ready.ok()) {
-      return ExplainFailure(ready.error(), settings_.ready);
+      return ready.error();
     }
     ready_ = std::move(ready).value();
     return OkStatus();
@@ -198,7 +189,7 @@
           return {kOk, metrics_.Render(log_->stats())};
         });
     if (!metrics.ok()) {
-      return ExplainFailure(metrics.error(), settings_.metrics);
+      return metrics.error();
     }
     metrics_endpoint_ = std::move(metrics).value();
     return OkStatus();
--- a/tests/direct_balancer/process_start_test.cc
+++ b/tests/direct_balancer/process_start_test.cc
@@ -130,7 +130,7 @@
       {.max_descriptors = 24},
       {.max_address_space = 60 * kMegabyte},
       {.max_address_space = 80 * kMegabyte},
-      {.max_address_space = 100 * kMegabyte},
+      {.max_address_space = 70 * kMegabyte},
   };
   for (const lab::ProcessLimits& limit : limits) {
     INFO(limit.max_descriptors.value_or(0)
