platform: a watch with more events than a decoder takes asks for a list

Found in review, before it could be seen: a watch answer over the bound was a bad answer, and the same watch was made again from the same revision, whose answer only grows. The decoder of a watch now fails with kPlatformCompacted, after which the daemon lists, in pages.

--- a/include/gcw/platform/listing_decoder.h
+++ b/include/gcw/platform/listing_decoder.h
@@ -10,8 +10,9 @@
 
 namespace gcw::platform {
 
-// The most that one answer may have. A decoder fails with kPlatformBadAnswer
-// beyond. The events of a watch are not divided into pages.
+// The most that one answer may have. Beyond, the decoder of a list fails with
+// kPlatformBadAnswer, and that of a watch with kPlatformCompacted: the events
+// of a watch are not divided into pages, but a list is.
 inline constexpr std::size_t kMaxPageBytes = 8 * 1'048'576;     // Decoded.
 inline constexpr std::size_t kMaxEventsBytes = 32 * 1'048'576;  // Decoded.
 inline constexpr std::size_t kMaxEntries = 32'768;
--- a/src/platform/listing_decoder.cc
+++ b/src/platform/listing_decoder.cc
@@ -78,8 +78,10 @@
  public:
   AnswerReader(const ListingNames& names,
                typename EntryCollector<Entry>::Read read,
-               std::size_t max_bytes)
+               std::size_t max_bytes,
+               ResultCode too_many)
       : names_(names),
+        too_many_(too_many),
         collector_(std::move(read), max_bytes),
         reader_(names.array, collector_) {}
 
@@ -111,12 +113,12 @@
   SkippedEntries& skipped() { return collector_.skipped(); }
 
  private:
-  static Status TooMany() {
-    return Error{ResultCode::kPlatformBadAnswer, "",
-                 "too many or too large entries"};
+  Status TooMany() const {
+    return Error{too_many_, "", "too many or too large entries"};
   }
 
   const ListingNames names_;
+  const ResultCode too_many_;
   EntryCollector<Entry> collector_;
   JsonListingReader reader_;
   std::vector<JsonMember> members_;
@@ -125,7 +127,10 @@
 class ListingListDecoder : public ListDecoder {
  public:
   ListingListDecoder(const ListingNames& names, ReadObjectText read_object)
-      : reader_(names, std::move(read_object), kMaxPageBytes) {}
+      : reader_(names,
+                std::move(read_object),
+                kMaxPageBytes,
+                ResultCode::kPlatformBadAnswer) {}
 
   Status OnBytes(std::string_view bytes) override {
     return reader_.OnBytes(bytes);
@@ -156,7 +161,10 @@
 class ListingWatchDecoder : public WatchDecoder {
  public:
   ListingWatchDecoder(const ListingNames& names, ReadEventText read_event)
-      : reader_(names, std::move(read_event), kMaxEventsBytes) {}
+      : reader_(names,
+                std::move(read_event),
+                kMaxEventsBytes,
+                ResultCode::kPlatformCompacted) {}
 
   Status OnBytes(std::string_view bytes) override {
     return reader_.OnBytes(bytes);
--- a/tests/platform/answer_decoder_test.cc
+++ b/tests/platform/answer_decoder_test.cc
@@ -12,6 +12,7 @@
 #include <string_view>
 
 #include "gcw/platform/api_format.h"
+#include "gcw/platform/listing_decoder.h"
 
 namespace gcw::platform {
 namespace {
@@ -106,5 +107,18 @@
   CHECK(page.value().listing.objects.size() == 20'001);
 }
 
+// The same watch was made again and again, and its answer only grew.
+TEST_CASE("a watch with more events than a decoder takes asks for a list") {
+  std::string body = R"({"revision":20,"events":[)";
+  const std::string event = R"({"key":"a/b","version":11,"deleted":true})";
+  for (std::size_t i = 0; i <= kMaxEntries; ++i) {
+    body += event + ",";
+  }
+  const auto decoder = FlatApiFormat().MakeWatchDecoder("a/");
+  const Status status = decoder->OnBytes(body);
+  REQUIRE_FALSE(status.ok());
+  CHECK(status.error().code == ResultCode::kPlatformCompacted);
+}
+
 }  // namespace
 }  // namespace gcw::platform
