gcw-direct: a lack of metrics never ends a daemon that serves

Found in review: an error of the metrics port that does not pass, such as a port that the process may not use, ended a daemon that served. It is tried again for as long as the daemon runs. No test of its own: as root each port may be used.

--- a/src/direct_balancer/daemon.cc
+++ b/src/direct_balancer/daemon.cc
@@ -189,7 +189,10 @@
           return {kOk, metrics_.Render(log_->stats())};
         });
     if (!metrics.ok()) {
-      return metrics.error();
+      // A lack of metrics must not end a daemon that serves.
+      Error error = metrics.error();
+      error.retry = Retry::kAlways;
+      return error;
     }
     metrics_endpoint_ = std::move(metrics).value();
     return OkStatus();
