daemon, tools: a log file at its limit or a stalled standard error ends no process

A supervisor that sets a limit on file size and appends the log of all starts to one file sees ends by themselves on every machine and no log of them. Also found in review: an error message that cannot be written threw out of PrintError() and ended gcw-balancer and gcw-api while they wait for a port, and SIGHUP ended these two.

Cause: only some signals were ignored, and fmt::print() throws. "a log file that may not grow ends no process" fails on (exit 153) and holds now; the three signals of "signals that ask for nothing do not end a process" fail on (153 to 155) and hold now. The two faults of gcw-balancer and gcw-api have no test yet.

--- a/src/daemon/program.cc
+++ b/src/daemon/program.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <fmt/format.h>
+#include <poll.h>
 #include <pthread.h>
 #include <unistd.h>
 
@@ -32,6 +33,16 @@
   }
 }
 
+// Leaves the text out if nobody reads it or the disk is full: a message must
+// neither end nor stall the process.
+void WriteToStandardError(std::string_view text) {
+  pollfd ready{STDERR_FILENO, POLLOUT, 0};
+  if (poll(&ready, 1, 0) > 0) {
+    [[maybe_unused]] const ssize_t written =
+        write(STDERR_FILENO, text.data(), text.size());
+  }
+}
+
 [[noreturn]] void OnTerminate() {
   PrintError(program_name, {ResultCode::kInternal, "", FatalExceptionText()});
   std::abort();
@@ -64,7 +75,7 @@
 }
 
 int PrintError(std::string_view program, const Error& error) {
-  fmt::print(stderr, "{}: {}\n", program, ToString(error));
+  WriteToStandardError(fmt::format("{}: {}\n", program, ToString(error)));
   return ExitCode(error.code);
 }
 
@@ -95,8 +106,12 @@
   return blocked;
 }
 
-void IgnoreUnusedSignals() {
-  for (const int signal : {SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGIO, SIGPWR}) {
+void IgnoreUnusedSignals(std::initializer_list<int> others) {
+  for (const int signal : {SIGPIPE, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM,
+                           SIGPROF, SIGIO, SIGPWR, SIGXFSZ}) {
+    std::signal(signal, SIG_IGN);
+  }
+  for (const int signal : others) {
     std::signal(signal, SIG_IGN);
   }
 }
--- a/src/daemon/program.h
+++ b/src/daemon/program.h
@@ -60,8 +60,9 @@
 sigset_t BlockSignals(std::initializer_list<int> signals);
 
 // Ignores the signals that ask these programs for nothing but would end them:
-// SIGPIPE, and those that supervisors and log rotation send to other programs.
-void IgnoreUnusedSignals();
+// SIGPIPE, SIGXFSZ (a log file has reached its limit), those that supervisors
+// and log rotation send to other programs, and `others`.
+void IgnoreUnusedSignals(std::initializer_list<int> others = {});
 
 // Opens /dev/null as each of standard input, output and error that is closed.
 // Otherwise the next socket or eventfd gets its number, and log lines go there.
--- a/src/lab/daemon_process.cc
+++ b/src/lab/daemon_process.cc
@@ -33,6 +33,7 @@
 void ApplyLimits(const ProcessLimits& limits) {
   ApplyLimit(RLIMIT_NOFILE, limits.max_descriptors);
   ApplyLimit(RLIMIT_AS, limits.max_address_space);
+  ApplyLimit(RLIMIT_FSIZE, limits.max_file_bytes);
 }
 
 }  // namespace
--- a/src/lab/daemon_process.h
+++ b/src/lab/daemon_process.h
@@ -17,6 +17,8 @@
 struct ProcessLimits {
   // The most open file descriptors; nullopt leaves the limit of this process.
   std::optional<std::uint64_t> max_descriptors;
+  // The largest size in bytes of a file that it writes, such as its log.
+  std::optional<std::uint64_t> max_file_bytes;
   // The most bytes of address space; nullopt leaves the limit of this process.
   std::optional<std::uint64_t> max_address_space;
 };
--- a/tests/direct_balancer/process_troubles_test.cc
+++ b/tests/direct_balancer/process_troubles_test.cc
@@ -562,6 +562,19 @@
 
 // Signals and standard output.
 
+// A log file at the size that the kernel allows ended the process with SIGXFSZ,
+// and each one after it with its first line.
+TEST_CASE("a log file that may not grow ends no process") {
+  ProcessFixture fixture;
+  fixture.AddServer();
+  std::vector<Observed> all(1);
+  all[0].trouble = "log file of 200 bytes at most";
+  all[0].process =
+      fixture.StartProcess(0, lab::ProcessLimits{.max_file_bytes = 200});
+  CHECK(fixture.EventuallyPlacesOn(0, 0, 1000));
+  MeasureAndStop(all, absl::Seconds(1));
+}
+
 // SIGUSR1, which log rotation sends to many programs, and its like ended a
 // process.
 TEST_CASE("signals that ask for nothing do not end a process") {
@@ -570,11 +583,12 @@
     int signal;
   };
   const Case cases[] = {
-      {"SIGHUP", SIGHUP},   {"SIGPIPE", SIGPIPE},   {"SIGCHLD", SIGCHLD},
-      {"SIGURG", SIGURG},   {"SIGWINCH", SIGWINCH}, {"SIGCONT", SIGCONT},
-      {"SIGUSR1", SIGUSR1}, {"SIGUSR2", SIGUSR2},   {"SIGALRM", SIGALRM},
-      {"SIGIO", SIGIO},     {"SIGPWR", SIGPWR},     {"SIGTTIN", SIGTTIN},
-      {"SIGTTOU", SIGTTOU}, {"SIGTSTP", SIGTSTP}};
+      {"SIGHUP", SIGHUP},       {"SIGPIPE", SIGPIPE},   {"SIGCHLD", SIGCHLD},
+      {"SIGURG", SIGURG},       {"SIGWINCH", SIGWINCH}, {"SIGCONT", SIGCONT},
+      {"SIGUSR1", SIGUSR1},     {"SIGUSR2", SIGUSR2},   {"SIGALRM", SIGALRM},
+      {"SIGVTALRM", SIGVTALRM}, {"SIGPROF", SIGPROF},   {"SIGXFSZ", SIGXFSZ},
+      {"SIGIO", SIGIO},         {"SIGPWR", SIGPWR},     {"SIGTTIN", SIGTTIN},
+      {"SIGTTOU", SIGTTOU},     {"SIGTSTP", SIGTSTP}};
   ProcessFixture fixture;
   std::vector<Observed> all;
   for (const Case& signal : cases) {
--- a/tools/gcw-api/main.cc
+++ b/tools/gcw-api/main.cc
@@ -69,7 +69,7 @@
   gcw::daemon::OpenClosedStandardStreams();
   const sigset_t signals = gcw::daemon::BlockSignals({SIGTERM, SIGINT});
   gcw::daemon::PrintFatalExceptions("gcw-api");
-  gcw::daemon::IgnoreUnusedSignals();
+  gcw::daemon::IgnoreUnusedSignals({SIGHUP});
   const auto read = gcw::daemon::ReadArguments(argc, argv, kProgramInfo);
   if (const auto* exit = std::get_if<gcw::daemon::Exit>(&read)) {
     return exit->code;
