--- a/tests/adapter/object_format_test.cc
+++ b/tests/adapter/object_format_test.cc
@@ -48,6 +48,19 @@
   CHECK(page.value().continue_after == "locks/i-2");
 }
 
+// Entries that are no server are kept for their names, at which the list goes
+// on.
+TEST_CASE("a list page of entries that are no server goes on after the last") {
+  const auto page = ObjectFormat().DecodeListPage("servers/", kPage);
+  REQUIRE(page.ok());
+  CHECK(page.value().listing.revision == 530);
+  REQUIRE(page.value().listing.objects.size() == 2);
+  CHECK(page.value().listing.objects[0].key == "servers/i-1");
+  CHECK(page.value().listing.objects[0].version == 12);
+  CHECK(page.value().listing.objects[0].created == 9);
+  CHECK(page.value().continue_after == "servers/i-2");
+}
+
 TEST_CASE("a watch answer is decoded to changes and deletions in order") {
   const auto answer = ObjectFormat().DecodeWatch(
       "servers/",
--- a/tests/daemon/program_test.cc
+++ b/tests/daemon/program_test.cc
@@ -1,7 +1,11 @@
 #include "src/daemon/program.h"
 
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <array>
 #include <catch2/catch.hpp>
+#include <csignal>
 #include <vector>
 
 #include "src/daemon/settings_file.h"
@@ -44,5 +48,27 @@
   CHECK(read.error().code == ResultCode::kSettingsUnreadable);
 }
 
+// Standard error on a full disk ended a program that waited for its port.
+TEST_CASE("an error message that cannot be written ends no program") {
+  const int saved = dup(STDERR_FILENO);
+  const int full = open("/dev/full", O_WRONLY);
+  REQUIRE(dup2(full, STDERR_FILENO) == STDERR_FILENO);
+  int code = 0;
+  CHECK_NOTHROW(code = PrintError("program", {ResultCode::kUsage, "", "x"}));
+  dup2(saved, STDERR_FILENO);
+  close(full);
+  close(saved);
+  CHECK(code == ExitCode(ResultCode::kUsage));
+}
+
+// SIGHUP ended gcw-balancer and gcw-api, which do not reload their settings.
+TEST_CASE("ignored signals end no program") {
+  IgnoreUnusedSignals({SIGHUP});
+  for (const int signal : {SIGHUP, SIGXFSZ, SIGUSR1}) {
+    CHECK(std::raise(signal) == 0);
+    std::signal(signal, SIG_DFL);
+  }
+}
+
 }  // namespace
 }  // namespace gcw::daemon
