lab: the usage of a new process is that of its program

Cause: between fork() and execv() the memory of a process is that of its parent, and the test ended the daemon as one over 60 MB. Only the last one started is asked that soon. Change: DaemonProcess::Make() returns once the program runs.

--- a/src/lab/daemon_process.cc
+++ b/src/lab/daemon_process.cc
@@ -6,6 +6,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <csignal>
 
 namespace gcw::lab {
@@ -36,6 +37,14 @@
   ApplyLimit(RLIMIT_FSIZE, limits.max_file_bytes);
 }
 
+// Waits until the other end of the pipe is closed, which happens when the child
+// runs its program or has ended.
+void WaitForExec(int pipe_end) {
+  char byte = 0;
+  while (read(pipe_end, &byte, 1) < 0 && errno == EINTR) {
+  }
+}
+
 }  // namespace
 
 Result<std::unique_ptr<DaemonProcess>> DaemonProcess::Make(
@@ -52,6 +61,11 @@
   }
   const char* const arguments[] = {program.c_str(), "--settings",
                                    settings_path.c_str(), nullptr};
+  int exec_pipe[2] = {-1, -1};
+  if (pipe2(exec_pipe, O_CLOEXEC) != 0) {
+    close(log);
+    return Error{ResultCode::kInternal, "", "cannot open a pipe"};
+  }
   // Forks because posix_spawn cannot set PR_SET_PDEATHSIG in the child.
   const pid_t pid = fork();
   if (pid == 0) {
@@ -63,6 +77,12 @@
     _exit(kExecFailedExitCode);
   }
   close(log);
+  close(exec_pipe[1]);
+  if (pid > 0) {
+    // Until then Usage() would tell what this process uses.
+    WaitForExec(exec_pipe[0]);
+  }
+  close(exec_pipe[0]);
   if (pid < 0) {
     return Error{ResultCode::kInternal, "",
                  "cannot fork a process for " + program};
--- a/tests/direct_balancer/process_start_test.cc
+++ b/tests/direct_balancer/process_start_test.cc
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 #include <csignal>
+#include <vector>
 
 #include "tests/direct_balancer/process_fixture.h"
 
@@ -145,5 +146,18 @@
   }
 }
 
+// The usage of a process that had not run its program yet was that of the test,
+// so a test ended processes that it took to be over their memory.
+TEST_CASE("the usage of a new process is not that of its parent") {
+  const std::vector<char> held(200'000'000, 'x');
+  ProcessFixture fixture;
+  for (std::uint32_t i = 0; i < 5; ++i) {
+    const auto process = fixture.StartProcess(i);
+    const auto usage = process->Usage();
+    REQUIRE(usage);
+    CHECK(usage->peak_resident_bytes < static_cast<std::int64_t>(held.size()));
+  }
+}
+
 }  // namespace
 }  // namespace gcw::direct_balancer
