load, direct: interfaces of the parts for heavy load

Each daemon knows only its own flows, so daemons of a busy zone neither use room in other zones nor agree on admission. Declares the load exchange, zone balancer and server pace that the following changes implement; behaviour does not change.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -16,6 +16,7 @@
 #include "gcw/direct/events.h"
 #include "gcw/direct/packet.h"
 #include "gcw/direct/resources.h"
+#include "gcw/load/figures.h"
 
 namespace gcw::direct {
 
@@ -88,6 +89,8 @@
   std::uint32_t daemons = 1;  // Known daemons, including this daemon.
   // Index of this daemon when the daemons are ordered by name.
   std::uint32_t rank = 0;
+  // Known daemons of this daemon's availability zone, including this daemon.
+  std::uint32_t zone_daemons = 1;
 
   bool operator==(const FleetPosition&) const = default;
 };
@@ -190,6 +193,13 @@
   // position.rank < position.daemons.
   void SetFleetPosition(const FleetPosition& position, absl::Time now);
 
+  // Replaces what is known of the load of all daemons together. The figures
+  // were current at `now` less the ages that they state.
+  void SetFleetLoad(const load::FleetFigures& figures, absl::Time now);
+  // The load that the flows of this daemon put on the backend servers, as of
+  // the last OnTick(), to be told to the other daemons.
+  load::Figures OwnLoad(absl::Time now) const;
+
   // The current state of `feed` was up to date in the store at `confirmed`,
   // according to the store itself or to a daemon that relays the store's
   // answers.
--- /dev/null
+++ b/include/gcw/load/message.h
@@ -0,0 +1,54 @@
+#ifndef GCW_LOAD_MESSAGE_H_
+#define GCW_LOAD_MESSAGE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "gcw/base/result.h"
+#include "gcw/load/figures.h"
+
+namespace gcw::load {
+
+enum class MessageType : std::uint8_t {
+  kPartial = 0,  // Up a tree: the sum over the sender's subtree.
+  kZone = 1,     // Between roots: the sum over the sender's zone.
+  kTotal = 2,    // Down a tree: the sums of all zones.
+};
+
+// The sum over daemons of one zone.
+struct ZonePart {
+  NameHash zone = 0;   // Of the daemons.
+  absl::Duration age;  // Of the oldest figures that are included.
+  Figures figures;
+
+  bool operator==(const ZonePart&) const = default;
+};
+
+// A message between two daemons.
+struct Message {
+  MessageType type = MessageType::kPartial;
+  std::uint8_t tree = 0;        // 0: names ascending, 1: descending.
+  std::uint32_t sequence = 0;   // Rises with each message of the sender.
+  std::vector<ZonePart> parts;  // One part, except in kTotal.
+
+  bool operator==(const Message&) const = default;
+};
+
+// With its signature, a message of this size fits into one datagram at the
+// usual MTU.
+inline constexpr std::size_t kMaxMessageBytes = 1300;
+
+// Encodes a message as a CBOR array. Leaves out servers that do not fit into
+// kMaxMessageBytes, those with the least load first. Thread-safe.
+std::vector<std::uint8_t> Encode(const Message& message);
+
+// Decodes a message. Checks the type and range of every field, and that no
+// bytes follow the message. Fails with kMalformedMessage and the path of the
+// first invalid field. Thread-safe.
+Result<Message> Decode(std::span<const std::uint8_t> bytes);
+
+}  // namespace gcw::load
+
+#endif  // GCW_LOAD_MESSAGE_H_
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -7,6 +7,7 @@
 #include "src/direct/active_configuration.h"
 #include "src/direct/admission_table.h"
 #include "src/direct/feed_states.h"
+#include "src/direct/fleet_load.h"
 #include "src/direct/flow_monitor.h"
 #include "src/direct/flow_resetter.h"
 #include "src/direct/flow_table.h"
@@ -45,7 +46,8 @@
         flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
                       &events_),
         flow_resetter_(flows_, &events_),
-        placer_({options.zone, options.seed}) {}
+        placer_({options.zone, options.seed}),
+        fleet_load_(options.zone) {}
 
   void ApplyConfiguration(const Configuration& configuration,
                           Version revision) {
@@ -83,8 +85,15 @@
 
   void SetFleetPosition(const FleetPosition& position, absl::Time now) {
     placer_.SetFleetPosition(position, now);
+    fleet_load_.SetFleetPosition(position);
   }
 
+  void SetFleetLoad(const load::FleetFigures& figures, absl::Time now) {
+    fleet_load_.SetFleet(figures, now);
+  }
+
+  load::Figures OwnLoad(absl::Time /*now*/) const { return {}; }
+
   void OnFeedConfirmed(Feed feed, absl::Time confirmed) {
     feeds_.OnConfirmed(feed, confirmed);
   }
@@ -433,6 +442,7 @@
   FlowMonitor flow_monitor_;
   FlowResetter flow_resetter_;
   Placer placer_;
+  FleetLoad fleet_load_;
   UnknownCookies unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
@@ -468,6 +478,13 @@
                                     absl::Time now) {
   impl_->SetFleetPosition(position, now);
 }
+void DirectRouter::SetFleetLoad(const load::FleetFigures& figures,
+                                absl::Time now) {
+  impl_->SetFleetLoad(figures, now);
+}
+load::Figures DirectRouter::OwnLoad(absl::Time now) const {
+  return impl_->OwnLoad(now);
+}
 void DirectRouter::ApplyZonesOut(std::span<const std::string> zones,
                                  Version revision,
                                  absl::Time now) {
