--- a/include/gcw/load/aggregator.h
+++ b/include/gcw/load/aggregator.h
@@ -23,11 +23,11 @@
   std::string zone;  // The availability zone of this daemon.
   // Number of children of each daemon in a tree.
   std::size_t fanout = 4;
-  // Interval between a daemon's messages. Messages alternate between the two
-  // trees.
-  absl::Duration interval = absl::Milliseconds(250);
-  // Interval between messages that include the figures of single servers.
-  absl::Duration server_interval = absl::Seconds(1);
+  // Interval between the rounds of a tree. The rounds of the two trees are half
+  // an interval apart.
+  absl::Duration interval = absl::Milliseconds(500);
+  // Every how many rounds messages include the figures of single servers.
+  std::uint32_t server_rounds = 2;
   // Figures older than this are left out.
   absl::Duration max_age = absl::Milliseconds(1500);
 };
@@ -50,8 +50,9 @@
 // of the whole fleet at a cost that does not grow with the fleet. The daemons
 // of a zone form two trees over the sorted list of their names, one in
 // ascending and one in descending order, so that a daemon that fails in one
-// tree is mostly a leaf of the other one. Partial sums pass up the trees, the
-// roots of the zones exchange their sums, and the total passes down again. All
+// tree is mostly a leaf of the other one. In rounds that the roots start,
+// partial sums pass up the trees, the roots of the zones exchange their sums,
+// and the total passes down again. All
 // figures are soft state with an age; nothing is stored or agreed upon.
 //
 // Has no I/O. Not thread-safe. `now` must come from a monotonic clock.
--- a/include/gcw/load/message.h
+++ b/include/gcw/load/message.h
@@ -29,8 +29,9 @@
 // A message between two daemons.
 struct Message {
   MessageType type = MessageType::kPartial;
-  std::uint8_t tree = 0;        // 0: names ascending, 1: descending.
-  std::uint32_t sequence = 0;   // Rises with each message of the sender.
+  std::uint8_t tree = 0;  // 0: names ascending, 1: descending.
+  // The round: chosen by the root in kTotal and kZone, echoed in kPartial.
+  std::uint32_t sequence = 0;
   std::vector<ZonePart> parts;  // One part, except in kTotal.
 
   bool operator==(const Message&) const = default;
--- a/src/direct/server_pace.h
+++ b/src/direct/server_pace.h
@@ -16,9 +16,10 @@
 
 // Finds how much work each backend server bears from how it answers: how slow
 // it is compared with the other servers of its service, and, after it started
-// or recovered, which share of a full server's new flows it may get. The
-// answers that all daemons see count, so that the fleet as a whole neither
-// floods a server nor leaves it idle. Has no I/O. Not thread-safe.
+// or recovered, which share of the usual number of new flows it may get.
+// The answers that all daemons of the zone see count, so that the fleet as a
+// whole neither floods a server nor leaves it idle. Has no I/O. Not
+// thread-safe.
 class ServerPace {
  public:
   // Records an answer of `server` on one of this daemon's flows. `usual` is the
@@ -36,8 +37,8 @@
   // about every 50 ms.
   void OnTick(const ServerTable& servers, absl::Time now);
 
-  // The share of a full server's new flows that `server` may get, above 0 and
-  // up to 1.
+  // The share of the new flows of a server outside slow start that `server` may
+  // get, above 0 and up to 1.
   double share(FlowCookie server) const;
   // How long `server` takes for a request, compared with the other servers of
   // its service; 1 if not known.
