direct: new flows of a busy zone go to zones that have room

A zone counted as full when the waiting flows of one daemon reached 0.6 of the zone's slots. With ten daemons a zone this hardly ever happened, so callers of a busy zone were refused while other zones had room. FleetLoad now holds the load of the whole fleet, and ZoneBalancer derives from it the share of new flows that leaves the own zone.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -129,6 +130,28 @@
   std::uint64_t placed = 0;      // New flows that this daemon sent to it.
 };
 
+// Load of the servers of one service in one availability zone, for metrics.
+struct ZoneLoadStats {
+  std::string service;
+  std::string zone;
+  std::uint64_t slots = 0;  // Of the servers that can take new flows.
+  // Requests of all daemons per slot, smoothed; nullopt if not known.
+  std::optional<double> utilisation;
+};
+
+// What the router does with the new flows of one service, for metrics.
+struct ServiceLoadStats {
+  std::string service;
+  double overflow_share = 0;  // Part that goes to other availability zones.
+  double admitted_share = 1;  // Part that is not refused.
+};
+
+// A backend server in slow start, for metrics.
+struct SlowStartStats {
+  std::string server;
+  double share = 1;  // Part of the usual number of new flows.
+};
+
 // Statistics of the router, for metrics.
 struct RouterStats {
   Version configuration = 0;  // Configuration::version.
@@ -139,6 +162,11 @@
   // Time since each feed was last confirmed, indexed by Feed.
   std::array<absl::Duration, kFeedCount> feed_ages{};
   std::vector<ServerStats> servers;
+  std::vector<ZoneLoadStats> zone_loads;
+  std::vector<ServiceLoadStats> service_loads;
+  std::vector<SlowStartStats> slow_starts;
+  // Age of the newest figures of the fleet; InfiniteDuration if there are none.
+  absl::Duration load_age = absl::InfiniteDuration();
 };
 
 // Routes the flows of callers (client hosts) to backend servers, which send
@@ -198,7 +226,7 @@
   void SetFleetLoad(const load::FleetFigures& figures, absl::Time now);
   // The load that the flows of this daemon put on the backend servers, as of
   // the last OnTick(), to be told to the other daemons.
-  load::Figures OwnLoad(absl::Time now) const;
+  const load::Figures& own_load() const;
 
   // The current state of `feed` was up to date in the store at `confirmed`,
   // according to the store itself or to a daemon that relays the store's
--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -85,8 +85,11 @@
   std::uint32_t repeat = 0;        // Retransmissions of the SYN so far.
   std::uint32_t server_flows = 0;  // Open flows of this daemon on the server.
   std::uint32_t candidates = 0;    // Servers that could have been chosen.
-  Version configuration = 0;       // Configuration::version.
-  absl::Duration servers_age;      // Since the server list was confirmed.
+  // Placed in another availability zone because the own zone is near its
+  // capacity.
+  bool overflow = false;
+  Version configuration = 0;   // Configuration::version.
+  absl::Duration servers_age;  // Since the server list was confirmed.
 };
 
 // A flow was reset, or a packet was dropped.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -11,10 +11,12 @@
 #include "src/direct/flow_monitor.h"
 #include "src/direct/flow_resetter.h"
 #include "src/direct/flow_table.h"
+#include "src/direct/own_load.h"
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
 #include "src/direct/server_table.h"
 #include "src/direct/unknown_cookies.h"
+#include "src/direct/zone_balancer.h"
 #include "src/direct/zones_out.h"
 
 namespace gcw::direct {
@@ -46,8 +48,10 @@
         flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
                       &events_),
         flow_resetter_(flows_, &events_),
-        placer_({options.zone, options.seed}),
-        fleet_load_(options.zone) {}
+        placer_(options.seed),
+        own_load_(options.zone),
+        fleet_load_(options.zone),
+        zone_balancer_(options.zone, options.seed) {}
 
   void ApplyConfiguration(const Configuration& configuration,
                           Version revision) {
@@ -92,7 +96,7 @@
     fleet_load_.SetFleet(figures, now);
   }
 
-  load::Figures OwnLoad(absl::Time /*now*/) const { return {}; }
+  const load::Figures& own_load() const { return fleet_load_.own(); }
 
   void OnFeedConfirmed(Feed feed, absl::Time confirmed) {
     feeds_.OnConfirmed(feed, confirmed);
@@ -121,6 +125,8 @@
 
   void OnTick(absl::Time now) {
     flow_monitor_.OnTick(now);
+    fleet_load_.SetOwn(own_load_.Measure(servers_, now), now);
+    zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
     admission_table_.OnTick(servers_, placer_.fleet().daemons, now);
     failure_detector_.OnTick(now);
     const HeldState state = HeldStateAt(now);
@@ -189,6 +195,13 @@
                                entry->server.zone, state, entry->open_flows,
                                entry->placed});
     }
+    stats.zone_loads = zone_balancer_.Stats();
+    for (const Service& service : configuration_.services()) {
+      stats.service_loads.push_back(
+          {service.name, zone_balancer_.overflow_share(service.name),
+           admission_table_.AdmittedShare(service.name)});
+    }
+    stats.load_age = fleet_load_.age(now);
     return stats;
   }
 
@@ -238,8 +251,8 @@
     }
     Placement placement;
     if (service != nullptr) {
-      placement =
-          placer_.Choose(servers_, *service, zones_out_.names(), avoid, now);
+      placement = placer_.Choose(servers_, *service, zones_out_.names(),
+                                 zone_balancer_.ChooseZone(name), avoid, now);
     }
     if (placement.server == nullptr) {
       flows_.Erase(packet.flow);
@@ -247,6 +260,7 @@
     }
     Track(packet, route, flow, placement.server, now);
     ++placement.server->placed;
+    own_load_.OnPlaced(*placement.server);
     const Reason reason = repeated_syn ? Reason::kPlacedAgain : Reason::kPlaced;
     events_.push_back(FlowOpened{.flow = packet.flow,
                                  .reason = reason,
@@ -255,17 +269,26 @@
                                  .repeat = packet.acknowledged,
                                  .server_flows = placement.server->open_flows,
                                  .candidates = placement.candidates,
+                                 .overflow = IsOverflow(*placement.server),
                                  .configuration = configuration_.version(),
                                  .servers_age = ServersAge(now)});
     return Forward(*placement.server, reason);
   }
 
+  // Whether a new flow goes to `server` because the own zone is near its
+  // capacity.
+  bool IsOverflow(const ServerEntry& server) const {
+    return server.server.zone != options_.zone &&
+           zone_balancer_.overflow_share(server.server.service) > 0;
+  }
+
   // Resets a new flow because `service` is overloaded.
   Decision RefuseOverloaded(const Packet& packet,
                             std::string_view service,
                             absl::Time now) {
     Decision decision =
         Refuse(packet, Reason::kOverloaded, nullptr, absl::ZeroDuration(), now);
+    own_load_.OnRefused(service);
     std::get<FlowRefused>(events_.back()).admitted_share =
         admission_table_.AdmittedShare(service);
     return decision;
@@ -442,7 +465,9 @@
   FlowMonitor flow_monitor_;
   FlowResetter flow_resetter_;
   Placer placer_;
+  OwnLoad own_load_;
   FleetLoad fleet_load_;
+  ZoneBalancer zone_balancer_;
   UnknownCookies unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
@@ -482,8 +507,8 @@
                                 absl::Time now) {
   impl_->SetFleetLoad(figures, now);
 }
-load::Figures DirectRouter::OwnLoad(absl::Time now) const {
-  return impl_->OwnLoad(now);
+const load::Figures& DirectRouter::own_load() const {
+  return impl_->own_load();
 }
 void DirectRouter::ApplyZonesOut(std::span<const std::string> zones,
                                  Version revision,
--- a/src/direct/fleet_load.h
+++ b/src/direct/fleet_load.h
@@ -1,7 +1,7 @@
 #ifndef GCW_DIRECT_FLEET_LOAD_H_
 #define GCW_DIRECT_FLEET_LOAD_H_
 
-#include <cstdint>
+#include <deque>
 #include <optional>
 #include <string_view>
 
@@ -24,10 +24,10 @@
 
   // Replaces the figures of the fleet, which were current at `now` less the age
   // that they state.
-  void SetFleet(const load::FleetFigures& figures, absl::Time now);
+  void SetFleet(load::FleetFigures figures, absl::Time now);
   // Replaces the figures of this daemon. Call this with each tick.
-  void SetOwn(const load::Figures& figures, absl::Time now);
-  void SetFleetPosition(const FleetPosition& position);
+  void SetOwn(load::Figures figures, absl::Time now);
+  void SetFleetPosition(const FleetPosition& position) { position_ = position; }
 
   // The requests of all daemons that run or queue at the servers of `service`
   // in `zone`. Without recent figures of the daemons of `zone`: for the own
@@ -41,15 +41,36 @@
   double Outstanding(std::string_view service, absl::Time now) const;
 
   // Whether figures of the fleet that are not older than kMaxAge are known.
-  bool fresh(absl::Time now) const;
-  // The age of the oldest figures in use; InfiniteDuration if none are.
+  bool fresh(absl::Time now) const { return age(now) <= kMaxAge; }
+  // The age of the newest figures of the fleet; InfiniteDuration if there are
+  // none.
   absl::Duration age(absl::Time now) const;
 
+  const load::Figures& own() const { return own_; }
+
  private:
-  load::NameHash zone_ = 0;
+  struct Sample {
+    absl::Time taken;
+    load::Figures figures;
+  };
+
+  // The part of the figures that comes from the daemons of `zone`, if it is not
+  // older than kMaxAge.
+  const load::Coverage* RecentCoverage(load::NameHash zone,
+                                       absl::Time now) const;
+  // How many more requests this daemon has at the servers of `service` in the
+  // own zone than when `coverage` was measured; 0 if chance explains the
+  // difference.
+  double OwnRise(load::NameHash service,
+                 const load::Coverage& coverage,
+                 absl::Time now) const;
+
+  const load::NameHash zone_;
   load::FleetFigures fleet_;
   absl::Time fleet_set_at_ = absl::InfinitePast();
   load::Figures own_;
+  // This daemon's figures of the last kMaxAge, oldest first.
+  std::deque<Sample> own_history_;
   FleetPosition position_;
 };
 
--- a/src/direct/flow_monitor.cc
+++ b/src/direct/flow_monitor.cc
@@ -96,6 +96,7 @@
 void FlowMonitor::OnTick(absl::Time now) {
   for (const auto& entry : context_.servers.entries()) {
     entry->waiting_flows = 0;
+    entry->outstanding = 0;
     entry->late_flows = 0;
   }
   for (const auto& [key, flow] : context_.flows.flows()) {
@@ -120,6 +121,9 @@
       flow.acks_answers || waiting < kUnacknowledgedAnswerTime;
   if (counts_as_waiting && !IsAbandoned(flow, waiting)) {
     ++flow.server->waiting_flows;
+    const bool within_target = flow.target_latency == absl::ZeroDuration() ||
+                               waiting <= flow.target_latency;
+    flow.server->outstanding += within_target ? 1 : 0;
   }
   if (flow.acks_answers && waiting > kSlowAnswerThreshold &&
       flow.server->reach.last_progress() <= flow.waiting_since) {
--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -7,37 +7,24 @@
 namespace gcw::direct {
 namespace {
 
-// The daemon's own availability zone counts as full once this many of the
-// daemon's flows wait for an answer there, per slot of the zone's servers. A
-// slot is what a backend server needs to process one request at a time. New
-// flows may then go to other zones. The limit is below 1 because the daemon
-// sees only its own part of the load, and requests already queue when slots are
-// this busy.
-constexpr double kZoneFullWaitingPerSlot = 0.6;
-
 // The criteria by which candidate servers for a new flow are compared, the most
 // important one first. Smaller values are better: for example, warm servers
-// come before cold ones (those in slow start), and the daemon's own zone before
-// others unless it is full.
+// come before cold ones (those in slow start), and the preferred zone before
+// others.
 struct Rank {
   bool avoided = false;
   bool lapsed = false;
   bool cold = false;
-  bool remote_zone = false;
+  bool other_zone = false;
   // This daemon's open flows on the server, divided by the number of requests
   // that the server can process at the same time (slots).
   double load = 0;
 
-  auto tie() const {
-    return std::tie(avoided, lapsed, cold, remote_zone, load);
-  }
+  auto tie() const { return std::tie(avoided, lapsed, cold, other_zone, load); }
 };
 
 }  // namespace
 
-Placer::Placer(const PlacerOptions& options)
-    : options_(options), random_(options.seed) {}
-
 std::string_view Placer::PickService(const Route& route) {
   assert(!route.services.empty());
   std::uint64_t total = 0;
@@ -105,37 +92,26 @@
 Placement Placer::Choose(const ServerTable& servers,
                          const Service& service,
                          const std::set<std::string, std::less<>>& zones_out,
+                         std::string_view zone,
                          const ServerEntry* avoid,
                          absl::Time now) {
   Placement placement;
   candidates_.clear();
-  std::uint64_t own_slots = 0;
-  std::uint64_t own_waiting_flows = 0;
   for (ServerEntry* entry : servers.OfService(service.name)) {
     if (!CanAccept(*entry, service, zones_out, now, placement.excluded)) {
       continue;
     }
-    const bool remote_zone = entry->server.zone != options_.zone;
-    candidates_.push_back({entry, remote_zone});
-    if (!remote_zone) {
-      own_slots += entry->server.slots;
-      own_waiting_flows += entry->waiting_flows;
-    }
+    candidates_.push_back({entry, entry->server.zone != zone});
   }
-  const bool own_zone_full =
-      static_cast<double>(own_waiting_flows) >=
-      kZoneFullWaitingPerSlot * static_cast<double>(own_slots);
   placement.candidates = static_cast<std::uint32_t>(candidates_.size());
-  placement.server = PickBest(avoid, own_zone_full, now);
+  placement.server = PickBest(avoid, now);
   if (placement.server != nullptr && now < placement.server->cold_until) {
     cold_limiter_.RecordFlow(placement.server->cookie, now);
   }
   return placement;
 }
 
-ServerEntry* Placer::PickBest(const ServerEntry* avoid,
-                              bool own_zone_full,
-                              absl::Time now) {
+ServerEntry* Placer::PickBest(const ServerEntry* avoid, absl::Time now) {
   ServerEntry* chosen = nullptr;
   Rank best;
   std::uint64_t ties = 0;
@@ -145,7 +121,7 @@
         .avoided = entry == avoid,
         .lapsed = entry->presence == Presence::kLapsed,
         .cold = now < entry->cold_until,
-        .remote_zone = !own_zone_full && candidate.remote_zone,
+        .other_zone = candidate.other_zone,
         .load = static_cast<double>(entry->open_flows) / entry->server.slots};
     const bool better = chosen == nullptr || rank.tie() < best.tie();
     ties = better ? 1 : ties + (rank.tie() == best.tie() ? 1 : 0);
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -14,11 +14,6 @@
 
 namespace gcw::direct {
 
-struct PlacerOptions {
-  std::string zone;  // The daemon's own availability zone.
-  std::uint64_t seed = 1;
-};
-
 // Result of choosing a backend server for a new flow.
 struct Placement {
   ServerEntry* server = nullptr;  // Null if no server can take the flow.
@@ -31,8 +26,7 @@
 // - Servers are excluded if they are draining, gone, unreachable, at their flow
 //   limit, in a zone taken out of service, or cold (in slow start) with this
 //   daemon's quota of new flows used up.
-// - Servers in the daemon's own zone are preferred until that zone is busy, so
-//   that a network partition between zones breaks few flows.
+// - Servers in the zone that the caller of Choose() prefers come first.
 // - Among these, the server with the fewest open flows of this daemon per slot
 //   is chosen. A server processes one request per slot at a time. Ties are
 //   broken at random, so that daemons don't all choose the same server.
@@ -40,14 +34,16 @@
 // Has no I/O. Not thread-safe.
 class Placer {
  public:
-  explicit Placer(const PlacerOptions& options);
+  explicit Placer(std::uint64_t seed) : random_(seed) {}
 
-  // Chooses a server of `service` for a new flow. If the server is cold (in
+  // Chooses a server of `service` for a new flow, in `zone` if a server there
+  // can take it. If the server is cold (in
   // slow start), counts the flow against this daemon's quota for the server.
   // `avoid` is chosen only if there is no other server; it may be null.
   Placement Choose(const ServerTable& servers,
                    const Service& service,
                    const std::set<std::string, std::less<>>& zones_out,
+                   std::string_view zone,
                    const ServerEntry* avoid,
                    absl::Time now);
 
@@ -71,7 +67,7 @@
  private:
   struct Candidate {
     ServerEntry* entry = nullptr;
-    bool remote_zone = false;  // In another zone than the daemon.
+    bool other_zone = false;  // In another zone than the preferred one.
   };
 
   // Whether the server `entry` may take a new flow of `service`. If not, counts
@@ -83,11 +79,8 @@
                  ExcludedServers& excluded);
   // The best of the candidate servers, chosen at random among equally good
   // ones; null if there are no candidates.
-  ServerEntry* PickBest(const ServerEntry* avoid,
-                        bool own_zone_full,
-                        absl::Time now);
+  ServerEntry* PickBest(const ServerEntry* avoid, absl::Time now);
 
-  const PlacerOptions options_;
   std::mt19937_64 random_;
   // Used only during Choose(); a member to avoid repeated allocations.
   std::vector<Candidate> candidates_;
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -116,6 +116,8 @@
   auto entry = std::make_unique<ServerEntry>();
   entry->server = report.server;
   entry->cookie = CookieOf(report.server);
+  entry->service_hash = load::HashName(report.server.service);
+  entry->zone_hash = load::HashName(report.server.zone);
   entry->revision = report.revision;
   entry->presence = presence;
   entry->presence_since = now;
@@ -152,6 +154,8 @@
     return;
   }
   entry.server = report.server;
+  entry.service_hash = load::HashName(report.server.service);
+  entry.zone_hash = load::HashName(report.server.zone);
   IndexAddress(entry);
   entry.cold_until = now + report.server.cold_for;
   entry.presence = Presence::kListed;
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -14,6 +14,7 @@
 #include "gcw/base/endpoint.h"
 #include "gcw/direct/direct_router.h"
 #include "gcw/direct/events.h"
+#include "gcw/load/figures.h"
 #include "src/direct/reachability.h"
 
 namespace gcw::direct {
@@ -27,6 +28,8 @@
 
   BackendServer server;
   FlowCookie cookie = 0;
+  load::NameHash service_hash = 0;
+  load::NameHash zone_hash = 0;
   Version revision = 0;  // Of the last report that was applied.
   Presence presence = Presence::kListed;
   absl::Time presence_since;
@@ -41,6 +44,9 @@
   // Flows with a request that was probably still running or queued at the last
   // tick.
   std::uint32_t waiting_flows = 0;
+  // The same without flows that have waited for longer than the target latency
+  // of their route: a server that hangs has many of them, which show no demand.
+  std::uint32_t outstanding = 0;
   // Flows whose request had waited too long for an answer at the last tick.
   // Several late flows make the server suspect.
   std::uint32_t late_flows = 0;
--- a/src/direct/zone_balancer.h
+++ b/src/direct/zone_balancer.h
@@ -2,11 +2,16 @@
 #define GCW_DIRECT_ZONE_BALANCER_H_
 
 #include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "absl/time/time.h"
+#include "gcw/direct/direct_router.h"
 #include "src/direct/fleet_load.h"
 #include "src/direct/server_table.h"
 
@@ -14,7 +19,9 @@
 
 // Chooses the availability zone of each new flow: the daemon's own zone as long
 // as its servers have room, and for the part beyond that the zones that have
-// more room. Has no I/O. Not thread-safe.
+// more room. Answers the load pattern in which the callers of one zone ask for
+// more than its servers can process while other zones have room. Has no I/O.
+// Not thread-safe.
 class ZoneBalancer {
  public:
   // `zone` is the daemon's own availability zone.
@@ -35,8 +42,39 @@
   // to 1.
   double overflow_share(std::string_view service) const;
 
+  // The utilisation of each zone by service, for metrics.
+  std::vector<ZoneLoadStats> Stats() const;
+
  private:
+  struct Zone {
+    std::uint64_t slots = 0;  // Of usable servers.
+    // Outstanding requests per slot, smoothed; nullopt if not known.
+    std::optional<double> utilisation;
+    double overflow_weight = 0;
+  };
+  struct ServiceState {
+    std::map<std::string, Zone, std::less<>> zones;
+    // The share of new flows that leaves the own zone.
+    double overflow_share = 0;
+    double overflow_weights = 0;  // Sum over the zones.
+  };
+
+  void CountSlots(const ServerTable& servers,
+                  const std::set<std::string, std::less<>>& zones_out,
+                  absl::Time now);
+  void UpdateUtilisation(std::string_view service,
+                         const FleetLoad& load,
+                         absl::Time now,
+                         ServiceState& state) const;
+  void UpdateOverflow(bool fresh, ServiceState& state) const;
+  // The part of the new flows that the own zone should give to `other`, from 0
+  // to 1.
+  double Pull(const Zone& own, const Zone& other, bool fresh) const;
+
   const std::string zone_;
+  std::mt19937_64 random_;
+  absl::Time last_update_ = absl::InfinitePast();
+  std::map<std::string, ServiceState, std::less<>> services_;
 };
 
 }  // namespace gcw::direct
