load: sum of the load of all daemons over two trees

Each daemon sees only its own flows: with ten daemons a zone their estimates of the zone's load differ by a factor of two, so they switch admission control on and off independently. The exchange gives every daemon the sum over the fleet.

--- a/include/gcw/load/aggregator.h
+++ b/include/gcw/load/aggregator.h
@@ -27,7 +27,7 @@
   // an interval apart.
   absl::Duration interval = absl::Milliseconds(500);
   // Every how many rounds messages include the figures of single servers.
-  std::uint32_t server_rounds = 2;
+  std::uint32_t server_rounds = 4;
   // Figures older than this are left out.
   absl::Duration max_age = absl::Milliseconds(1500);
 };
@@ -66,10 +66,10 @@
   Aggregator& operator=(const Aggregator&) = delete;
 
   // Replaces the list of live daemons; this daemon may be absent from `peers`.
-  void SetPeers(std::span<const Peer> peers);
+  void SetPeers(std::span<const Peer> peers, absl::Time now);
 
   // Replaces this daemon's own figures, as measured at `now`.
-  void SetOwn(const Figures& figures, absl::Time now);
+  void SetOwn(Figures figures, absl::Time now);
 
   // Handles a message from the live daemon `from`, and returns the messages to
   // pass on. Messages from unknown daemons, and from daemons that are neither
@@ -81,8 +81,10 @@
   // Returns the messages that are due. Call this about every 50 ms.
   std::vector<OutgoingMessage> OnTick(absl::Time now);
 
-  // The load of the fleet, without figures that are older than
-  // Options::max_age. Always includes this daemon's own figures.
+  // The load of the fleet, without zones whose figures are older than
+  // Options::max_age. Of the two trees, the one that includes more daemons
+  // counts, or the one with newer figures. Without any, this daemon's own
+  // figures.
   FleetFigures Total(absl::Time now) const;
 
   // Messages ignored since the start.
--- a/include/gcw/load/figures.h
+++ b/include/gcw/load/figures.h
@@ -74,6 +74,8 @@
   Figures sum;
   // Sorted by zone. Lacks zones from which nothing recent was heard.
   std::vector<Coverage> coverage;
+
+  bool operator==(const FleetFigures&) const = default;
 };
 
 }  // namespace gcw::load
--- a/include/gcw/load/message.h
+++ b/include/gcw/load/message.h
@@ -14,25 +14,22 @@
 enum class MessageType : std::uint8_t {
   kPartial = 0,  // Up a tree: the sum over the sender's subtree.
   kZone = 1,     // Between roots: the sum over the sender's zone.
-  kTotal = 2,    // Down a tree: the sums of all zones.
+  kTotal = 2,    // Down a tree: the sum over the fleet. Starts a round.
 };
 
-// The sum over daemons of one zone.
-struct ZonePart {
-  NameHash zone = 0;   // Of the daemons.
-  absl::Duration age;  // Of the oldest figures that are included.
-  Figures figures;
-
-  bool operator==(const ZonePart&) const = default;
-};
+// The daemons of each zone form two trees, see Aggregator. In the first one
+// they are sorted by name, in the second one the other way round.
+inline constexpr std::uint8_t kTreeCount = 2;
 
 // A message between two daemons.
 struct Message {
   MessageType type = MessageType::kPartial;
-  std::uint8_t tree = 0;  // 0: names ascending, 1: descending.
+  std::uint8_t tree = 0;  // Below kTreeCount.
   // The round: chosen by the root in kTotal and kZone, echoed in kPartial.
   std::uint32_t sequence = 0;
-  std::vector<ZonePart> parts;  // One part, except in kTotal.
+  // The sum, with the figures of single servers only in some rounds.
+  FleetFigures figures;
+  bool has_servers = false;
 
   bool operator==(const Message&) const = default;
 };
@@ -41,8 +38,8 @@
 // usual MTU.
 inline constexpr std::size_t kMaxMessageBytes = 1300;
 
-// Encodes a message as a CBOR array. Leaves out servers that do not fit into
-// kMaxMessageBytes, those with the least load first. Thread-safe.
+// Encodes a message as a CBOR array. Leaves out what does not fit into
+// kMaxMessageBytes, the least loaded servers and cells first. Thread-safe.
 std::vector<std::uint8_t> Encode(const Message& message);
 
 // Decodes a message. Checks the type and range of every field, and that no
