gcw-direct: daemons exchange their load

The state task passes the load of this daemon's flows to the other daemons over UDP on members_port + 2 and the sum over the fleet to the packet task, four times a second. A port that is taken delays only the exchange. The setting load_exchange switches it off.

--- a/include/gcw/auth/signer.h
+++ b/include/gcw/auth/signer.h
@@ -29,6 +29,7 @@
   kControl = 2,     // Control messages, over TCP.
   kPeer = 3,        // Dispatch datagrams between daemons.
   kRelay = 4,       // Packets that one daemon relays to another.
+  kLoad = 5,        // Load datagrams between daemons.
 };
 
 // A shared secret and its key number, which every signed message carries.
--- a/src/direct_balancer/messages.h
+++ b/src/direct_balancer/messages.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "gcw/direct/direct_router.h"
+#include "gcw/load/figures.h"
 
 namespace gcw::direct_balancer {
 
@@ -65,6 +66,11 @@
   direct::FleetPosition place;
 };
 
+// The load of all daemons together, as known when the message is sent.
+struct FleetLoadSummed {
+  load::FleetFigures figures;
+};
+
 // The messages that the state task sends to the packet task.
 using PacketMessage = std::variant<ConfigurationRead,
                                    ServersListed,
@@ -73,7 +79,17 @@
                                    ZonesOutTold,
                                    FeedConfirmed,
                                    FeedFailed,
-                                   FleetChanged>;
+                                   FleetChanged,
+                                   FleetLoadSummed>;
+
+// The name under which the state task registers its mailbox for OwnLoadMeasured
+// with the kernel.
+inline constexpr std::string_view kLoadService = "load";
+
+// The load that the flows of this daemon put on the backend servers.
+struct OwnLoadMeasured {
+  load::Figures figures;
+};
 
 }  // namespace gcw::direct_balancer
 
--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -24,6 +24,8 @@
 constexpr std::size_t kMailboxCapacity = 1000;
 constexpr absl::Duration kTickInterval = absl::Milliseconds(50);
 constexpr absl::Duration kStatsInterval = absl::Seconds(1);
+// How often the load of this daemon is told to the other daemons.
+constexpr absl::Duration kLoadInterval = absl::Milliseconds(250);
 
 }  // namespace
 
@@ -160,6 +162,10 @@
     router_->OnTick(now);
     ProcessRouterOutput();
     UpdateReady();
+    if (now - last_load_ >= kLoadInterval) {
+      last_load_ = now;
+      SendOwnLoad();
+    }
     if (now - last_stats_ >= kStatsInterval) {
       last_stats_ = now;
       direct::RouterStats stats = router_->Stats(now);
@@ -168,6 +174,15 @@
     }
   }
 
+  // Sends the load of this daemon's flows to the state task, if it takes part
+  // in the exchange.
+  void SendOwnLoad() {
+    const auto load = kernel_.Find<OwnLoadMeasured>(kLoadService);
+    if (load.ok()) {
+      load.value()->Send({router_->own_load()});
+    }
+  }
+
   // Starts the probes, sends the resets and forwarded packets, and records the
   // latency samples and events that the last calls to the router produced.
   void ProcessRouterOutput() {
@@ -230,6 +245,9 @@
   void Handle(const FleetChanged& m, absl::Time now) {
     router_->SetFleetPosition(m.place, now);
   }
+  void Handle(const FleetLoadSummed& m, absl::Time now) {
+    router_->SetFleetLoad(m.figures, now);
+  }
   void Handle(const FeedFailed& m, absl::Time now) {
     router_->OnStoreFailure(m.feed, m.code, now);
   }
@@ -248,6 +266,7 @@
   std::array<std::uint8_t, kernel::UdpSocket::kMaxDatagram> forward_buffer_{};
   absl::Time last_activity_ = absl::InfiniteFuture();
   absl::Time last_stats_ = absl::InfinitePast();
+  absl::Time last_load_ = absl::InfinitePast();
 };
 
 PacketTask::PacketTask(const Settings& settings,
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -108,11 +108,13 @@
   settings.metrics = {settings.packets.ip,
                       static_cast<std::uint16_t>(metrics_port)};
   std::uint32_t members_port = 0;
-  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxPort - 1,
+  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxPort - 2,
                   &members_port);
   settings.members_port = static_cast<std::uint16_t>(members_port);
   ReadSeeds(reader, &errors, &settings.seeds);
   ReadTimes(reader, &settings);
+  reader.ReadBool("load_exchange", Presence::kOptional,
+                  &settings.load_exchange);
   ReadLogLevel(reader, &settings.log_level);
   reader.ReportUnknown(&settings.ignored);
   if (!errors.empty()) {
@@ -155,6 +157,7 @@
           current.servers_deadline == updated.servers_deadline);
   compare("zones_deadline_ms",
           current.zones_deadline == updated.zones_deadline);
+  compare("load_exchange", current.load_exchange == updated.load_exchange);
   return fields;
 }
 
--- a/src/direct_balancer/settings.h
+++ b/src/direct_balancer/settings.h
@@ -21,8 +21,9 @@
   Endpoint ready;     // HTTP: the routers' readiness check.
   Endpoint metrics;   // HTTP: metrics; disabled if the port is 0.
   Endpoint platform;  // HTTP: the platform's object API.
-  // Traffic between daemons: membership over UDP on this port, and the control
-  // transport over TCP on the next port.
+  // Traffic between daemons: membership over UDP on this port, the control
+  // transport over TCP on the next port, and the load exchange over UDP on the
+  // one after that.
   std::uint16_t members_port = 0;
   // Daemons to contact first when joining the fleet. Only the addresses are
   // used; the port is `members_port`.
@@ -36,6 +37,9 @@
   absl::Duration configuration_deadline = absl::Seconds(3);
   absl::Duration servers_deadline = absl::Seconds(3);
   absl::Duration zones_deadline = absl::Seconds(5);
+  // Whether this daemon exchanges its load with the others. Without the
+  // exchange it estimates the load of the fleet from its own flows.
+  bool load_exchange = true;
   LogLevel log_level = LogLevel::kInfo;
   // The fields that were ignored and why: unknown ones, which another release
   // may know, and times that are `true` or `false`.
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -15,10 +15,12 @@
 #include "gcw/cluster/member_link.h"
 #include "gcw/cluster/platform_caller.h"
 #include "gcw/kernel/mailbox.h"
+#include "gcw/kernel/service.h"
 #include "gcw/relay/versioned_relay.h"
 #include "platform/object_format.h"
 #include "src/direct_balancer/confirmation_log.h"
 #include "src/direct_balancer/feed_reader.h"
+#include "src/direct_balancer/load_exchange.h"
 #include "src/direct_balancer/messages.h"
 #include "src/direct_balancer/peer_message.h"
 #include "src/direct_balancer/relay_options.h"
@@ -64,6 +66,11 @@
 
 // The field of the settings with the ports for other daemons.
 constexpr char kMembersField[] = "members_port";
+// The load exchange uses the port this far above that of the members.
+constexpr std::uint16_t kLoadPortOffset = 2;
+constexpr std::size_t kLoadMailboxCapacity = 10;
+// How often the packet task is told the load of the fleet.
+constexpr absl::Duration kFleetLoadInterval = absl::Milliseconds(250);
 
 // Asks the task to announce that this daemon leaves the fleet.
 struct LeaveRequest {};
@@ -110,9 +117,12 @@
         unreadable_log_(log),
         confirmation_log_(ConfirmationLimits(settings), log) {}
 
+  ~Impl() { kernel_.Unregister(kLoadService); }
+
   Status Setup(kernel::EventLoop& loop) {
-    for (const auto step : {&Impl::OpenMailbox, &Impl::MakeRelays,
-                            &Impl::StartCallers, &Impl::MakeLink}) {
+    for (const auto step :
+         {&Impl::OpenMailbox, &Impl::MakeRelays, &Impl::StartCallers,
+          &Impl::MakeLink, &Impl::MakeLoadExchange}) {
       Status done = (this->*step)(loop);
       if (!done.ok()) {
         return done;
@@ -199,6 +209,38 @@
     return OkStatus();
   }
 
+  Status MakeLoadExchange(kernel::EventLoop& loop) {
+    if (!settings_.load_exchange) {
+      return OkStatus();
+    }
+    LoadExchange::Options options;
+    options.name = settings_.name;
+    options.zone = settings_.zone;
+    options.listen = {
+        settings_.packets.ip,
+        static_cast<std::uint16_t>(settings_.members_port + kLoadPortOffset)};
+    options.secret = kUnkeyedSecret;
+    auto exchange = LoadExchange::Make(
+        options, loop, [this](const Error& error, std::uint64_t attempts) {
+          OnLinkDelayed(error, attempts);
+        });
+    if (!exchange.ok()) {
+      return exchange.error();
+    }
+    load_exchange_ = std::move(exchange).value();
+    auto mailbox = kernel::OpenService<OwnLoadMeasured>(
+        kernel_, loop, kLoadService, kLoadMailboxCapacity,
+        [this](OwnLoadMeasured& message) {
+          load_exchange_->SetOwn(std::move(message.figures),
+                                 kernel::MonotonicNow());
+        });
+    if (!mailbox.ok()) {
+      return mailbox.error();
+    }
+    load_mailbox_ = std::move(mailbox).value();
+    return OkStatus();
+  }
+
   // Until the ports for other daemons can be opened, this daemon works as the
   // only one of the fleet.
   void OnLinkDelayed(Error error, std::uint64_t attempts) {
@@ -261,6 +303,9 @@
     }
     PublishFleet();
     UpdateRelayPeers();
+    if (load_exchange_ != nullptr) {
+      load_exchange_->SetMembers(link_->members(), now);
+    }
   }
 
   // Records which peers may have to be told what the store lacks.
@@ -287,6 +332,7 @@
       if (member.live()) {
         ++place.daemons;
         place.rank += member.name < settings_.name ? 1 : 0;
+        place.zone_daemons += member.zone == settings_.zone ? 1 : 0;
       }
     }
     Send(FleetChanged{place});
@@ -518,6 +564,18 @@
       UpdateRelayPeers();
     }
     ReportIfUnavailable(now);
+    TickLoadExchange(now);
+  }
+
+  void TickLoadExchange(absl::Time now) {
+    if (load_exchange_ == nullptr) {
+      return;
+    }
+    load_exchange_->OnTick(now);
+    if (now - last_load_sent_ >= kFleetLoadInterval) {
+      last_load_sent_ = now;
+      Send(FleetLoadSummed{load_exchange_->Total(now)});
+    }
   }
 
   // All feeds have the same peers, so they have the same watchers.
@@ -572,6 +630,9 @@
   UnreadableLog unreadable_log_;
   ConfirmationLog confirmation_log_;
   RetainedExchange exchange_;
+  std::unique_ptr<LoadExchange> load_exchange_;  // Null if it is disabled.
+  std::shared_ptr<kernel::Mailbox<OwnLoadMeasured>> load_mailbox_;
+  absl::Time last_load_sent_ = absl::InfinitePast();
 };
 
 StateTask::StateTask(const Settings& settings,
