direct: admission control sees the load of the whole fleet

Daemons extrapolated from their own flows as if all carried the same load, so those of a busy zone refused flows while other zones had room.

--- a/src/direct/admission_table.cc
+++ b/src/direct/admission_table.cc
@@ -7,36 +7,16 @@
 namespace gcw::direct {
 namespace {
 
-// Capacity and load of the reachable servers of one service: how many requests
-// they can run at the same time (slots), and how many flows wait for an answer.
-struct ServiceLoad {
+// The number of requests that the reachable servers of `service` can run at the
+// same time (slots).
+std::uint64_t SlotsOf(const ServerTable& servers, std::string_view service) {
   std::uint64_t slots = 0;
-  std::uint64_t waiting_flows = 0;  // Only flows of this daemon.
-};
-
-ServiceLoad LoadOf(const ServerTable& servers, std::string_view service) {
-  ServiceLoad load;
   for (const ServerEntry* entry : servers.OfService(service)) {
     const bool usable =
         entry->presence == Presence::kListed && entry->reach.usable();
-    if (!usable) {
-      continue;
-    }
-    load.slots += entry->server.slots;
-    load.waiting_flows += entry->waiting_flows;
-  }
-  return load;
-}
-
-// Estimates the number of requests that all daemons of the fleet have at a
-// service, per slot of its servers. Extrapolates from this daemon's flows,
-// assuming that every daemon carries the same load.
-double RequestsPerSlot(const ServiceLoad& load, std::uint32_t daemons) {
-  if (load.slots == 0) {
-    return 0;
+    slots += usable ? entry->server.slots : 0;
   }
-  return static_cast<double>(load.waiting_flows) * daemons /
-         static_cast<double>(load.slots);
+  return slots;
 }
 
 }  // namespace
@@ -73,11 +53,14 @@
 }
 
 void AdmissionTable::OnTick(const ServerTable& servers,
-                            std::uint32_t daemons,
+                            const FleetLoad& load,
                             absl::Time now) {
   for (auto& [service, controller] : controllers_) {
+    const std::uint64_t slots = SlotsOf(servers, service);
     const double requests_per_slot =
-        RequestsPerSlot(LoadOf(servers, service), daemons);
+        slots == 0
+            ? 0
+            : load.Outstanding(service, now) / static_cast<double>(slots);
     const bool was_limited = controller.admitted_share() < 1;
     controller.OnTick(requests_per_slot, now);
     const bool limited = controller.admitted_share() < 1;
--- a/src/direct/admission_table.h
+++ b/src/direct/admission_table.h
@@ -12,6 +12,7 @@
 #include "gcw/direct/events.h"
 #include "gcw/direct/resources.h"
 #include "src/direct/admission_controller.h"
+#include "src/direct/fleet_load.h"
 #include "src/direct/server_table.h"
 
 namespace gcw::direct {
@@ -40,10 +41,10 @@
                 absl::Duration latency,
                 absl::Duration target);
 
-  // Adjusts the controllers to the current load of `servers`. `daemons` is the
-  // size of the fleet. Call this about every 50 ms.
+  // Adjusts the controllers to the current load of the fleet. Call this about
+  // every 50 ms.
   void OnTick(const ServerTable& servers,
-              std::uint32_t daemons,
+              const FleetLoad& load,
               absl::Time now);
 
  private:
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -127,7 +127,7 @@
     flow_monitor_.OnTick(now);
     fleet_load_.SetOwn(own_load_.Measure(servers_, now), now);
     zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
-    admission_table_.OnTick(servers_, placer_.fleet().daemons, now);
+    admission_table_.OnTick(servers_, fleet_load_, now);
     failure_detector_.OnTick(now);
     const HeldState state = HeldStateAt(now);
     for (const auto& entry : servers_.entries()) {
