--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -76,6 +76,7 @@
                      absl::Time now) {
     if (feeds_.Advance(Feed::kZones, revision)) {
       zones_out_.Apply(zones, revision, now);
+      zone_balancer_.Update(servers_, fleet_load_, zones_out_.names(), now);
     }
   }
 
--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -46,9 +46,15 @@
                           const FleetLoad& load,
                           const std::set<std::string, std::less<>>& zones_out,
                           absl::Time now) {
-  if (now - last_update_ < kUpdateInterval) {
-    return;
+  if (now - last_update_ >= kUpdateInterval) {
+    Update(servers, load, zones_out, now);
   }
+}
+
+void ZoneBalancer::Update(const ServerTable& servers,
+                          const FleetLoad& load,
+                          const std::set<std::string, std::less<>>& zones_out,
+                          absl::Time now) {
   CountSlots(servers, zones_out, now);
   for (auto& [service, state] : services_) {
     UpdateUtilisation(service, load, now, state);
--- a/src/direct/zone_balancer.h
+++ b/src/direct/zone_balancer.h
@@ -27,15 +27,22 @@
   // `zone` is the daemon's own availability zone.
   ZoneBalancer(std::string_view zone, std::uint64_t seed);
 
-  // Adjusts the share of new flows of each service that goes to each zone. Call
-  // this about every 50 ms.
+  // Calls Update() if the last one was long enough ago. Call this about every
+  // 50 ms.
   void OnTick(const ServerTable& servers,
               const FleetLoad& load,
               const std::set<std::string, std::less<>>& zones_out,
               absl::Time now);
 
+  // Adjusts the share of new flows of each service that goes to each zone. Call
+  // this when a zone was taken out of service or put back.
+  void Update(const ServerTable& servers,
+              const FleetLoad& load,
+              const std::set<std::string, std::less<>>& zones_out,
+              absl::Time now);
+
   // The zone that a new flow of `service` should go to. Valid until the next
-  // OnTick().
+  // Update().
   std::string_view ChooseZone(std::string_view service);
 
   // The share of the new flows of `service` that goes to other zones, from 0
