direct: the overflow between zones does not swing

The share of new flows that left a zone depended on its utilisation alone. A zone that is put back gets new flows at once, and a daemon without figures reacts within a tick, as before.

--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -2,32 +2,35 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace gcw::direct {
 namespace {
 
 // Figures of the fleet arrive about this often.
 constexpr absl::Duration kUpdateInterval = absl::Milliseconds(250);
-// Time constant of the utilisation. The figures are up to 0.8 s old, so a
-// faster reaction would let the load swing between zones.
-constexpr absl::Duration kSmoothingTime = absl::Milliseconds(500);
-// Utilisation of the own zone, in outstanding requests per slot, at which new
-// flows begin to leave it and at which all of them leave. Below the first one
-// hardly any request queues at servers with several slots.
-constexpr double kOverflowBegins = 0.55;
-constexpr double kOverflowIsFull = 1.0;
-// Another zone gets overflow only below this utilisation, so that it keeps room
-// for its own callers.
-constexpr double kMaxRemoteUtilisation = 0.85;
-// How much less utilised than the own zone another zone must be to get any
-// overflow, and to get its full part. Flows between zones cost bytes and break
-// when the zones are separated.
-constexpr double kMinDifference = 0.1;
-constexpr double kFullDifference = 0.3;
-
-double Ramp(double value, double begin, double end) {
-  return std::clamp((value - begin) / (end - begin), 0.0, 1.0);
-}
+// The own zone keeps all its flows up to this utilisation, in outstanding
+// requests per slot. Hardly any request queues then at servers with several
+// slots.
+constexpr double kTargetUtilisation = 0.6;
+// How much more utilised than the mean of all zones the own zone may be. Flows
+// between zones cost bytes and break when the zones are separated.
+constexpr double kMargin = 0.1;
+// Other zones get overflow in proportion to their room up to this utilisation.
+constexpr double kFullUtilisation = 0.85;
+// A zone that is less utilised than the own one counts with at least this room.
+constexpr double kMinRoom = 0.02;
+// Time constant of the weights of the other zones.
+constexpr absl::Duration kWeightTime = absl::Seconds(1);
+// The part of a rise of the own zone's share that takes effect with each
+// update. The figures are up to a second old, so larger steps would let the
+// load swing between the zones. A fall takes effect at once.
+constexpr double kRiseStep = 0.2;
+// Some new flows always stay, since they show how the own zone does.
+constexpr double kMinOwnShare = 0.02;
+// Without figures of the fleet, new flows leave the own zone only above this
+// utilisation.
+constexpr double kOverloadUtilisation = 1;
 
 bool IsUsable(const ServerEntry& entry,
               const std::set<std::string, std::less<>>& zones_out,
@@ -46,7 +49,8 @@
                           const FleetLoad& load,
                           const std::set<std::string, std::less<>>& zones_out,
                           absl::Time now) {
-  if (now - last_update_ >= kUpdateInterval) {
+  // Without figures of the fleet, this daemon's own ones are always current.
+  if (now - last_update_ >= kUpdateInterval || !load.fresh(now)) {
     Update(servers, load, zones_out, now);
   }
 }
@@ -57,8 +61,7 @@
                           absl::Time now) {
   CountSlots(servers, zones_out, now);
   for (auto& [service, state] : services_) {
-    UpdateUtilisation(service, load, now, state);
-    UpdateOverflow(load.fresh(now), state);
+    UpdateService(service, load, now, state);
   }
   last_update_ = now;
 }
@@ -83,76 +86,98 @@
   }
 }
 
-void ZoneBalancer::UpdateUtilisation(std::string_view service,
-                                     const FleetLoad& load,
-                                     absl::Time now,
-                                     ServiceState& state) const {
-  const double kept =
-      std::exp(-absl::FDivDuration(now - last_update_, kSmoothingTime));
+void ZoneBalancer::UpdateService(std::string_view service,
+                                 const FleetLoad& load,
+                                 absl::Time now,
+                                 ServiceState& state) const {
+  const bool fresh = load.fresh(now);
+  double outstanding = 0;
+  double slots = 0;
   for (auto& [name, zone] : state.zones) {
-    const std::optional<double> outstanding =
-        load.Outstanding(service, name, now);
-    if (zone.slots == 0 || !outstanding) {
-      zone.utilisation.reset();
-      continue;
+    const std::optional<double> requests = load.Outstanding(service, name, now);
+    zone.utilisation.reset();
+    if (zone.slots > 0 && requests) {
+      outstanding += *requests;
+      slots += static_cast<double>(zone.slots);
+      zone.utilisation = *requests / static_cast<double>(zone.slots);
     }
-    const double current = *outstanding / static_cast<double>(zone.slots);
-    zone.utilisation = zone.utilisation
-                           ? current + (*zone.utilisation - current) * kept
-                           : current;
   }
-}
-
-double ZoneBalancer::Pull(const Zone& own,
-                          const Zone& other,
-                          bool fresh) const {
-  if (own.slots == 0) {
-    return 1;
+  const Zone& own = state.zones[zone_];
+  const double mean = slots == 0 ? 0 : outstanding / slots;
+  // A zone without usable servers cannot keep any flow.
+  const double utilisation = own.slots == 0
+                                 ? std::numeric_limits<double>::infinity()
+                                 : own.utilisation.value_or(0);
+  double own_share = 1;
+  if (own.slots == 0 || (!fresh && utilisation > kOverloadUtilisation)) {
+    own_share = 0;
+  } else if (fresh) {
+    own_share =
+        OwnShareFor(utilisation, std::max(kTargetUtilisation, mean + kMargin),
+                    now - load.age(now), state);
   }
-  if (!fresh) {
-    return own.utilisation && *own.utilisation > kOverflowIsFull ? 1 : 0;
+  UpdateWeights(fresh ? utilisation : kOverloadUtilisation, mean, fresh, now,
+                state);
+  state.own_share = state.overflow_weights > 0 ? own_share : 1;
+  state.history.push_back({now, state.own_share});
+  while (now - state.history.front().since > FleetLoad::kMaxAge) {
+    state.history.pop_front();
   }
-  if (!own.utilisation || !other.utilisation) {
-    return 0;
+}
+
+double ZoneBalancer::OwnShareFor(double utilisation,
+                                 double target,
+                                 absl::Time measured,
+                                 const ServiceState& state) {
+  double share_then = state.own_share;
+  for (const OwnShare& past : state.history) {
+    if (past.since <= measured || past.since == state.history.front().since) {
+      share_then = past.share;
+    }
   }
-  return Ramp(*own.utilisation, kOverflowBegins, kOverflowIsFull) *
-         Ramp(*own.utilisation - *other.utilisation, kMinDifference,
-              kFullDifference);
+  // If all requests were on new flows, this share would lead to the target at
+  // once. Requests on flows that are open already make the step smaller.
+  const double wanted = std::clamp(
+      share_then * target / std::max(utilisation, kMinRoom), kMinOwnShare, 1.0);
+  const double step = wanted > state.own_share ? kRiseStep : 1;
+  return state.own_share + (wanted - state.own_share) * step;
 }
 
-void ZoneBalancer::UpdateOverflow(bool fresh, ServiceState& state) const {
-  const auto own = state.zones.find(zone_);
-  const Zone own_zone = own == state.zones.end() ? Zone() : own->second;
-  state.overflow_share = 0;
+void ZoneBalancer::UpdateWeights(double own,
+                                 double mean,
+                                 bool fresh,
+                                 absl::Time now,
+                                 ServiceState& state) const {
+  const double full = std::max(kFullUtilisation, mean + kMargin);
+  const double kept =
+      std::exp(-absl::FDivDuration(now - last_update_, kWeightTime));
   state.overflow_weights = 0;
   for (auto& [name, zone] : state.zones) {
-    zone.overflow_weight = 0;
-    if (name == zone_ || zone.slots == 0) {
+    // Without figures the other zones count as equally utilised.
+    const double utilisation = zone.utilisation.value_or(0);
+    const bool known = zone.utilisation.has_value() || !fresh;
+    if (name == zone_ || zone.slots == 0 || !known || utilisation >= own) {
+      zone.overflow_weight = 0;
       continue;
     }
-    const double pull = Pull(own_zone, zone, fresh);
-    // Without figures the other zones count as equally utilised.
-    const double room =
-        fresh ? std::max(kMaxRemoteUtilisation -
-                             zone.utilisation.value_or(kMaxRemoteUtilisation),
-                         0.0)
-              : 1.0;
-    zone.overflow_weight = pull * room * static_cast<double>(zone.slots);
+    const double weight = std::max(full - utilisation, kMinRoom) *
+                          static_cast<double>(zone.slots);
+    zone.overflow_weight =
+        zone.overflow_weight == 0
+            ? weight
+            : weight + (zone.overflow_weight - weight) * kept;
     state.overflow_weights += zone.overflow_weight;
-    if (zone.overflow_weight > 0) {
-      state.overflow_share = std::max(state.overflow_share, pull);
-    }
   }
 }
 
 std::string_view ZoneBalancer::ChooseZone(std::string_view service) {
   const auto it = services_.find(service);
-  if (it == services_.end() || it->second.overflow_share == 0) {
+  if (it == services_.end() || it->second.own_share >= 1) {
     return zone_;
   }
   const ServiceState& state = it->second;
   std::uniform_real_distribution<double> uniform(0, 1);
-  if (uniform(random_) >= state.overflow_share) {
+  if (uniform(random_) < state.own_share) {
     return zone_;
   }
   double draw = uniform(random_) * state.overflow_weights;
@@ -167,7 +192,7 @@
 
 double ZoneBalancer::overflow_share(std::string_view service) const {
   const auto it = services_.find(service);
-  return it == services_.end() ? 0 : it->second.overflow_share;
+  return it == services_.end() ? 0 : 1 - it->second.own_share;
 }
 
 std::vector<ZoneLoadStats> ZoneBalancer::Stats() const {
--- a/src/direct/zone_balancer.h
+++ b/src/direct/zone_balancer.h
@@ -2,6 +2,7 @@
 #define GCW_DIRECT_ZONE_BALANCER_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -19,9 +20,9 @@
 
 // Chooses the availability zone of each new flow: the daemon's own zone as long
 // as its servers have room, and for the part beyond that the zones that have
-// more room. Answers the load pattern in which the callers of one zone ask for
-// more than its servers can process while other zones have room. Has no I/O.
-// Not thread-safe.
+// more room, so that all zones become about equally utilised. Answers the load
+// pattern in which the callers of one zone ask for more than its servers can
+// process while other zones have room. Has no I/O. Not thread-safe.
 class ZoneBalancer {
  public:
   // `zone` is the daemon's own availability zone.
@@ -55,28 +56,44 @@
  private:
   struct Zone {
     std::uint64_t slots = 0;  // Of usable servers.
-    // Outstanding requests per slot, smoothed; nullopt if not known.
+    // Outstanding requests per slot; nullopt if not known.
     std::optional<double> utilisation;
+    // Smoothed; the overflow is split among the zones in this proportion.
     double overflow_weight = 0;
   };
+  // The share of new flows that stayed in the own zone from `since` on.
+  struct OwnShare {
+    absl::Time since;
+    double share = 1;
+  };
   struct ServiceState {
     std::map<std::string, Zone, std::less<>> zones;
-    // The share of new flows that leaves the own zone.
-    double overflow_share = 0;
     double overflow_weights = 0;  // Sum over the zones.
+    double own_share = 1;
+    std::deque<OwnShare> history;  // Oldest first.
   };
 
   void CountSlots(const ServerTable& servers,
                   const std::set<std::string, std::less<>>& zones_out,
                   absl::Time now);
-  void UpdateUtilisation(std::string_view service,
-                         const FleetLoad& load,
-                         absl::Time now,
-                         ServiceState& state) const;
-  void UpdateOverflow(bool fresh, ServiceState& state) const;
-  // The part of the new flows that the own zone should give to `other`, from 0
-  // to 1.
-  double Pull(const Zone& own, const Zone& other, bool fresh) const;
+  void UpdateService(std::string_view service,
+                     const FleetLoad& load,
+                     absl::Time now,
+                     ServiceState& state) const;
+  // Adjusts the weights of the other zones. `own` is the utilisation of the own
+  // zone, `mean` that of all zones. Unless the figures are `fresh`, the
+  // utilisation of the other zones is not known.
+  void UpdateWeights(double own,
+                     double mean,
+                     bool fresh,
+                     absl::Time now,
+                     ServiceState& state) const;
+  // The share of new flows that should stay in the own zone for it to reach
+  // `target` from `utilisation`, which was measured at `measured`.
+  static double OwnShareFor(double utilisation,
+                            double target,
+                            absl::Time measured,
+                            const ServiceState& state);
 
   const std::string zone_;
   std::mt19937_64 random_;
