gcw-direct: the state task starts only with memory for its threads

The state task now starts once 48 MB more can be had; until then the start is delayed and logged. The load exchange moves to the UDP port beside the control transport, so members_port 65534 stays valid.

--- a/src/direct_balancer/daemon.cc
+++ b/src/direct_balancer/daemon.cc
@@ -1,5 +1,6 @@
 #include "src/direct_balancer/daemon.h"
 
+#include <sys/mman.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -56,6 +57,22 @@
   bool operator==(const FileStamp&) const = default;
 };
 
+// Address space that the threads of the state task need for their stacks and
+// their first allocations. A thread that cannot allocate ends the process.
+constexpr std::size_t kStateAddressSpace = 48'000'000;
+
+// Fails if the process cannot have `bytes` more of address space now.
+Status CheckAddressSpace(std::size_t bytes) {
+  void* const space = mmap(nullptr, bytes, PROT_READ | PROT_WRITE,
+                           MAP_PRIVATE | MAP_ANONYMOUS, -1, 0);
+  if (space == MAP_FAILED) {
+    return Error{ResultCode::kInternal, "", "not enough memory",
+                 Retry::kAlways};
+  }
+  munmap(space, bytes);
+  return OkStatus();
+}
+
 FileStamp ReadFileStamp(const std::string& path) {
   struct stat status {};
   if (stat(path.c_str(), &status) != 0) {
@@ -162,6 +179,10 @@
   }
 
   Status StartState() {
+    Status memory = CheckAddressSpace(kStateAddressSpace);
+    if (!memory.ok()) {
+      return memory;
+    }
     state_ = std::make_unique<StateTask>(settings_, seed_ + 1, kernel_,
                                          *writer_, metrics_);
     return state_->Start();
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -108,7 +108,7 @@
   settings.metrics = {settings.packets.ip,
                       static_cast<std::uint16_t>(metrics_port)};
   std::uint32_t members_port = 0;
-  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxPort - 2,
+  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxPort - 1,
                   &members_port);
   settings.members_port = static_cast<std::uint16_t>(members_port);
   ReadSeeds(reader, &errors, &settings.seeds);
--- a/src/direct_balancer/settings.h
+++ b/src/direct_balancer/settings.h
@@ -21,9 +21,8 @@
   Endpoint ready;     // HTTP: the routers' readiness check.
   Endpoint metrics;   // HTTP: metrics; disabled if the port is 0.
   Endpoint platform;  // HTTP: the platform's object API.
-  // Traffic between daemons: membership over UDP on this port, the control
-  // transport over TCP on the next port, and the load exchange over UDP on the
-  // one after that.
+  // Traffic between daemons: membership over UDP on this port; the control
+  // transport over TCP and the load exchange over UDP on the next port.
   std::uint16_t members_port = 0;
   // Daemons to contact first when joining the fleet. Only the addresses are
   // used; the port is `members_port`.
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -66,8 +66,9 @@
 
 // The field of the settings with the ports for other daemons.
 constexpr char kMembersField[] = "members_port";
-// The load exchange uses the port this far above that of the members.
-constexpr std::uint16_t kLoadPortOffset = 2;
+// The control transport (TCP) and the load exchange (UDP) use the port this far
+// above that of the members.
+constexpr std::uint16_t kControlPortOffset = 1;
 constexpr std::size_t kLoadMailboxCapacity = 10;
 // How often the packet task is told the load of the fleet.
 constexpr absl::Duration kFleetLoadInterval = absl::Milliseconds(250);
@@ -163,7 +164,7 @@
                                     settings_.members_port};
     options.bind_ip = settings_.packets.ip;
     options.control_port =
-        static_cast<std::uint16_t>(settings_.members_port + 1);
+        static_cast<std::uint16_t>(settings_.members_port + kControlPortOffset);
     options.may_open_later = true;
     for (const Endpoint& seed : settings_.seeds) {
       if (seed.ip != settings_.packets.ip) {
@@ -216,9 +217,9 @@
     LoadExchange::Options options;
     options.name = settings_.name;
     options.zone = settings_.zone;
-    options.listen = {
-        settings_.packets.ip,
-        static_cast<std::uint16_t>(settings_.members_port + kLoadPortOffset)};
+    options.listen = {settings_.packets.ip,
+                      static_cast<std::uint16_t>(settings_.members_port +
+                                                 kControlPortOffset)};
     options.secret = kUnkeyedSecret;
     auto exchange = LoadExchange::Make(
         options, loop, [this](const Error& error, std::uint64_t attempts) {
