--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <span>
@@ -11,6 +12,7 @@
 #include <string_view>
 #include <vector>
 
+#include "absl/time/clock.h"
 #include "absl/time/time.h"
 #include "gcw/base/endpoint.h"
 #include "gcw/base/result.h"
@@ -39,6 +41,9 @@
   // Capacity of the flow table. Flows beyond it are routed but not tracked.
   std::uint32_t max_flows = 100'000;
   std::uint64_t seed = 1;  // Of the random number generators.
+  // The time of day. All daemons refuse the new flows of the same callers at
+  // the same time of day.
+  std::function<absl::Time()> wall_clock = absl::Now;
 };
 
 // What to do with a packet. kReset ends the packet's flow by sending a reset to
@@ -152,6 +157,15 @@
   double share = 1;  // Part of the usual number of new flows.
 };
 
+// New flows that were refused for one cause, for metrics.
+struct RefusalStats {
+  // "caller_limit" for Reason::kOverloaded if the caller opened many more flows
+  // than the other callers, otherwise a ReasonName().
+  std::string_view cause;
+  std::uint32_t priority = 0;  // Of the route.
+  std::uint64_t flows = 0;     // Since the start.
+};
+
 // Statistics of the router, for metrics.
 struct RouterStats {
   Version configuration = 0;  // Configuration::version.
@@ -165,6 +179,7 @@
   std::vector<ZoneLoadStats> zone_loads;
   std::vector<ServiceLoadStats> service_loads;
   std::vector<SlowStartStats> slow_starts;
+  std::vector<RefusalStats> refusals;
   // Age of the newest figures of the fleet; InfiniteDuration if there are none.
   absl::Duration load_age = absl::InfiniteDuration();
 };
@@ -176,8 +191,8 @@
 // start. The per-flow state kept here only improves decisions and may be lost
 // at any time.
 //
-// Uses no sockets, threads or clocks. Not thread-safe. `now` must come from a
-// monotonic clock. Only Make() can fail.
+// Uses no sockets or threads, and no clock but RouterOptions::wall_clock. Not
+// thread-safe. `now` must come from a monotonic clock. Only Make() can fail.
 class DirectRouter {
  public:
   // Fails with kSettingsInvalid if the zone is empty, max_flows is 0 or
--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -103,6 +103,14 @@
   // Set for kOverloaded: the share of the service's new flows that are
   // admitted.
   double admitted_share = 1;
+  // Set for kOverloaded: the priority of the route; 0 is the most important.
+  std::uint32_t priority = 0;
+  // Set for kOverloaded: whether the caller opened many more flows than the
+  // other callers.
+  bool over_caller_limit = false;
+  // Set for kOverloaded: whether recent figures of the whole fleet were known.
+  // If not, the load was estimated from this daemon's flows.
+  bool figures_recent = false;
   Version configuration = 0;   // Configuration::version.
   absl::Duration servers_age;  // Since the server list was confirmed.
 };
@@ -160,6 +168,10 @@
   // slot of its servers. A slot is what a server needs to process one request
   // at a time.
   double requests_per_slot = 0;
+  double admitted_share = 1;  // Of the new flows, from now on.
+  // Whether recent figures of the whole fleet were known. If not, the requests
+  // were estimated from this daemon's flows.
+  bool figures_recent = false;
 };
 
 // The store stopped or resumed answering calls for one feed.
--- a/src/direct/admission_controller.cc
+++ b/src/direct/admission_controller.cc
@@ -4,6 +4,8 @@
 #include <cassert>
 #include <cstddef>
 
+#include "gcw/base/hash.h"
+
 namespace gcw::direct {
 namespace {
 
@@ -23,10 +25,14 @@
 constexpr double kNormalLatencyRatio = 0.4;
 // Requests that run or queue at a service, per slot. A slot is what a backend
 // server needs to process one request at a time. At the first number most
-// requests queue. A daemon estimates the number from its own flows only, with
-// an error of a third where availability zones differ in size.
+// requests queue. An estimate from the daemon's own flows has an error of a
+// third where availability zones differ in size.
 constexpr double kOverloadRequestsPerSlot = 2;
 constexpr double kSevereRequestsPerSlot = 4;
+// Above this many requests per slot, recent figures of the whole fleet show an
+// overload whatever the latency: servers reject requests at about 5, and some
+// servers have more than the mean.
+constexpr double kRejectingRequestsPerSlot = 3;
 // Below this many requests per slot, hardly any request queues, and slots may
 // soon be idle.
 constexpr double kNormalRequestsPerSlot = 1.5;
@@ -40,16 +46,25 @@
 constexpr double kSevereDecreaseFactor = 0.6;
 constexpr double kIncreaseFactor = 1.06;
 constexpr double kIdleIncrease = 0.05;
+// Until figures measured after a reduction are known, the share falls to at
+// most this part of what it was when the figures were measured. Figures are up
+// to 0.8 s old; eight reductions in that time would leave slots idle.
+constexpr double kMaxUnseenDecrease = 0.4;
 // This share of the new flows is admitted even during an overload, since their
 // answers show when the overload ends.
 constexpr double kMinAdmittedShare = 0.05;
 // Factor by which the counts of recent new flows (the demand) decay at the end
 // of each measurement window.
 constexpr double kDemandDecayFactor = 0.7;
+// Time in which the positions of callers move once through the whole range: no
+// caller is refused for longer, and callers give up after 4 to 12 s.
+constexpr absl::Duration kRotationTime = absl::Seconds(10);
 
 }  // namespace
 
-AdmissionController::AdmissionController(std::uint64_t seed) : random_(seed) {}
+AdmissionController::AdmissionController(std::uint64_t seed,
+                                         std::uint64_t caller_key)
+    : caller_key_(caller_key), random_(seed) {}
 
 void AdmissionController::OnAnswer(absl::Duration latency,
                                    absl::Duration target) {
@@ -67,50 +82,90 @@
   return *middle;
 }
 
-void AdmissionController::OnTick(double requests_per_slot, absl::Time now) {
+void AdmissionController::Decrease(double factor,
+                                   absl::Time measured,
+                                   absl::Time now) {
+  while (!decreases_.empty() && decreases_.front().at <= measured) {
+    decreases_.pop_front();
+  }
+  const double seen =
+      decreases_.empty() ? admitted_share_ : decreases_.front().share_before;
+  const double lowest = std::max(kMaxUnseenDecrease * seen, kMinAdmittedShare);
+  const double reduced = std::max(admitted_share_ * factor, lowest);
+  if (reduced < admitted_share_) {
+    decreases_.push_back({now, admitted_share_});
+    admitted_share_ = reduced;
+  }
+}
+
+void AdmissionController::OnTick(double requests_per_slot,
+                                 absl::Time now,
+                                 std::optional<absl::Duration> figures_age) {
   const absl::Duration window_age = now - window_start_;
   const bool enough_answers = latency_ratios_.size() >= kMinAnswers;
   if (window_age < kMinWindow || (!enough_answers && window_age < kMaxWindow)) {
     return;
   }
+  window_start_ = now;
   const double median_ratio = MedianLatencyRatio();
-  if (median_ratio > kOverloadLatencyRatio &&
-      requests_per_slot > kOverloadRequestsPerSlot) {
+  const bool queues = requests_per_slot > kOverloadRequestsPerSlot;
+  const bool late = median_ratio > kOverloadLatencyRatio && queues;
+  const bool rejecting =
+      figures_age && requests_per_slot > kRejectingRequestsPerSlot;
+  if (late || rejecting) {
     const bool severe = requests_per_slot > kSevereRequestsPerSlot;
-    admitted_share_ *= severe ? kSevereDecreaseFactor : kDecreaseFactor;
-    admitted_share_ = std::max(admitted_share_, kMinAdmittedShare);
+    Decrease(severe ? kSevereDecreaseFactor : kDecreaseFactor,
+             now - figures_age.value_or(absl::ZeroDuration()), now);
   } else if (requests_per_slot < kIdleRequestsPerSlot) {
     admitted_share_ = std::min(admitted_share_ + kIdleIncrease, 1.0);
-  } else if (median_ratio < kNormalLatencyRatio ||
+  } else if ((median_ratio < kNormalLatencyRatio && !(figures_age && queues)) ||
              requests_per_slot < kNormalRequestsPerSlot) {
     admitted_share_ = std::min(admitted_share_ * kIncreaseFactor, 1.0);
   }
   latency_ratios_.clear();
-  window_start_ = now;
-  for (auto& [priority, flows] : demand_) {
+  for (auto& [rank, flows] : demand_) {
     flows *= kDemandDecayFactor;
   }
 }
 
-double AdmissionController::AdmitProbability(std::uint32_t priority) const {
+double AdmissionController::AdmitProbability(const Rank& rank) const {
   double total = 0;
-  double more_important = 0;
-  double own = 0;
-  for (const auto& [other_priority, flows] : demand_) {
+  double before = 0;
+  for (const auto& [other, flows] : demand_) {
     total += flows;
-    more_important += other_priority < priority ? flows : 0;
-    own += other_priority == priority ? flows : 0;
+    before += other < rank ? flows : 0;
   }
-  return std::clamp((admitted_share_ * total - more_important) / own, 0.0, 1.0);
+  return std::clamp((admitted_share_ * total - before) / demand_.at(rank), 0.0,
+                    1.0);
+}
+
+bool AdmissionController::AdmitAt(double position, const Rank& rank) {
+  demand_[rank] += 1;
+  return admitted_share_ >= 1 || position >= 1 - AdmitProbability(rank);
+}
+
+double AdmissionController::PositionOf(std::uint32_t caller,
+                                       absl::Time wall_time) const {
+  const double start = static_cast<double>(MixHash(caller_key_, caller) >> 11) *
+                       0x1p-53;  // In [0, 1): the upper 53 bits.
+  const double moved = absl::FDivDuration(
+      (wall_time - absl::UnixEpoch()) % kRotationTime, kRotationTime);
+  const double position = start + moved;
+  return position < 1 ? position : position - 1;
+}
+
+Admission AdmissionController::Admit(const NewFlow& flow,
+                                     absl::Time now,
+                                     absl::Time wall_time) {
+  const bool over_limit = !caller_counts_.Count(flow.caller, now);
+  const bool admitted =
+      AdmitAt(PositionOf(flow.caller, wall_time), {flow.priority, over_limit});
+  return {admitted, over_limit};
 }
 
 bool AdmissionController::Admit(std::uint32_t priority) {
-  demand_[priority] += 1;
-  if (admitted_share_ >= 1) {
-    return true;
-  }
   std::uniform_real_distribution<double> uniform(0, 1);
-  return uniform(random_) < AdmitProbability(priority);
+  return AdmitAt(uniform(random_), {priority, false});
 }
 
 }  // namespace gcw::direct
--- a/src/direct/admission_table.cc
+++ b/src/direct/admission_table.cc
@@ -1,6 +1,7 @@
 #include "src/direct/admission_table.h"
 
 #include <algorithm>
+#include <optional>
 
 #include "gcw/base/hash.h"
 
@@ -23,8 +24,9 @@
 
 void AdmissionTable::SetServices(std::span<const Service> services) {
   for (const Service& service : services) {
-    controllers_.try_emplace(service.name,
-                             MixHash(seed_, StableHash(service.name)));
+    const std::uint64_t name_hash = StableHash(service.name);
+    controllers_.try_emplace(service.name, MixHash(seed_, name_hash),
+                             name_hash);
   }
   std::erase_if(controllers_, [&](const auto& item) {
     return std::none_of(
@@ -33,9 +35,13 @@
   });
 }
 
-bool AdmissionTable::Admit(std::string_view service, std::uint32_t priority) {
+Admission AdmissionTable::Admit(std::string_view service,
+                                const NewFlow& flow,
+                                absl::Time now,
+                                absl::Time wall_time) {
   const auto it = controllers_.find(service);
-  return it == controllers_.end() || it->second.Admit(priority);
+  return it == controllers_.end() ? Admission()
+                                  : it->second.Admit(flow, now, wall_time);
 }
 
 double AdmissionTable::AdmittedShare(std::string_view service) const {
@@ -55,6 +61,9 @@
 void AdmissionTable::OnTick(const ServerTable& servers,
                             const FleetLoad& load,
                             absl::Time now) {
+  const bool fresh = load.fresh(now);
+  const std::optional<absl::Duration> figures_age =
+      fresh ? std::optional(load.age(now)) : std::nullopt;
   for (auto& [service, controller] : controllers_) {
     const std::uint64_t slots = SlotsOf(servers, service);
     const double requests_per_slot =
@@ -62,10 +71,11 @@
             ? 0
             : load.Outstanding(service, now) / static_cast<double>(slots);
     const bool was_limited = controller.admitted_share() < 1;
-    controller.OnTick(requests_per_slot, now);
+    controller.OnTick(requests_per_slot, now, figures_age);
     const bool limited = controller.admitted_share() < 1;
     if (limited != was_limited) {
-      events_->push_back(AdmissionChanged{service, limited, requests_per_slot});
+      events_->push_back(AdmissionChanged{service, limited, requests_per_slot,
+                                          controller.admitted_share(), fresh});
     }
   }
 }
--- a/src/direct/admission_table.h
+++ b/src/direct/admission_table.h
@@ -29,9 +29,12 @@
   // their controllers.
   void SetServices(std::span<const Service> services);
 
-  // Calls AdmissionController::Admit() for `service`. Returns true if the
-  // service is unknown.
-  bool Admit(std::string_view service, std::uint32_t priority);
+  // Calls AdmissionController::Admit() for `service`. Admits the flow if
+  // the service is unknown.
+  Admission Admit(std::string_view service,
+                  const NewFlow& flow,
+                  absl::Time now,
+                  absl::Time wall_time);
   // The share of the service's new flows that are admitted; 1 if the service is
   // unknown.
   double AdmittedShare(std::string_view service) const;
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <map>
 #include <utility>
 
 #include "src/direct/active_configuration.h"
@@ -31,6 +32,8 @@
 constexpr absl::Duration kGoneAnswerTimeout = absl::Milliseconds(500);
 // How often expired flows, servers and unknown cookies are removed.
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
+// RefusalStats::cause of flows beyond the limit of their caller.
+constexpr std::string_view kCallerLimitCause = "caller_limit";
 
 }  // namespace
 
@@ -202,6 +205,9 @@
           {service.name, zone_balancer_.overflow_share(service.name),
            admission_table_.AdmittedShare(service.name)});
     }
+    for (const auto& [key, flows] : refusals_) {
+      stats.refusals.push_back({key.first, key.second, flows});
+    }
     stats.load_age = fleet_load_.age(now);
     return stats;
   }
@@ -246,9 +252,13 @@
     failure_detector_.CountDemand(name);
     // A retransmitted SYN is always admitted: a server may already have opened
     // its flow.
-    if (flow == nullptr && packet.acknowledged == 0 &&
-        !admission_table_.Admit(name, route.priority)) {
-      return RefuseOverloaded(packet, name, now);
+    if (flow == nullptr && packet.acknowledged == 0) {
+      const Admission admission = admission_table_.Admit(
+          name, {.priority = route.priority, .caller = packet.flow.caller.ip},
+          now, options_.wall_clock());
+      if (!admission.admitted) {
+        return RefuseOverloaded(packet, route.priority, name, admission, now);
+      }
     }
     Placement placement;
     if (service != nullptr) {
@@ -257,7 +267,7 @@
     }
     if (placement.server == nullptr) {
       flows_.Erase(packet.flow);
-      return RefuseUnplaced(packet, placement.excluded, now);
+      return RefuseUnplaced(packet, route.priority, placement.excluded, now);
     }
     Track(packet, route, flow, placement.server, now);
     ++placement.server->placed;
@@ -285,13 +295,21 @@
 
   // Resets a new flow because `service` is overloaded.
   Decision RefuseOverloaded(const Packet& packet,
+                            std::uint32_t priority,
                             std::string_view service,
+                            const Admission& admission,
                             absl::Time now) {
-    Decision decision =
+    const Decision decision =
         Refuse(packet, Reason::kOverloaded, nullptr, absl::ZeroDuration(), now);
     own_load_.OnRefused(service);
-    std::get<FlowRefused>(events_.back()).admitted_share =
-        admission_table_.AdmittedShare(service);
+    auto& event = std::get<FlowRefused>(events_.back());
+    event.admitted_share = admission_table_.AdmittedShare(service);
+    event.priority = priority;
+    event.over_caller_limit = admission.over_caller_limit;
+    event.figures_recent = fleet_load_.fresh(now);
+    CountRefusal(admission.over_caller_limit ? kCallerLimitCause
+                                             : ReasonName(decision.reason),
+                 priority);
     return decision;
   }
 
@@ -300,17 +318,23 @@
   // instead of reset, so that its caller retransmits it and another daemon can
   // receive it.
   Decision RefuseUnplaced(const Packet& packet,
+                          std::uint32_t priority,
                           const ExcludedServers& excluded,
                           absl::Time now) {
     const bool leave_to_others =
         excluded.lost > 0 && !failure_detector_.ServesMostDemand();
-    Decision decision = Refuse(
+    const Decision decision = Refuse(
         packet, leave_to_others ? Reason::kLeftToOthers : Reason::kNoServer,
         nullptr, absl::ZeroDuration(), now);
     std::get<FlowRefused>(events_.back()).excluded = excluded;
+    CountRefusal(ReasonName(decision.reason), priority);
     return decision;
   }
 
+  void CountRefusal(std::string_view cause, std::uint32_t priority) {
+    ++refusals_[{cause, priority}];
+  }
+
   // Records that `packet` is the first packet of its flow at `server`. Adds the
   // flow if `flow` is null, otherwise moves `flow` to `server`. Returns null if
   // the flow table is full.
@@ -472,6 +496,8 @@
   UnknownCookies unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
+  // Refused new flows by cause and priority.
+  std::map<std::pair<std::string_view, std::uint32_t>, std::uint64_t> refusals_;
 };
 
 Result<std::unique_ptr<DirectRouter>> DirectRouter::Make(
