--- a/src/direct/admission_controller.cc
+++ b/src/direct/admission_controller.cc
@@ -46,10 +46,17 @@
 constexpr double kSevereDecreaseFactor = 0.6;
 constexpr double kIncreaseFactor = 1.06;
 constexpr double kIdleIncrease = 0.05;
-// Until figures measured after a reduction are known, the share falls to at
-// most this part of what it was when the figures were measured. Figures are up
-// to 0.8 s old; eight reductions in that time would leave slots idle.
-constexpr double kMaxUnseenDecrease = 0.4;
+// Figures of the fleet are 0.3 to 0.8 s old, in which the share may change
+// eight times. The share is therefore bounded by multiples of what it was when
+// the figures were measured, so that a change is not repeated before its effect
+// is known. In a severe overload, demand may be any multiple of the capacity;
+// the share falls to kSevereUnseenDecrease of its value at once, since servers
+// reject the excess until the next figures. Below kIdleRequestsPerSlot the
+// requests that run are proportional to the share: it rises to what should
+// yield kTargetRequestsPerSlot, at most kMaxUnseenIncrease times.
+constexpr double kTargetRequestsPerSlot = 1.1;
+constexpr double kMaxUnseenIncrease = 2;
+constexpr double kSevereUnseenDecrease = 0.4;
 // This share of the new flows is admitted even during an overload, since their
 // answers show when the overload ends.
 constexpr double kMinAdmittedShare = 0.05;
@@ -82,19 +89,48 @@
   return *middle;
 }
 
-void AdmissionController::Decrease(double factor,
-                                   absl::Time measured,
-                                   absl::Time now) {
-  while (!decreases_.empty() && decreases_.front().at <= measured) {
-    decreases_.pop_front();
+double AdmissionController::ShareAt(absl::Time time) const {
+  const auto change =
+      std::find_if(changes_.begin(), changes_.end(),
+                   [&](const ShareChange& c) { return c.at > time; });
+  return change == changes_.end() ? admitted_share_ : change->before;
+}
+
+void AdmissionController::AdjustToFigures(double requests_per_slot,
+                                          bool late,
+                                          absl::Time measured) {
+  const double then = ShareAt(measured);
+  if (late || requests_per_slot > kRejectingRequestsPerSlot) {
+    const bool severe = requests_per_slot > kSevereRequestsPerSlot;
+    const double factor = severe ? kSevereUnseenDecrease : kDecreaseFactor;
+    const double lowest = std::max(factor * then, kMinAdmittedShare);
+    admitted_share_ = std::min(admitted_share_, lowest);
+    return;
   }
-  const double seen =
-      decreases_.empty() ? admitted_share_ : decreases_.front().share_before;
-  const double lowest = std::max(kMaxUnseenDecrease * seen, kMinAdmittedShare);
-  const double reduced = std::max(admitted_share_ * factor, lowest);
-  if (reduced < admitted_share_) {
-    decreases_.push_back({now, admitted_share_});
-    admitted_share_ = reduced;
+  double highest = then;
+  double raised = admitted_share_ * kIncreaseFactor;
+  if (requests_per_slot < kIdleRequestsPerSlot) {
+    raised = admitted_share_ + kIdleIncrease;
+    highest *= std::min(kMaxUnseenIncrease,
+                        kTargetRequestsPerSlot / requests_per_slot);
+  } else if (requests_per_slot < kNormalRequestsPerSlot) {
+    highest *= kIncreaseFactor;
+  }
+  admitted_share_ = std::max(admitted_share_, std::min({raised, highest, 1.0}));
+}
+
+void AdmissionController::AdjustToOwnEstimate(double requests_per_slot,
+                                              double median_ratio,
+                                              bool late) {
+  if (late) {
+    const bool severe = requests_per_slot > kSevereRequestsPerSlot;
+    admitted_share_ *= severe ? kSevereDecreaseFactor : kDecreaseFactor;
+    admitted_share_ = std::max(admitted_share_, kMinAdmittedShare);
+  } else if (requests_per_slot < kIdleRequestsPerSlot) {
+    admitted_share_ = std::min(admitted_share_ + kIdleIncrease, 1.0);
+  } else if (median_ratio < kNormalLatencyRatio ||
+             requests_per_slot < kNormalRequestsPerSlot) {
+    admitted_share_ = std::min(admitted_share_ * kIncreaseFactor, 1.0);
   }
 }
 
@@ -106,22 +142,23 @@
   if (window_age < kMinWindow || (!enough_answers && window_age < kMaxWindow)) {
     return;
   }
-  window_start_ = now;
   const double median_ratio = MedianLatencyRatio();
-  const bool queues = requests_per_slot > kOverloadRequestsPerSlot;
-  const bool late = median_ratio > kOverloadLatencyRatio && queues;
-  const bool rejecting =
-      figures_age && requests_per_slot > kRejectingRequestsPerSlot;
-  if (late || rejecting) {
-    const bool severe = requests_per_slot > kSevereRequestsPerSlot;
-    Decrease(severe ? kSevereDecreaseFactor : kDecreaseFactor,
-             now - figures_age.value_or(absl::ZeroDuration()), now);
-  } else if (requests_per_slot < kIdleRequestsPerSlot) {
-    admitted_share_ = std::min(admitted_share_ + kIdleIncrease, 1.0);
-  } else if ((median_ratio < kNormalLatencyRatio && !(figures_age && queues)) ||
-             requests_per_slot < kNormalRequestsPerSlot) {
-    admitted_share_ = std::min(admitted_share_ * kIncreaseFactor, 1.0);
+  const bool late = median_ratio > kOverloadLatencyRatio &&
+                    requests_per_slot > kOverloadRequestsPerSlot;
+  const double share = admitted_share_;
+  if (figures_age) {
+    AdjustToFigures(requests_per_slot, late, now - *figures_age);
+  } else {
+    AdjustToOwnEstimate(requests_per_slot, median_ratio, late);
+  }
+  const absl::Time measured = now - figures_age.value_or(absl::ZeroDuration());
+  while (!changes_.empty() && changes_.front().at <= measured) {
+    changes_.pop_front();
   }
+  if (admitted_share_ != share) {
+    changes_.push_back({now, share});
+  }
+  window_start_ = now;
   latency_ratios_.clear();
   for (auto& [rank, flows] : demand_) {
     flows *= kDemandDecayFactor;
--- a/src/direct/admission_controller.h
+++ b/src/direct/admission_controller.h
@@ -86,15 +86,22 @@
   };
   struct ShareChange {
     absl::Time at;
-    double share_before;
+    double before;
   };
 
   // The median ratio of answer latency to target latency since `window_start_`;
   // 0 if there were fewer than kMinAnswers answers.
   double MedianLatencyRatio();
-  // Reduces the share by `factor`, as far as the effect of former reductions is
-  // visible in figures that were measured at `measured`.
-  void Decrease(double factor, absl::Time measured, absl::Time now);
+  // The share that was in force at `time`.
+  double ShareAt(absl::Time time) const;
+  // Adjusts the share to the load. `measured` is when `requests_per_slot` was
+  // measured if it comes from figures of the whole fleet.
+  void AdjustToFigures(double requests_per_slot,
+                       bool late,
+                       absl::Time measured);
+  void AdjustToOwnEstimate(double requests_per_slot,
+                           double median_ratio,
+                           bool late);
   // The share of flows of `rank` that are admitted. If only a share of the new
   // flows is admitted, flows that come first in the order of ranks are admitted
   // first. Precondition: a flow of `rank` is counted in `demand_`.
@@ -109,8 +116,8 @@
   std::mt19937_64 random_;
   CallerCounts caller_counts_;
   double admitted_share_ = 1;
-  // Reductions of the share within the maximum age of figures, oldest first.
-  std::deque<ShareChange> decreases_;
+  // Changes of the share since the figures in use were measured, oldest first.
+  std::deque<ShareChange> changes_;
   absl::Time window_start_ = absl::InfinitePast();
   // Latencies of the answers since `window_start_`, each divided by the target
   // latency of its route.
