--- a/src/direct/admission_controller.cc
+++ b/src/direct/admission_controller.cc
@@ -55,7 +55,7 @@
 // requests that run are proportional to the share: it rises to what should
 // yield kTargetRequestsPerSlot, at most kMaxUnseenIncrease times.
 constexpr double kTargetRequestsPerSlot = 1.1;
-constexpr double kMaxUnseenIncrease = 2;
+constexpr double kMaxUnseenIncrease = 1.25;
 constexpr double kSevereUnseenDecrease = 0.4;
 // This share of the new flows is admitted even during an overload, since their
 // answers show when the overload ends.
