direct: the admitted share doubles while most slots are idle

By calculation, an increase of a quarter for each set of figures takes 6 s from the minimum share to 1.

--- a/src/direct/admission_controller.cc
+++ b/src/direct/admission_controller.cc
@@ -53,9 +53,13 @@
 // the share falls to kSevereUnseenDecrease of its value at once, since servers
 // reject the excess until the next figures. Below kIdleRequestsPerSlot the
 // requests that run are proportional to the share: it rises to what should
-// yield kTargetRequestsPerSlot, at most kMaxUnseenIncrease times.
+// yield kTargetRequestsPerSlot, at most kMaxUnseenIncrease times. Doubling the
+// share is safe only while most slots are idle; repeated requests otherwise
+// make it swing.
 constexpr double kTargetRequestsPerSlot = 1.1;
 constexpr double kMaxUnseenIncrease = 1.25;
+constexpr double kMostlyIdleRequestsPerSlot = 0.4;
+constexpr double kMostlyIdleUnseenIncrease = 2;
 constexpr double kSevereUnseenDecrease = 0.4;
 // This share of the new flows is admitted even during an overload, since their
 // answers show when the overload ends.
@@ -111,8 +115,10 @@
   double raised = admitted_share_ * kIncreaseFactor;
   if (requests_per_slot < kIdleRequestsPerSlot) {
     raised = admitted_share_ + kIdleIncrease;
-    highest *= std::min(kMaxUnseenIncrease,
-                        kTargetRequestsPerSlot / requests_per_slot);
+    highest *= requests_per_slot < kMostlyIdleRequestsPerSlot
+                   ? kMostlyIdleUnseenIncrease
+                   : std::min(kMaxUnseenIncrease,
+                              kTargetRequestsPerSlot / requests_per_slot);
   } else if (requests_per_slot < kNormalRequestsPerSlot) {
     highest *= kIncreaseFactor;
   }
--- a/src/direct/admission_controller.h
+++ b/src/direct/admission_controller.h
@@ -1,12 +1,12 @@
 #ifndef GCW_DIRECT_ADMISSION_CONTROLLER_H_
 #define GCW_DIRECT_ADMISSION_CONTROLLER_H_
 
-#include <compare>
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
 #include <random>
+#include <tuple>
 #include <vector>
 
 #include "absl/time/time.h"
@@ -82,7 +82,10 @@
   struct Rank {
     std::uint32_t priority = 0;
     bool over_caller_limit = false;
-    auto operator<=>(const Rank&) const = default;
+    bool operator<(const Rank& other) const {
+      return std::tie(priority, over_caller_limit) <
+             std::tie(other.priority, other.over_caller_limit);
+    }
   };
   struct ShareChange {
     absl::Time at;
