--- a/src/direct/admission_controller.cc
+++ b/src/direct/admission_controller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <cstddef>
 
 #include "gcw/base/hash.h"
@@ -10,12 +11,14 @@
 namespace {
 
 // The share of new flows that are admitted is adjusted at the end of each
-// measurement window. A window ends after kMinWindow if the service's servers
-// have sent at least kMinAnswers answers since its start.
+// measurement window. A window ends after kMinWindow if recent figures of the
+// fleet are known, so that small daemons react as fast as others, or if the
+// service's servers have sent at least kMinAnswers answers since its start.
 constexpr absl::Duration kMinWindow = absl::Milliseconds(100);
 constexpr std::size_t kMinAnswers = 5;
-// A measurement window in which the servers have sent fewer than kMinAnswers
-// answers ends after this time. The servers then count as not overloaded.
+// Without figures, a measurement window in which the servers have sent fewer
+// than kMinAnswers answers ends after this time, and the servers then count as
+// not overloaded. With figures, answers are collected for at most this time.
 constexpr absl::Duration kMaxWindow = absl::Milliseconds(500);
 // Thresholds for the median latency of the answers, as fractions of the target
 // latency: above the first the service may be overloaded, below the second its
@@ -64,9 +67,10 @@
 // This share of the new flows is admitted even during an overload, since their
 // answers show when the overload ends.
 constexpr double kMinAdmittedShare = 0.05;
-// Factor by which the counts of recent new flows (the demand) decay at the end
-// of each measurement window.
-constexpr double kDemandDecayFactor = 0.7;
+// Time constant with which the counts of recent new flows (the demand) decay. A
+// small daemon receives ten new flows in this time; fewer would say little of
+// the parts of the priorities.
+constexpr absl::Duration kDemandTime = absl::Seconds(1);
 // Time in which the positions of callers move once through the whole range: no
 // caller is refused for longer, and callers give up after 4 to 12 s.
 constexpr absl::Duration kRotationTime = absl::Seconds(10);
@@ -145,7 +149,8 @@
                                  std::optional<absl::Duration> figures_age) {
   const absl::Duration window_age = now - window_start_;
   const bool enough_answers = latency_ratios_.size() >= kMinAnswers;
-  if (window_age < kMinWindow || (!enough_answers && window_age < kMaxWindow)) {
+  if (window_age < kMinWindow ||
+      (!figures_age && !enough_answers && window_age < kMaxWindow)) {
     return;
   }
   const double median_ratio = MedianLatencyRatio();
@@ -165,9 +170,13 @@
     changes_.push_back({now, share});
   }
   window_start_ = now;
-  latency_ratios_.clear();
+  if (enough_answers || now - answers_since_ >= kMaxWindow) {
+    latency_ratios_.clear();
+    answers_since_ = now;
+  }
+  const double kept = std::exp(-absl::FDivDuration(window_age, kDemandTime));
   for (auto& [rank, flows] : demand_) {
-    flows *= kDemandDecayFactor;
+    flows *= kept;
   }
 }
 
--- a/src/direct/admission_controller.h
+++ b/src/direct/admission_controller.h
@@ -92,8 +92,8 @@
     double before;
   };
 
-  // The median ratio of answer latency to target latency since `window_start_`;
-  // 0 if there were fewer than kMinAnswers answers.
+  // The median ratio of answer latency to target latency since
+  // `answers_since_`; 0 if there were fewer than kMinAnswers answers.
   double MedianLatencyRatio();
   // The share that was in force at `time`.
   double ShareAt(absl::Time time) const;
@@ -122,7 +122,8 @@
   // Changes of the share since the figures in use were measured, oldest first.
   std::deque<ShareChange> changes_;
   absl::Time window_start_ = absl::InfinitePast();
-  // Latencies of the answers since `window_start_`, each divided by the target
+  absl::Time answers_since_ = absl::InfinitePast();
+  // Latencies of the answers since `answers_since_`, each divided by the target
   // latency of its route.
   std::vector<double> latency_ratios_;
   // Numbers of recent new flows by rank, with exponential decay.
