direct: placement by expected wait, cheap for large services

The placer compares the servers of one zone only, at most 64, else 16 that it draws, by open flows for each slot times the slowness of the server. Servers in slow start are taken by their share. A server that gets more than 2.5 times the new flows of the others is passed over, so that one that fails fast does not attract all flows.

--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -84,7 +84,8 @@
   std::string server_zone;
   std::uint32_t repeat = 0;        // Retransmissions of the SYN so far.
   std::uint32_t server_flows = 0;  // Open flows of this daemon on the server.
-  std::uint32_t candidates = 0;    // Servers that could have been chosen.
+  // Servers that were compared: of a large service, some that were drawn.
+  std::uint32_t candidates = 0;
   // Placed in another availability zone because the own zone is near its
   // capacity.
   bool overflow = false;
--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -2,25 +2,47 @@
 
 #include <algorithm>
 #include <cassert>
-#include <tuple>
+#include <cmath>
+#include <compare>
+#include <utility>
 
 namespace gcw::direct {
 namespace {
 
-// The criteria by which candidate servers for a new flow are compared, the most
-// important one first. Smaller values are better: for example, warm servers
-// come before cold ones (those in slow start), and the preferred zone before
-// others.
+// If a zone has more servers of a service than the first number, the second
+// number of them is drawn at random, so that the cost of a new flow does not
+// grow with the number of servers.
+constexpr std::size_t kMaxCompared = 64;
+constexpr std::size_t kDrawn = 16;
+// Time constant of ServerEntry::recent_flows. Long enough for a daemon to count
+// several new flows for each server of a zone.
+constexpr absl::Duration kRecentTime = absl::Seconds(4);
+// How often these numbers are updated, a small part of the time constant.
+constexpr absl::Duration kDecayInterval = absl::Milliseconds(400);
+// A server gets no more recent flows for each slot than this many times the
+// mean of the servers that it is compared with, plus one flow. The number
+// matches the lowest slowness, 0.4. Without the limit, a server that fails
+// every request at once would always have the fewest open flows and so attract
+// all new flows.
+constexpr double kMaxAdvantage = 2.5;
+// Part of one flow that breaks ties between servers in slow start.
+constexpr double kTieBreak = 0.01;
+// Servers outside slow start get at most this many times their usual number of
+// flows because others are in slow start. They then need not be overloaded if
+// most servers of a zone have just started.
+constexpr double kMaxExtraLoad = 2;
+
+// The criteria by which candidate servers for a new flow are compared before
+// their expected waits, the most important one first. Smaller values are
+// better: for example, warm servers come before cold ones, and the preferred
+// zone before others.
 struct Rank {
   bool avoided = false;
   bool lapsed = false;
   bool cold = false;
   bool other_zone = false;
-  // This daemon's open flows on the server, divided by the number of requests
-  // that the server can process at the same time (slots).
-  double load = 0;
 
-  auto tie() const { return std::tie(avoided, lapsed, cold, other_zone, load); }
+  auto operator<=>(const Rank&) const = default;
 };
 
 }  // namespace
@@ -59,19 +81,12 @@
 
 bool Placer::CanAccept(const ServerEntry& entry,
                        const Service& service,
-                       const std::set<std::string, std::less<>>& zones_out,
                        absl::Time now,
                        ExcludedServers& excluded) {
-  const bool listed = entry.presence == Presence::kListed ||
-                      entry.presence == Presence::kLapsed;
-  if (!listed || entry.server.draining || entry.cookie_collides) {
+  if (!IsListed(entry)) {
     ++excluded.leaving;
     return false;
   }
-  if (zones_out.contains(entry.server.zone)) {
-    ++excluded.zone_out;
-    return false;
-  }
   if (!entry.reach.usable()) {
     ++excluded.lost;
     return false;
@@ -89,6 +104,12 @@
   return true;
 }
 
+bool Placer::IsListed(const ServerEntry& entry) {
+  const bool listed = entry.presence == Presence::kListed ||
+                      entry.presence == Presence::kLapsed;
+  return listed && !entry.server.draining && !entry.cookie_collides;
+}
+
 Placement Placer::Choose(const ServerTable& servers,
                          const Service& service,
                          const std::set<std::string, std::less<>>& zones_out,
@@ -96,45 +117,170 @@
                          const ServerEntry* avoid,
                          absl::Time now) {
   Placement placement;
+  const std::span<const ZoneServers> zones =
+      servers.ZonesOfService(service.name);
   candidates_.clear();
-  for (ServerEntry* entry : servers.OfService(service.name)) {
-    if (!CanAccept(*entry, service, zones_out, now, placement.excluded)) {
-      continue;
-    }
-    candidates_.push_back({entry, entry->server.zone != zone});
+  FindInZone(zones, service, zones_out, zone, avoid, now);
+  if (candidates_.empty()) {
+    FindInAll(zones, service, zones_out, zone, avoid, now, placement.excluded);
   }
   placement.candidates = static_cast<std::uint32_t>(candidates_.size());
-  placement.server = PickBest(avoid, now);
-  if (placement.server != nullptr && now < placement.server->cold_until) {
-    cold_limiter_.RecordFlow(placement.server->cookie, now);
+  placement.server = PickBest();
+  if (placement.server != nullptr) {
+    placement.server->recent_flows += 1;
+    if (now < placement.server->cold_until) {
+      cold_limiter_.RecordFlow(placement.server->cookie, now);
+    }
   }
   return placement;
 }
 
-ServerEntry* Placer::PickBest(const ServerEntry* avoid, absl::Time now) {
-  ServerEntry* chosen = nullptr;
+void Placer::FindInZone(std::span<const ZoneServers> zones,
+                        const Service& service,
+                        const std::set<std::string, std::less<>>& zones_out,
+                        std::string_view zone,
+                        const ServerEntry* avoid,
+                        absl::Time now) {
+  const auto preferred =
+      std::find_if(zones.begin(), zones.end(),
+                   [&](const ZoneServers& z) { return z.zone == zone; });
+  if (preferred == zones.end() || zones_out.contains(zone)) {
+    return;
+  }
+  const std::vector<ServerEntry*>& entries = preferred->servers;
+  const bool draw = entries.size() > kMaxCompared;
+  const std::size_t count = draw ? kDrawn : entries.size();
+  ExcludedServers excluded;
+  for (std::size_t i = 0; i < count; ++i) {
+    ServerEntry* entry = entries[draw ? random_() % entries.size() : i];
+    if (entry != avoid && entry->presence == Presence::kListed &&
+        now >= entry->cold_until && CanAccept(*entry, service, now, excluded)) {
+      AddCandidate(entry);
+    }
+  }
+}
+
+void Placer::FindInAll(std::span<const ZoneServers> zones,
+                       const Service& service,
+                       const std::set<std::string, std::less<>>& zones_out,
+                       std::string_view zone,
+                       const ServerEntry* avoid,
+                       absl::Time now,
+                       ExcludedServers& excluded) {
   Rank best;
-  std::uint64_t ties = 0;
+  for (const ZoneServers& servers : zones) {
+    const bool out = zones_out.contains(servers.zone);
+    for (ServerEntry* entry : servers.servers) {
+      if (out) {
+        ++(IsListed(*entry) ? excluded.zone_out : excluded.leaving);
+        continue;
+      }
+      if (!CanAccept(*entry, service, now, excluded)) {
+        continue;
+      }
+      const Rank rank{.avoided = entry == avoid,
+                      .lapsed = entry->presence == Presence::kLapsed,
+                      .cold = now < entry->cold_until,
+                      .other_zone = servers.zone != zone};
+      if (!candidates_.empty() && rank > best) {
+        continue;
+      }
+      if (candidates_.empty() || rank < best) {
+        candidates_.clear();
+        best = rank;
+      }
+      AddCandidate(entry);
+    }
+  }
+}
+
+void Placer::AddCandidate(ServerEntry* entry) {
+  const double slots = std::max<std::uint32_t>(entry->server.slots, 1);
+  // A server in slow start gets its share by PickBest(). Beyond that it gets
+  // flows only if the others have many times more open flows.
+  const double own = entry->share < 1 ? 1 + kTieBreak * Draw() : Draw();
+  candidates_.push_back(
+      {.entry = entry,
+       .wait =
+           (entry->open_flows + own) / slots * entry->slowness / entry->share,
+       .share = entry->share,
+       .recent = entry->recent_flows / slots,
+       .recent_beyond_one = (entry->recent_flows - 1) / slots});
+}
+
+double Placer::Draw() {
+  constexpr unsigned kBits = 16;
+  if (draws_left_ == 0) {
+    draws_ = random_();
+    draws_left_ = 64 / kBits;
+  }
+  const std::uint64_t draw = draws_ & ((1U << kBits) - 1);
+  draws_ >>= kBits;
+  --draws_left_;
+  return static_cast<double>(draw + 1) / (1U << kBits);
+}
+
+ServerEntry* Placer::PickBest() {
+  if (candidates_.empty()) {
+    return nullptr;
+  }
+  ServerEntry* starting = DrawStarting();
+  if (starting != nullptr) {
+    return starting;
+  }
+  double recent = 0;
   for (const Candidate& candidate : candidates_) {
-    ServerEntry* entry = candidate.entry;
-    const Rank rank{
-        .avoided = entry == avoid,
-        .lapsed = entry->presence == Presence::kLapsed,
-        .cold = now < entry->cold_until,
-        .other_zone = candidate.other_zone,
-        .load = static_cast<double>(entry->open_flows) / entry->server.slots};
-    const bool better = chosen == nullptr || rank.tie() < best.tie();
-    ties = better ? 1 : ties + (rank.tie() == best.tie() ? 1 : 0);
-    // Reservoir sampling: each of the tied servers is chosen with the same
-    // probability.
-    const bool drawn =
-        better || (rank.tie() == best.tie() && random_() % ties == 0);
-    if (drawn) {
-      best = rank;
-      chosen = entry;
+    recent += candidate.recent;
+  }
+  const double limit =
+      kMaxAdvantage * recent / static_cast<double>(candidates_.size());
+  const auto rank = [limit](const Candidate& candidate) {
+    return std::pair(candidate.recent_beyond_one > limit, candidate.wait);
+  };
+  return std::min_element(candidates_.begin(), candidates_.end(),
+                          [&](const Candidate& a, const Candidate& b) {
+                            return rank(a) < rank(b);
+                          })
+      ->entry;
+}
+
+ServerEntry* Placer::DrawStarting() {
+  const auto count = static_cast<double>(candidates_.size());
+  double others = count;
+  double shares = 0;
+  for (const Candidate& candidate : candidates_) {
+    if (candidate.share < 1) {
+      others -= 1;
+      shares += candidate.share;
+    }
+  }
+  if (shares == 0 || others == 0) {
+    return nullptr;
+  }
+  const double scale = std::max(1.0, (count / kMaxExtraLoad - others) / shares);
+  double draw = Draw() * (others + shares * scale);
+  for (const Candidate& candidate : candidates_) {
+    if (candidate.share == 1) {
+      continue;
     }
+    draw -= candidate.share * scale;
+    if (draw <= 0) {
+      return candidate.entry;
+    }
+  }
+  return nullptr;
+}
+
+void Placer::OnTick(const ServerTable& servers, absl::Time now) {
+  if (now - last_decay_ < kDecayInterval) {
+    return;
+  }
+  const double kept =
+      std::exp(-absl::FDivDuration(now - last_decay_, kRecentTime));
+  for (const auto& entry : servers.entries()) {
+    entry->recent_flows *= kept;
   }
-  return chosen;
+  last_decay_ = now;
 }
 
 }  // namespace gcw::direct
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -17,29 +18,43 @@
 // Result of choosing a backend server for a new flow.
 struct Placement {
   ServerEntry* server = nullptr;  // Null if no server can take the flow.
-  std::uint32_t candidates = 0;   // Servers that could have been chosen.
+  std::uint32_t candidates = 0;   // Servers that were compared.
   ExcludedServers excluded;
 };
 
 // Chooses the backend server of a new flow:
 //
 // - Servers are excluded if they are draining, gone, unreachable, at their flow
-//   limit, in a zone taken out of service, or cold (in slow start) with this
-//   daemon's quota of new flows used up.
-// - Servers in the zone that the caller of Choose() prefers come first.
-// - Among these, the server with the fewest open flows of this daemon per slot
-//   is chosen. A server processes one request per slot at a time. Ties are
-//   broken at random, so that daemons don't all choose the same server.
+//   limit, in a zone taken out of service, or cold (`cold_until` in the future)
+//   with this daemon's quota of new flows used up.
+// - Servers in the zone that the caller of Choose() prefers come first. If
+// there
+//   are many, some are drawn at random. Servers of other zones, cold servers
+//   and servers that lapsed are considered only if none of these can take the
+//   flow.
+// - Among these, a server in slow start is chosen with a probability by its
+//   share (ServerEntry::share), or if the expected waits of the others are many
+//   times longer.
+// - Else the server with the shortest expected wait is chosen: this daemon's
+//   open flows on the server plus a random part of one, divided by the slots of
+//   the server, times its slowness. A server processes one request per slot at
+//   a time. The random part breaks ties so that a server which is twice as fast
+//   gets about twice as many flows while all are idle. Without it all daemons,
+//   which know the same slowness, would choose the same fastest servers at
+//   once.
+// - A server that gets many more new flows than the others is passed over.
 //
-// Has no I/O. Not thread-safe.
+// Answers the load patterns in which servers have different speeds, one server
+// is slow or fails fast, many daemons place flows at the same time, or servers
+// start while load is high. Has no I/O. Not thread-safe.
 class Placer {
  public:
   explicit Placer(std::uint64_t seed) : random_(seed) {}
 
   // Chooses a server of `service` for a new flow, in `zone` if a server there
-  // can take it. If the server is cold (in
-  // slow start), counts the flow against this daemon's quota for the server.
-  // `avoid` is chosen only if there is no other server; it may be null.
+  // can take it. If the server is cold, counts the flow against this daemon's
+  // quota for the server. `avoid` is chosen only if there is no other server;
+  // it may be null.
   Placement Choose(const ServerTable& servers,
                    const Service& service,
                    const std::set<std::string, std::less<>>& zones_out,
@@ -54,6 +69,9 @@
   }
   const FleetPosition& fleet() const { return cold_limiter_.fleet(); }
 
+  // Lets the record of recent new flows fade. Call this about every 50 ms.
+  void OnTick(const ServerTable& servers, absl::Time now);
+
   // Removes outdated records of new flows to cold servers. Call this about
   // every second.
   void Expire(absl::Time now) { cold_limiter_.Expire(now); }
@@ -67,21 +85,55 @@
  private:
   struct Candidate {
     ServerEntry* entry = nullptr;
-    bool other_zone = false;  // In another zone than the preferred one.
+    // Expected wait, in units of the usual latency; in slow start divided by
+    // the share.
+    double wait = 0;
+    double share = 1;  // ServerEntry::share.
+    // ServerEntry::recent_flows for each slot: all, and all but one flow.
+    double recent = 0;
+    double recent_beyond_one = 0;
   };
 
-  // Whether the server `entry` may take a new flow of `service`. If not, counts
-  // the reason in `excluded`.
+  // Whether the server `entry`, of a zone that is in service, may take a new
+  // flow of `service`. If not, counts the reason in `excluded`.
   bool CanAccept(const ServerEntry& entry,
+                 const Service& service,
+                 absl::Time now,
+                 ExcludedServers& excluded);
+  // Whether the server is meant to get new flows, according to the store.
+  static bool IsListed(const ServerEntry& entry);
+
+  // Adds the servers in `zone` that can take the flow without reservation as
+  // candidates: all, or some that are drawn if there are many.
+  void FindInZone(std::span<const ZoneServers> zones,
+                  const Service& service,
+                  const std::set<std::string, std::less<>>& zones_out,
+                  std::string_view zone,
+                  const ServerEntry* avoid,
+                  absl::Time now);
+  // Adds the servers of the best rank among all servers as candidates.
+  void FindInAll(std::span<const ZoneServers> zones,
                  const Service& service,
                  const std::set<std::string, std::less<>>& zones_out,
+                 std::string_view zone,
+                 const ServerEntry* avoid,
                  absl::Time now,
                  ExcludedServers& excluded);
-  // The best of the candidate servers, chosen at random among equally good
-  // ones; null if there are no candidates.
-  ServerEntry* PickBest(const ServerEntry* avoid, absl::Time now);
+  void AddCandidate(ServerEntry* entry);
+  // A candidate in slow start, drawn so that it gets its share of the flows of
+  // the others; null if another candidate should get the flow, or if all
+  // candidates are in slow start, when sparing them would help nobody.
+  ServerEntry* DrawStarting();
+  // The best of the candidate servers; null if there are none.
+  ServerEntry* PickBest();
+  // A random number above 0 and up to 1.
+  double Draw();
 
   std::mt19937_64 random_;
+  // Random bits for the next calls of Draw(), as one number yields several.
+  std::uint64_t draws_ = 0;
+  unsigned draws_left_ = 0;
+  absl::Time last_decay_ = absl::InfinitePast();
   // Used only during Choose(); a member to avoid repeated allocations.
   std::vector<Candidate> candidates_;
   ColdLimiter cold_limiter_;
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -33,21 +33,43 @@
       MarkMissing(entry->server.name, revision, now);
     }
   }
+  listed_before_ = true;
   IndexServices();
 }
 
 void ServerTable::IndexServices() {
   by_service_.clear();
   for (const auto& entry : entries_) {
-    by_service_[entry->server.service].push_back(entry.get());
+    ServiceServers& service = by_service_[entry->server.service];
+    service.all.push_back(entry.get());
+    auto zone = std::find_if(
+        service.zones.begin(), service.zones.end(),
+        [&](const ZoneServers& z) { return z.zone == entry->server.zone; });
+    if (zone == service.zones.end()) {
+      zone = service.zones.insert(zone, {entry->server.zone, {}});
+    }
+    zone->servers.push_back(entry.get());
   }
 }
 
 std::span<ServerEntry* const> ServerTable::OfService(
     std::string_view service) const {
   const auto it = by_service_.find(service);
-  return it == by_service_.end() ? std::span<ServerEntry* const>()
-                                 : std::span<ServerEntry* const>(it->second);
+  return it == by_service_.end()
+             ? std::span<ServerEntry* const>()
+             : std::span<ServerEntry* const>(it->second.all);
+}
+
+std::span<const ZoneServers> ServerTable::ZonesOfService(
+    std::string_view service) const {
+  const auto it = by_service_.find(service);
+  return it == by_service_.end()
+             ? std::span<const ZoneServers>()
+             : std::span<const ZoneServers>(it->second.zones);
+}
+
+std::vector<ServerEntry*> ServerTable::TakeStarted() {
+  return std::exchange(started_, {});
 }
 
 bool ServerTable::IsFromRestoredCopy(const ServerReport& report,
@@ -132,6 +154,9 @@
   }
   entries_.push_back(std::move(entry));
   IndexAddress(*entries_.back());
+  if (presence == Presence::kListed && listed_before_) {
+    started_.push_back(entries_.back().get());
+  }
   ReportChange(*entries_.back(), now);
 }
 
@@ -153,6 +178,9 @@
   if (unchanged) {
     return;
   }
+  if (entry.presence == Presence::kGone) {
+    started_.push_back(&entry);
+  }
   entry.server = report.server;
   entry.service_hash = load::HashName(report.server.service);
   entry.zone_hash = load::HashName(report.server.zone);
@@ -270,7 +298,7 @@
          latest->second->presence == Presence::kListed;
 }
 
-ServerEntry* ServerTable::FindByCookie(FlowCookie cookie) {
+ServerEntry* ServerTable::FindByCookie(FlowCookie cookie) const {
   const auto it = by_cookie_.find(cookie);
   return it == by_cookie_.end() ? nullptr : it->second;
 }
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -51,6 +51,15 @@
   // Several late flows make the server suspect.
   std::uint32_t late_flows = 0;
   std::uint64_t placed = 0;  // New flows placed since the entry was added.
+  // New flows that this daemon placed within the last few seconds, with
+  // exponential decay. Updated by Placer.
+  double recent_flows = 0;
+  // The share of the usual number of new flows that the server may get, above 0
+  // and up to 1, which is below 1 in slow start; and how long the server takes
+  // for a request, compared with the other servers of its service. Updated by
+  // ServerPace.
+  double share = 1;
+  double slowness = 1;
   // Whether the server's flows were reset because the server is gone or
   // restarted.
   bool flows_reset = false;
@@ -59,6 +68,12 @@
   bool cookie_collides = false;
 };
 
+// The servers of one service in one availability zone.
+struct ZoneServers {
+  std::string zone;
+  std::vector<ServerEntry*> servers;
+};
+
 // The backend servers that the store lists or has listed recently. Pointers to
 // entries stay valid until OnTick() removes the entry, which it does only when
 // no flow refers to the entry. Has no I/O. Not thread-safe.
@@ -94,7 +109,14 @@
   // The newest incarnation of the server `name`, or null.
   ServerEntry* FindByName(std::string_view name);
   // The incarnation that `cookie` identifies, or null.
-  ServerEntry* FindByCookie(FlowCookie cookie);
+  ServerEntry* FindByCookie(FlowCookie cookie) const;
+
+  // Returns the servers that have started since the last call: incarnations
+  // that were listed for the first time, and servers that were gone and are
+  // listed again. Servers of the first list are left out, because nothing tells
+  // whether they or this daemon started. The pointers are valid until the next
+  // OnTick().
+  std::vector<ServerEntry*> TakeStarted();
 
   const std::vector<std::unique_ptr<ServerEntry>>& entries() const {
     return entries_;
@@ -107,6 +129,8 @@
   // The entries of one service. The span is valid until the next call of
   // ApplyList() or OnTick().
   std::span<ServerEntry* const> OfService(std::string_view service) const;
+  // The same by availability zone.
+  std::span<const ZoneServers> ZonesOfService(std::string_view service) const;
 
  private:
   void Apply(const ServerReportPtr& report, absl::Time now);
@@ -138,7 +162,14 @@
   absl::flat_hash_map<FlowCookie, ServerEntry*> by_cookie_;
   // The server that started last at each address.
   absl::flat_hash_map<Endpoint, ServerEntry*> by_address_;
-  std::map<std::string, std::vector<ServerEntry*>, std::less<>> by_service_;
+  struct ServiceServers {
+    std::vector<ServerEntry*> all;
+    std::vector<ZoneServers> zones;
+  };
+  std::map<std::string, ServiceServers, std::less<>> by_service_;
+  // Whether a list was applied.
+  bool listed_before_ = false;
+  std::vector<ServerEntry*> started_;  // Since the last TakeStarted().
 };
 
 }  // namespace gcw::direct
