direct: slowness and slow start of single servers

ServerPace compares the answers of a server, of all daemons of the zone, with the usual latency of the routes.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -14,6 +14,7 @@
 #include "src/direct/own_load.h"
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
+#include "src/direct/server_pace.h"
 #include "src/direct/server_table.h"
 #include "src/direct/unknown_cookies.h"
 #include "src/direct/zone_balancer.h"
@@ -45,7 +46,8 @@
         servers_(options.lapse_grace, options.restore_grace, &events_),
         failure_detector_(options.zone, servers_, zones_out_.names(), &events_),
         flows_(options.max_flows),
-        flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
+        flow_monitor_({servers_, flows_, failure_detector_, admission_table_,
+                       server_pace_},
                       &events_),
         flow_resetter_(flows_, &events_),
         placer_(options.seed),
@@ -68,6 +70,7 @@
                        absl::Time now) {
     if (feeds_.Advance(Feed::kServers, revision)) {
       servers_.ApplyList(reports, revision, now);
+      BeginSlowStarts(now);
     }
   }
 
@@ -91,10 +94,16 @@
   void SetFleetPosition(const FleetPosition& position, absl::Time now) {
     placer_.SetFleetPosition(position, now);
     fleet_load_.SetFleetPosition(position);
+    server_pace_.SetFleetPosition(position);
   }
 
   void SetFleetLoad(const load::FleetFigures& figures, absl::Time now) {
     fleet_load_.SetFleet(figures, now);
+    // Figures of single servers come from the daemons of the own zone only.
+    const bool recent = fleet_load_.covers_own_zone(now);
+    server_pace_.SetFleet(
+        recent ? figures.sum.servers : std::span<const load::ServerLoad>(),
+        now);
   }
 
   const load::Figures& own_load() const { return fleet_load_.own(); }
@@ -126,7 +135,11 @@
 
   void OnTick(absl::Time now) {
     flow_monitor_.OnTick(now);
-    fleet_load_.SetOwn(own_load_.Measure(servers_, now), now);
+    server_pace_.OnTick(servers_, now);
+    placer_.OnTick(servers_, now);
+    load::Figures own = own_load_.Measure(servers_, now);
+    own.servers = server_pace_.OwnFigures(servers_, now);
+    fleet_load_.SetOwn(std::move(own), now);
     zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
     admission_table_.OnTick(servers_, fleet_load_, now);
     failure_detector_.OnTick(now);
@@ -145,8 +158,10 @@
     placer_.Expire(now);
     flows_.Expire(configuration_.flow_idle_timeout(), options_.max_flow_age,
                   now);
+    flow_monitor_.Expire(now);
     servers_.OnTick(options_.max_flow_age, feeds_.confirmed(Feed::kServers),
                     now);
+    BeginSlowStarts(now);
     unknown_cookies_.Expire(options_.max_flow_age, now);
   }
 
@@ -157,10 +172,16 @@
   void OnProbe(std::uint32_t id, ProbeOutcome outcome, absl::Time now) {
     const FlowCookie cookie = failure_detector_.ResolveProbe(id, outcome, now);
     ServerEntry* entry = servers_.FindByCookie(cookie);
-    if (entry != nullptr &&
-        failure_detector_.OnProbeOutcome(*entry, outcome, now)) {
+    if (entry == nullptr) {
+      return;
+    }
+    const bool was_lost = entry->reach.lost();
+    if (failure_detector_.OnProbeOutcome(*entry, outcome, now)) {
       flow_resetter_.ResetFlowsOf(*entry, HeldStateAt(now), now);
     }
+    if (was_lost && entry->reach.usable()) {
+      server_pace_.OnStarted(*entry, now);
+    }
   }
 
   std::vector<FlowReset> TakeResets() { return flow_resetter_.TakeResets(); }
@@ -202,11 +223,18 @@
           {service.name, zone_balancer_.overflow_share(service.name),
            admission_table_.AdmittedShare(service.name)});
     }
+    stats.slow_starts = server_pace_.SlowStarts(servers_);
     stats.load_age = fleet_load_.age(now);
     return stats;
   }
 
  private:
+  void BeginSlowStarts(absl::Time now) {
+    for (ServerEntry* entry : servers_.TakeStarted()) {
+      server_pace_.OnStarted(*entry, now);
+    }
+  }
+
   absl::Duration ServersAge(absl::Time now) const {
     return feeds_.Age(Feed::kServers, now);
   }
@@ -463,6 +491,7 @@
   ServerTable servers_;
   ServerFailureDetector failure_detector_;
   FlowTable flows_;
+  ServerPace server_pace_;
   FlowMonitor flow_monitor_;
   FlowResetter flow_resetter_;
   Placer placer_;
--- a/src/direct/fleet_load.h
+++ b/src/direct/fleet_load.h
@@ -42,6 +42,10 @@
 
   // Whether figures of the fleet that are not older than kMaxAge are known.
   bool fresh(absl::Time now) const { return age(now) <= kMaxAge; }
+  // The same for figures of the daemons of the own zone.
+  bool covers_own_zone(absl::Time now) const {
+    return RecentCoverage(zone_, now) != nullptr;
+  }
   // The age of the newest figures of the fleet; InfiniteDuration if there are
   // none.
   absl::Duration age(absl::Time now) const;
--- a/src/direct/flow_monitor.cc
+++ b/src/direct/flow_monitor.cc
@@ -1,6 +1,7 @@
 #include "src/direct/flow_monitor.h"
 
 #include <cstdint>
+#include <optional>
 #include <utility>
 
 namespace gcw::direct {
@@ -44,7 +45,7 @@
 void FlowMonitor::OnOpened(const Flow& flow, absl::Time now) {
   RecordLatency(LatencySample::Kind::kOpening, *flow.server,
                 now - flow.opened_at);
-  context_.failure_detector.OnProgress(*flow.server, now);
+  OnProgress(*flow.server, now);
 }
 
 void FlowMonitor::OnPacket(const Packet& packet, Flow& flow, absl::Time now) {
@@ -66,11 +67,11 @@
   // latency is recorded.
   const bool answer_acknowledged = flow.waiting && packet.payload == 0;
   if (answer_acknowledged) {
-    RecordAnswer(flow, now);
+    RecordAnswer(packet.flow.service, flow, now);
   }
   flow.acks_answers = flow.acks_answers || answer_acknowledged;
   flow.waiting = false;
-  context_.failure_detector.OnProgress(*flow.server, now);
+  OnProgress(*flow.server, now);
 }
 
 void FlowMonitor::OnData(const Packet& packet, Flow& flow, absl::Time now) {
@@ -142,11 +143,26 @@
       {kind, server.server.service, server.server.name, latency});
 }
 
-void FlowMonitor::RecordAnswer(const Flow& flow, absl::Time now) {
+void FlowMonitor::RecordAnswer(const Endpoint& route,
+                               const Flow& flow,
+                               absl::Time now) {
   const absl::Duration latency = now - flow.waiting_since;
   RecordLatency(LatencySample::Kind::kAnswer, *flow.server, latency);
   context_.admission_table.OnAnswer(flow.server->server.service, latency,
                                     flow.target_latency);
+  const std::optional<absl::Duration> usual =
+      usual_latency_.OnAnswer(route, latency, now);
+  if (usual) {
+    context_.server_pace.OnAnswer(*flow.server, latency, *usual, now);
+  }
+}
+
+void FlowMonitor::OnProgress(ServerEntry& server, absl::Time now) {
+  const bool was_lost = server.reach.lost();
+  context_.failure_detector.OnProgress(server, now);
+  if (was_lost) {
+    context_.server_pace.OnStarted(server, now);
+  }
 }
 
 }  // namespace gcw::direct
--- a/src/direct/flow_monitor.h
+++ b/src/direct/flow_monitor.h
@@ -10,7 +10,9 @@
 #include "src/direct/admission_table.h"
 #include "src/direct/flow_table.h"
 #include "src/direct/server_failure_detector.h"
+#include "src/direct/server_pace.h"
 #include "src/direct/server_table.h"
+#include "src/direct/usual_latency.h"
 
 namespace gcw::direct {
 
@@ -26,6 +28,7 @@
     FlowTable& flows;
     ServerFailureDetector& failure_detector;
     AdmissionTable& admission_table;
+    ServerPace& server_pace;
   };
 
   // The members of `context` and `events` must outlive the monitor.
@@ -46,6 +49,9 @@
   // ms.
   void OnTick(absl::Time now);
 
+  // Removes outdated state. Call this about every second.
+  void Expire(absl::Time now) { usual_latency_.Expire(now); }
+
   // Returns the latencies measured since the last call.
   std::vector<LatencySample> TakeLatencySamples();
 
@@ -53,7 +59,10 @@
   void RecordLatency(LatencySample::Kind kind,
                      const ServerEntry& server,
                      absl::Duration latency);
-  void RecordAnswer(const Flow& flow, absl::Time now);
+  // An answer on `flow` of the route with the address `route` has arrived.
+  void RecordAnswer(const Endpoint& route, const Flow& flow, absl::Time now);
+  // The server has answered a SYN or data.
+  void OnProgress(ServerEntry& server, absl::Time now);
   // The caller has acknowledged data of the server in `packet`.
   void OnAcknowledged(const Packet& packet, Flow& flow, absl::Time now);
   // The caller has sent data in `packet`, new or again.
@@ -63,6 +72,7 @@
   const Context context_;
   std::vector<Event>* const events_;
   std::vector<LatencySample> latency_samples_;
+  UsualLatency usual_latency_;
 };
 
 }  // namespace gcw::direct
