--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -32,6 +32,8 @@
 constexpr absl::Duration kGoneAnswerTimeout = absl::Milliseconds(500);
 // How often expired flows, servers and unknown cookies are removed.
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
+// How often the figures of single servers are taken. They are sent every 2 s.
+constexpr absl::Duration kServerFiguresInterval = absl::Milliseconds(250);
 
 }  // namespace
 
@@ -138,7 +140,11 @@
     server_pace_.OnTick(servers_, now);
     placer_.OnTick(servers_, now);
     load::Figures own = own_load_.Measure(servers_, now);
-    own.servers = server_pace_.OwnFigures(servers_, now);
+    if (now - server_figures_taken_ >= kServerFiguresInterval) {
+      server_figures_taken_ = now;
+      server_figures_ = server_pace_.OwnFigures(servers_, now);
+    }
+    own.servers = server_figures_;
     fleet_load_.SetOwn(std::move(own), now);
     zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
     admission_table_.OnTick(servers_, fleet_load_, now);
@@ -499,6 +505,8 @@
   FleetLoad fleet_load_;
   ZoneBalancer zone_balancer_;
   UnknownCookies unknown_cookies_;
+  std::vector<load::ServerLoad> server_figures_;  // Of this daemon.
+  absl::Time server_figures_taken_ = absl::InfinitePast();
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
 };
--- a/src/direct/server_pace.cc
+++ b/src/direct/server_pace.cc
@@ -135,8 +135,8 @@
   State& state = states_[server.cookie];
   state.window.Add(answer, now);
   state.recent.Add(answer, 1);
-  if (state.slow_start && FleetFigures(server.cookie, now) == nullptr) {
-    state.slow_start->answers.Add(answer, zone_daemons_);
+  if (state.slow_start) {
+    state.slow_start->estimated_answers.Add(answer, zone_daemons_);
   }
 }
 
@@ -144,7 +144,8 @@
   server.share = kFirstShare;
   server.slowness = 1;
   // What was measured before says nothing about the server now.
-  states_[server.cookie] = {.slow_start = SlowStart{kFirstShare, now, now, {}}};
+  states_[server.cookie] = {.slow_start =
+                                SlowStart{kFirstShare, now, now, {}, {}}};
 }
 
 void ServerPace::SetFleet(std::span<const load::ServerLoad> servers,
@@ -164,8 +165,8 @@
                  load::kServerWindow);
     const Answers answers{static_cast<double>(load.answers),
                           load.answers * MeanSlowness(load)};
-    slow_start->answers.Add(answers,
-                            absl::FDivDuration(passed, load::kServerWindow));
+    slow_start->fleet_answers.Add(
+        answers, absl::FDivDuration(passed, load::kServerWindow));
   }
   fleet_set_at_ = now;
 }
@@ -208,6 +209,28 @@
   return std::clamp(mean, kMinSlowness, kMaxSlowness);
 }
 
+const ServerPace::Answers* ServerPace::Evidence(const ServerEntry& server,
+                                                const SlowStart& slow_start,
+                                                absl::Time now) const {
+  const double needed = kAnswersPerSlot * server.server.slots;
+  const Answers& estimated = slow_start.estimated_answers;
+  if (slow_start.fleet_answers.count >= needed) {
+    return &slow_start.fleet_answers;
+  }
+  if (estimated.count < needed) {
+    return nullptr;
+  }
+  // Figures of the zone are up to 3 s old. Good answers to this daemon count
+  // until then: if each of ten daemons doubles its share on its own answers,
+  // their mean share rises more slowly than on the answers of all. Slow ones
+  // wait for the figures, since a single one may be slow by chance.
+  const load::ServerLoad* fleet = FleetFigures(server.cookie, now);
+  const bool good = estimated.slowness <= kGoodSlowness * estimated.count;
+  const bool counts =
+      fleet == nullptr || (good && MeanSlowness(*fleet) <= kGoodSlowness);
+  return counts ? &estimated : nullptr;
+}
+
 void ServerPace::AdjustShare(const ServerEntry& server,
                              State& state,
                              absl::Time now) {
@@ -217,14 +240,15 @@
     // from when it is warm.
     slow_start.calm_since = now;
   }
-  const Answers& answers = slow_start.answers;
-  const bool enough = answers.count >= kAnswersPerSlot * server.server.slots;
-  const double mean = enough ? answers.slowness / answers.count : 0;
+  const Answers* answers = Evidence(server, slow_start, now);
+  const double mean =
+      answers == nullptr ? 0 : answers->slowness / answers->count;
   const absl::Duration unchanged = now - slow_start.changed;
   const auto set_share = [&](double share) {
     slow_start.share = share;
     slow_start.changed = now;
-    slow_start.answers = {};
+    slow_start.fleet_answers = {};
+    slow_start.estimated_answers = {};
   };
   if (mean > kTooSlow ||
       Outstanding(server, now) > kMaxOutstandingPerSlot * server.server.slots) {
@@ -232,7 +256,7 @@
     if (unchanged >= kHalvingInterval) {
       set_share(std::max(slow_start.share / 2, kMinShare));
     }
-  } else if (enough && unchanged >= kDoublingInterval) {
+  } else if (answers != nullptr && unchanged >= kDoublingInterval) {
     set_share(mean <= kGoodSlowness ? 2 * slow_start.share : slow_start.share);
   }
   if (slow_start.share >= 1 || now - slow_start.calm_since >= kSlowStartTime) {
--- a/src/direct/server_pace.h
+++ b/src/direct/server_pace.h
@@ -91,7 +91,10 @@
     // When the server began, last answered too slowly or was cold.
     absl::Time calm_since;
     absl::Time changed;  // When `share` was last set.
-    Answers answers;     // Of all daemons of the zone, since `changed`.
+    // Answers since `changed`: of all daemons of the zone according to their
+    // figures, and an estimate of them from this daemon's own answers.
+    Answers fleet_answers;
+    Answers estimated_answers;
   };
   struct State {
     Window window;   // Of this daemon.
@@ -104,6 +107,11 @@
   // The requests of the daemons of the zone that run or queue at `server`.
   double Outstanding(const ServerEntry& server, absl::Time now) const;
   double Slowness(FlowCookie server, const State& state, absl::Time now) const;
+  // The answers since the share of `server` last changed that decide on the
+  // next change; null if there are not enough.
+  const Answers* Evidence(const ServerEntry& server,
+                          const SlowStart& slow_start,
+                          absl::Time now) const;
   // Adjusts the share of `server`, and ends its slow start if it is over.
   void AdjustShare(const ServerEntry& server, State& state, absl::Time now);
   // How much the others should know of `server`: 0 if nothing, the most
