direct: even flows while many servers are in slow start

Two servers in slow start are drawn and the better one gets the flow; if all are, ties between them are random.

--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
-#include <compare>
+#include <tuple>
 #include <utility>
 
 namespace gcw::direct {
@@ -25,8 +25,6 @@
 // every request at once would always have the fewest open flows and so attract
 // all new flows.
 constexpr double kMaxAdvantage = 2.5;
-// Part of one flow that breaks ties between servers in slow start.
-constexpr double kTieBreak = 0.01;
 // Servers outside slow start get at most this many times their usual number of
 // flows because others are in slow start. They then need not be overloaded if
 // most servers of a zone have just started.
@@ -42,7 +40,7 @@
   bool cold = false;
   bool other_zone = false;
 
-  auto operator<=>(const Rank&) const = default;
+  auto tie() const { return std::tie(avoided, lapsed, cold, other_zone); }
 };
 
 }  // namespace
@@ -182,10 +180,10 @@
                       .lapsed = entry->presence == Presence::kLapsed,
                       .cold = now < entry->cold_until,
                       .other_zone = servers.zone != zone};
-      if (!candidates_.empty() && rank > best) {
+      if (!candidates_.empty() && rank.tie() > best.tie()) {
         continue;
       }
-      if (candidates_.empty() || rank < best) {
+      if (candidates_.empty() || rank.tie() < best.tie()) {
         candidates_.clear();
         best = rank;
       }
@@ -196,13 +194,12 @@
 
 void Placer::AddCandidate(ServerEntry* entry) {
   const double slots = std::max<std::uint32_t>(entry->server.slots, 1);
-  // A server in slow start gets its share by PickBest(). Beyond that it gets
-  // flows only if the others have many times more open flows.
-  const double own = entry->share < 1 ? 1 + kTieBreak * Draw() : Draw();
+  const double request = entry->slowness / (slots * entry->share);
+  const double draw = Draw();
   candidates_.push_back(
       {.entry = entry,
-       .wait =
-           (entry->open_flows + own) / slots * entry->slowness / entry->share,
+       .wait = (entry->open_flows + draw) * request,
+       .rest = (1 - draw) * request,
        .share = entry->share,
        .recent = entry->recent_flows / slots,
        .recent_beyond_one = (entry->recent_flows - 1) / slots});
@@ -224,18 +221,28 @@
   if (candidates_.empty()) {
     return nullptr;
   }
-  ServerEntry* starting = DrawStarting();
-  if (starting != nullptr) {
-    return starting;
-  }
+  double others = 0;  // Candidates outside slow start.
+  double shares = 0;  // Sum over those in slow start.
   double recent = 0;
   for (const Candidate& candidate : candidates_) {
+    (candidate.share < 1 ? shares : others) += candidate.share;
     recent += candidate.recent;
   }
-  const double limit =
-      kMaxAdvantage * recent / static_cast<double>(candidates_.size());
-  const auto rank = [limit](const Candidate& candidate) {
-    return std::pair(candidate.recent_beyond_one > limit, candidate.wait);
+  const auto count = static_cast<double>(candidates_.size());
+  const bool mixed = shares > 0 && others > 0;
+  if (mixed) {
+    const double weight = std::max(shares, count / kMaxExtraLoad - others);
+    if (Draw() * (others + weight) <= weight) {
+      return PickStarting(shares);
+    }
+  }
+  const double limit = kMaxAdvantage * recent / count;
+  const auto rank = [&](const Candidate& candidate) {
+    // Servers in slow start have had their share. They get more only if the
+    // others have many times more open flows.
+    const double extra = mixed && candidate.share < 1 ? candidate.rest : 0;
+    return std::pair(candidate.recent_beyond_one > limit,
+                     candidate.wait + extra);
   };
   return std::min_element(candidates_.begin(), candidates_.end(),
                           [&](const Candidate& a, const Candidate& b) {
@@ -244,31 +251,22 @@
       ->entry;
 }
 
-ServerEntry* Placer::DrawStarting() {
-  const auto count = static_cast<double>(candidates_.size());
-  double others = count;
-  double shares = 0;
-  for (const Candidate& candidate : candidates_) {
-    if (candidate.share < 1) {
-      others -= 1;
-      shares += candidate.share;
-    }
-  }
-  if (shares == 0 || others == 0) {
-    return nullptr;
-  }
-  const double scale = std::max(1.0, (count / kMaxExtraLoad - others) / shares);
-  double draw = Draw() * (others + shares * scale);
-  for (const Candidate& candidate : candidates_) {
-    if (candidate.share == 1) {
-      continue;
-    }
-    draw -= candidate.share * scale;
-    if (draw <= 0) {
-      return candidate.entry;
+ServerEntry* Placer::PickStarting(double shares) {
+  const Candidate* best = nullptr;
+  // The better of two draws: with many servers in slow start, single draws
+  // would by chance overload some.
+  for (int i = 0; i < 2; ++i) {
+    double draw = Draw() * shares;
+    for (const Candidate& candidate : candidates_) {
+      draw -= candidate.share < 1 ? candidate.share : 0;
+      if (candidate.share < 1 && draw <= 0) {
+        best =
+            best == nullptr || candidate.wait < best->wait ? &candidate : best;
+        break;
+      }
     }
   }
-  return nullptr;
+  return best == nullptr ? candidates_.front().entry : best->entry;
 }
 
 void Placer::OnTick(const ServerTable& servers, absl::Time now) {
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -88,6 +88,7 @@
     // Expected wait, in units of the usual latency; in slow start divided by
     // the share.
     double wait = 0;
+    double rest = 0;   // What is missing in `wait` of one whole new flow.
     double share = 1;  // ServerEntry::share.
     // ServerEntry::recent_flows for each slot: all, and all but one flow.
     double recent = 0;
@@ -120,12 +121,11 @@
                  absl::Time now,
                  ExcludedServers& excluded);
   void AddCandidate(ServerEntry* entry);
-  // A candidate in slow start, drawn so that it gets its share of the flows of
-  // the others; null if another candidate should get the flow, or if all
-  // candidates are in slow start, when sparing them would help nobody.
-  ServerEntry* DrawStarting();
   // The best of the candidate servers; null if there are none.
   ServerEntry* PickBest();
+  // One of the candidates in slow start, drawn by their shares, whose sum is
+  // `shares`. Precondition: there is at least one.
+  ServerEntry* PickStarting(double shares);
   // A random number above 0 and up to 1.
   double Draw();
 
