--- a/bench/direct_decision.cc
+++ b/bench/direct_decision.cc
@@ -104,7 +104,7 @@
 BENCHMARK(BM_ByCookie)->Arg(18)->Arg(150)->Arg(6500);
 
 // Decides on a SYN. Choosing a server takes time linear in the number of
-// servers.
+// servers in the zone up to 64, and the same time for any larger number.
 void BM_Place(benchmark::State& state) {
   auto router = MakeRouter(static_cast<std::uint32_t>(state.range(0)));
   std::uint32_t flow = 1;
--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -216,7 +216,7 @@
   void KeepZonesOut(std::span<const std::string> zones, absl::Time until);
 
   // Sets this daemon's position among the daemons that share the rate limits of
-  // cold servers (slow start). After the first call, cold servers get no flows
+  // cold servers. After the first call, cold servers get no flows
   // for a second, while the daemons discover each other. Precondition:
   // position.rank < position.daemons.
   void SetFleetPosition(const FleetPosition& position, absl::Time now);
--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -71,7 +71,7 @@
   std::uint32_t leaving = 0;
   std::uint32_t zone_out = 0;  // In a zone taken out of service.
   std::uint32_t lost = 0;      // Suspected or known to be unreachable.
-  // At the flow limit of the service or, while cold (in slow start), at the
+  // At the flow limit of the service or, while cold, at the
   // rate limit.
   std::uint32_t limited = 0;
 };
@@ -132,7 +132,7 @@
   std::string zone;
   Presence presence = Presence::kListed;
   bool draining = false;
-  absl::Duration cold_for;  // Remaining time of slow start.
+  absl::Duration cold_for;  // For how long the server stays cold.
   Version revision = 0;
 };
 
--- a/include/gcw/direct/resources.h
+++ b/include/gcw/direct/resources.h
@@ -42,7 +42,7 @@
   // unlimited.
   std::uint32_t max_flows = 0;
   // New flows per second that the whole fleet may send to one cold backend
-  // server (slow start).
+  // server.
   double cold_flows_per_second = 0;
 
   bool operator==(const Service&) const = default;
--- a/src/direct/cold_limiter.h
+++ b/src/direct/cold_limiter.h
@@ -12,12 +12,12 @@
 namespace gcw::direct {
 
 // Limits the rate of new flows from this daemon to each cold server, that is
-// each server in slow start. The fleet may send a certain number of flows to a
-// cold server in any one-second span, and this class enforces the daemon's
-// quota of that number. This matters most when all servers of a service are
-// cold, so that all daemons send new flows to them at once. Quotas are whole
-// numbers; which daemons get one flow more than others differs from server to
-// server. Has no I/O. Not thread-safe.
+// each server that has reported to be warming up. The fleet may send a certain
+// number of flows to a cold server in any one-second span, and this class
+// enforces the daemon's quota of that number. This matters most when all
+// servers of a service are cold, so that all daemons send new flows to them at
+// once. Quotas are whole numbers; which daemons get one flow more than others
+// differs from server to server. Has no I/O. Not thread-safe.
 class ColdLimiter {
  public:
   // Sets this daemon's position in the fleet, which determines its quotas. Cold
