--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -71,7 +71,7 @@
   std::uint32_t leaving = 0;
   std::uint32_t zone_out = 0;  // In a zone taken out of service.
   std::uint32_t lost = 0;      // Suspected or known to be unreachable.
-  // At the flow limit of the service or, while cold (in slow start), at the
+  // At the flow limit of the service or, while cold, at the
   // rate limit.
   std::uint32_t limited = 0;
 };
@@ -84,7 +84,8 @@
   std::string server_zone;
   std::uint32_t repeat = 0;        // Retransmissions of the SYN so far.
   std::uint32_t server_flows = 0;  // Open flows of this daemon on the server.
-  std::uint32_t candidates = 0;    // Servers that could have been chosen.
+  // Servers that were compared: of a large service, some that were drawn.
+  std::uint32_t candidates = 0;
   // Placed in another availability zone because the own zone is near its
   // capacity.
   bool overflow = false;
@@ -139,7 +140,7 @@
   std::string zone;
   Presence presence = Presence::kListed;
   bool draining = false;
-  absl::Duration cold_for;  // Remaining time of slow start.
+  absl::Duration cold_for;  // For how long the server stays cold.
   Version revision = 0;
 };
 
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -15,6 +15,7 @@
 #include "src/direct/own_load.h"
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
+#include "src/direct/server_pace.h"
 #include "src/direct/server_table.h"
 #include "src/direct/unknown_cookies.h"
 #include "src/direct/zone_balancer.h"
@@ -34,6 +35,8 @@
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
 // RefusalStats::cause of flows beyond the limit of their caller.
 constexpr std::string_view kCallerLimitCause = "caller_limit";
+// How often the figures of single servers are taken. They are sent every 2 s.
+constexpr absl::Duration kServerFiguresInterval = absl::Milliseconds(250);
 
 }  // namespace
 
@@ -48,7 +51,8 @@
         servers_(options.lapse_grace, options.restore_grace, &events_),
         failure_detector_(options.zone, servers_, zones_out_.names(), &events_),
         flows_(options.max_flows),
-        flow_monitor_({servers_, flows_, failure_detector_, admission_table_},
+        flow_monitor_({servers_, flows_, failure_detector_, admission_table_,
+                       server_pace_},
                       &events_),
         flow_resetter_(flows_, &events_),
         placer_(options.seed),
@@ -71,6 +75,7 @@
                        absl::Time now) {
     if (feeds_.Advance(Feed::kServers, revision)) {
       servers_.ApplyList(reports, revision, now);
+      BeginSlowStarts(now);
     }
   }
 
@@ -94,10 +99,16 @@
   void SetFleetPosition(const FleetPosition& position, absl::Time now) {
     placer_.SetFleetPosition(position, now);
     fleet_load_.SetFleetPosition(position);
+    server_pace_.SetFleetPosition(position);
   }
 
   void SetFleetLoad(const load::FleetFigures& figures, absl::Time now) {
     fleet_load_.SetFleet(figures, now);
+    // Figures of single servers come from the daemons of the own zone only.
+    const bool recent = fleet_load_.covers_own_zone(now);
+    server_pace_.SetFleet(
+        recent ? figures.sum.servers : std::span<const load::ServerLoad>(),
+        now);
   }
 
   const load::Figures& own_load() const { return fleet_load_.own(); }
@@ -129,7 +140,15 @@
 
   void OnTick(absl::Time now) {
     flow_monitor_.OnTick(now);
-    fleet_load_.SetOwn(own_load_.Measure(servers_, now), now);
+    server_pace_.OnTick(servers_, now);
+    placer_.OnTick(servers_, now);
+    load::Figures own = own_load_.Measure(servers_, now);
+    if (now - server_figures_taken_ >= kServerFiguresInterval) {
+      server_figures_taken_ = now;
+      server_figures_ = server_pace_.OwnFigures(servers_, now);
+    }
+    own.servers = server_figures_;
+    fleet_load_.SetOwn(std::move(own), now);
     zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
     admission_table_.OnTick(servers_, fleet_load_, now);
     failure_detector_.OnTick(now);
@@ -148,8 +167,10 @@
     placer_.Expire(now);
     flows_.Expire(configuration_.flow_idle_timeout(), options_.max_flow_age,
                   now);
+    flow_monitor_.Expire(now);
     servers_.OnTick(options_.max_flow_age, feeds_.confirmed(Feed::kServers),
                     now);
+    BeginSlowStarts(now);
     unknown_cookies_.Expire(options_.max_flow_age, now);
   }
 
@@ -160,10 +181,16 @@
   void OnProbe(std::uint32_t id, ProbeOutcome outcome, absl::Time now) {
     const FlowCookie cookie = failure_detector_.ResolveProbe(id, outcome, now);
     ServerEntry* entry = servers_.FindByCookie(cookie);
-    if (entry != nullptr &&
-        failure_detector_.OnProbeOutcome(*entry, outcome, now)) {
+    if (entry == nullptr) {
+      return;
+    }
+    const bool was_lost = entry->reach.lost();
+    if (failure_detector_.OnProbeOutcome(*entry, outcome, now)) {
       flow_resetter_.ResetFlowsOf(*entry, HeldStateAt(now), now);
     }
+    if (was_lost && entry->reach.usable()) {
+      server_pace_.OnStarted(*entry, now);
+    }
   }
 
   std::vector<FlowReset> TakeResets() { return flow_resetter_.TakeResets(); }
@@ -208,11 +235,18 @@
     for (const auto& [key, flows] : refusals_) {
       stats.refusals.push_back({key.first, key.second, flows});
     }
+    stats.slow_starts = server_pace_.SlowStarts(servers_);
     stats.load_age = fleet_load_.age(now);
     return stats;
   }
 
  private:
+  void BeginSlowStarts(absl::Time now) {
+    for (ServerEntry* entry : servers_.TakeStarted()) {
+      server_pace_.OnStarted(*entry, now);
+    }
+  }
+
   absl::Duration ServersAge(absl::Time now) const {
     return feeds_.Age(Feed::kServers, now);
   }
@@ -487,6 +521,7 @@
   ServerTable servers_;
   ServerFailureDetector failure_detector_;
   FlowTable flows_;
+  ServerPace server_pace_;
   FlowMonitor flow_monitor_;
   FlowResetter flow_resetter_;
   Placer placer_;
@@ -494,6 +529,8 @@
   FleetLoad fleet_load_;
   ZoneBalancer zone_balancer_;
   UnknownCookies unknown_cookies_;
+  std::vector<load::ServerLoad> server_figures_;  // Of this daemon.
+  absl::Time server_figures_taken_ = absl::InfinitePast();
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
   // Refused new flows by cause and priority.
