direct: slow start goes on with few requests

A server that gets a flow every few seconds waited up to 11 s for the answers that double its share, four at a time. After a second without a change, any good answer now suffices.

--- a/src/direct/server_pace.cc
+++ b/src/direct/server_pace.cc
@@ -22,6 +22,9 @@
 // The share changes after this many answers for each slot: each slot was then
 // used about twice.
 constexpr double kAnswersPerSlot = 2;
+// Fewer good answers suffice if the share has not changed for this long. With
+// few requests, the server would otherwise be idle for most of its slow start.
+constexpr absl::Duration kCalmDoublingInterval = absl::Seconds(1);
 // The share doubles if the mean latency is at most this many times the usual
 // one, and halves above the second value. In between, the server is at the pace
 // that it bears.
@@ -231,6 +234,13 @@
   return counts ? &estimated : nullptr;
 }
 
+bool ServerPace::AnswersWell(const SlowStart& slow_start) {
+  const Answers& seen = slow_start.fleet_answers.count > 0
+                            ? slow_start.fleet_answers
+                            : slow_start.estimated_answers;
+  return seen.count > 0 && seen.slowness <= kGoodSlowness * seen.count;
+}
+
 void ServerPace::AdjustShare(const ServerEntry& server,
                              State& state,
                              absl::Time now) {
@@ -258,6 +268,9 @@
     }
   } else if (answers != nullptr && unchanged >= kDoublingInterval) {
     set_share(mean <= kGoodSlowness ? 2 * slow_start.share : slow_start.share);
+  } else if (answers == nullptr && unchanged >= kCalmDoublingInterval &&
+             AnswersWell(slow_start)) {
+    set_share(2 * slow_start.share);
   }
   if (slow_start.share >= 1 || now - slow_start.calm_since >= kSlowStartTime) {
     state.slow_start.reset();
--- a/src/direct/server_pace.h
+++ b/src/direct/server_pace.h
@@ -112,6 +112,9 @@
   const Answers* Evidence(const ServerEntry& server,
                           const SlowStart& slow_start,
                           absl::Time now) const;
+  // Whether there are answers since the share last changed, and they are not
+  // slow.
+  static bool AnswersWell(const SlowStart& slow_start);
   // Adjusts the share of `server`, and ends its slow start if it is over.
   void AdjustShare(const ServerEntry& server, State& state, absl::Time now);
   // How much the others should know of `server`: 0 if nothing, the most
