load: frequent changes of the members delay no round

Each change of the members put off the next round of the second tree by a quarter of a second, so that this tree had no rounds while members changed more often than that. A root now schedules its first round only.

--- a/src/load/aggregation_tree.cc
+++ b/src/load/aggregation_tree.cc
@@ -38,6 +38,7 @@
 void AggregationTree::SetPeers(std::span<const std::string> own_zone,
                                std::map<NameHash, Root> roots,
                                absl::Time now) {
+  const bool was_root = position_.is_root();
   position_ = FindPosition(own_zone, options_.name, options_.fanout);
   zone_size_ = own_zone.size();
   roots_ = std::move(roots);
@@ -47,7 +48,8 @@
   });
   std::erase_if(zones_,
                 [&](const auto& item) { return !roots_.contains(item.first); });
-  if (position_.is_root()) {
+  if (position_.is_root() &&
+      (!was_root || next_round_ == absl::InfinitePast())) {
     next_round_ = std::max(next_round_, now + tree_ * options_.interval / 2);
   }
 }
--- a/tests/load/aggregator_test.cc
+++ b/tests/load/aggregator_test.cc
@@ -111,6 +111,26 @@
   CHECK(daemon->ignored_messages() == 2);
 }
 
+// Each change of the members put off the next round of the second tree by a
+// quarter of a second, so that it had none while members changed often.
+TEST_CASE("frequent changes of the members delay no round") {
+  auto daemon = Aggregator::Make({.name = "z", .zone = "zone"}).value();
+  const std::vector<Peer> peers{{"a", "zone"}, {"b", "zone"}};
+  absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+  int rounds = 0;
+  for (int i = 0; i < 60; ++i, now += absl::Milliseconds(50)) {
+    daemon->SetPeers(
+        std::span(peers).first(1 + static_cast<std::size_t>(i % 2)), now);
+    daemon->SetOwn({.zones = {{.service = 1, .zone = 2, .outstanding = 1}}},
+                   now);
+    for (const OutgoingMessage& out : daemon->OnTick(now)) {
+      rounds +=
+          out.message.type == MessageType::kTotal && out.to == "a" ? 1 : 0;
+    }
+  }
+  CHECK(rounds >= 5);  // In 3 s.
+}
+
 // Control traffic has 4 KB/s for each daemon, of which members and state
 // take 1.
 TEST_CASE("the cost of a daemon does not grow with the fleet") {
