gcw-direct: members_port 65534 is accepted again

The load exchange needs one port more, so this port, which the previous release accepts, kept a daemon from starting. The exchange is now off with it, and setting_ignored says so.

--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -17,6 +17,10 @@
 constexpr std::size_t kMaxSeeds = 1000;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxPort = 65'535;
+// The highest members_port that leaves a port for the control transport, and
+// one for the load exchange as well.
+constexpr std::uint32_t kMaxMembersPort = kMaxPort - 1;
+constexpr std::uint32_t kMaxMembersPortWithLoad = kMaxPort - 2;
 
 // Reads an optional number of `unit`, which may have a fraction; without it,
 // `target` keeps its value. The platform may state `true` or `false`
@@ -108,13 +112,22 @@
   settings.metrics = {settings.packets.ip,
                       static_cast<std::uint16_t>(metrics_port)};
   std::uint32_t members_port = 0;
-  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxPort - 2,
+  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxMembersPort,
                   &members_port);
   settings.members_port = static_cast<std::uint16_t>(members_port);
   ReadSeeds(reader, &errors, &settings.seeds);
   ReadTimes(reader, &settings);
   reader.ReadBool("load_exchange", Presence::kOptional,
                   &settings.load_exchange);
+  if (settings.load_exchange &&
+      settings.members_port > kMaxMembersPortWithLoad) {
+    // The previous release accepts this port, so the daemon must start.
+    settings.load_exchange = false;
+    settings.ignored.push_back(
+        {ResultCode::kInvalidField, "load_exchange",
+         fmt::format("needs a members_port of at most {}",
+                     kMaxMembersPortWithLoad)});
+  }
   ReadLogLevel(reader, &settings.log_level);
   reader.ReportUnknown(&settings.ignored);
   if (!errors.empty()) {
--- a/tests/direct_balancer/settings_test.cc
+++ b/tests/direct_balancer/settings_test.cc
@@ -71,6 +71,45 @@
     {"servers_deadline_ms", absl::Milliseconds(1), &Settings::servers_deadline},
     {"zones_deadline_ms", absl::Milliseconds(1), &Settings::zones_deadline}};
 
+TEST_CASE("the load exchange is on unless the settings switch it off") {
+  const auto defaults = ParseSettings(kValid);
+  CHECK(std::get<Settings>(defaults).load_exchange);
+  const auto off = ParseSettings(WithField("load_exchange", "false"));
+  REQUIRE(std::holds_alternative<Settings>(off));
+  CHECK_FALSE(std::get<Settings>(off).load_exchange);
+  CHECK(ChangedRestartOnlyFields(std::get<Settings>(defaults),
+                                 std::get<Settings>(off)) ==
+        std::vector<std::string_view>{"load_exchange"});
+  for (const char* value : {"1", "\"true\"", "null", "[]", "{}"}) {
+    INFO(value);
+    const auto read = ParseSettings(WithField("load_exchange", value));
+    const auto* errors = std::get_if<SettingsErrors>(&read);
+    REQUIRE(errors != nullptr);
+    CHECK(errors->front().field == "load_exchange");
+  }
+}
+
+// The exchange needs one port more than the previous release, whose highest
+// members_port must not keep a daemon from starting.
+TEST_CASE("the highest members port leaves no port for the load exchange") {
+  nlohmann::json settings = nlohmann::json::parse(kValid);
+  settings["members_port"] = 65'533;
+  auto read = ParseSettings(settings.dump());
+  REQUIRE(std::holds_alternative<Settings>(read));
+  CHECK(std::get<Settings>(read).load_exchange);
+  CHECK(std::get<Settings>(read).ignored.empty());
+  settings["members_port"] = 65'534;
+  read = ParseSettings(settings.dump());
+  REQUIRE(std::holds_alternative<Settings>(read));
+  CHECK_FALSE(std::get<Settings>(read).load_exchange);
+  REQUIRE(std::get<Settings>(read).ignored.size() == 1);
+  CHECK(std::get<Settings>(read).ignored[0].field == "load_exchange");
+  settings["load_exchange"] = false;
+  read = ParseSettings(settings.dump());
+  REQUIRE(std::holds_alternative<Settings>(read));
+  CHECK(std::get<Settings>(read).ignored.empty());
+}
+
 // The users' pages state no least and no greatest figure. A daemon with one
 // below 1 or over a day did not start.
 TEST_CASE("every time that is a number is accepted") {
