direct: events of overflow to other zones and of old load figures

overflow_changed tells when new flows of a service begin to go to other zones, with the utilisation of the zones and the age of the figures, and when there were none for 5 s. fleet_load_changed tells when the figures have been too old, or recent again, for 2 s. flow_opened names flows that overflowed.

--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 #include "absl/time/time.h"
 #include "gcw/direct/packet.h"
@@ -162,6 +163,29 @@
   double requests_per_slot = 0;
 };
 
+// The load of a service in one availability zone.
+struct ZoneUtilisation {
+  std::string zone;
+  // Requests of all daemons per slot, smoothed; negative if not known.
+  double utilisation = -1;
+};
+
+// New flows of a service began to go to other availability zones because the
+// own zone is near its capacity, or none has gone there for a while.
+struct OverflowChanged {
+  std::string service;
+  bool active = false;
+  double share = 0;  // Of the new flows that go to other zones.
+  std::vector<ZoneUtilisation> zones;
+  absl::Duration load_age;  // Of the figures of the fleet.
+};
+
+// The figures of the load of the fleet are too old to be used, or recent again.
+struct FleetLoadChanged {
+  bool recent = false;
+  absl::Duration age;  // Of the newest figures.
+};
+
 // The store stopped or resumed answering calls for one feed.
 struct FeedChanged {
   std::string feed;
@@ -204,6 +228,8 @@
                            ServerReachChanged,
                            ZoneChanged,
                            AdmissionChanged,
+                           OverflowChanged,
+                           FleetLoadChanged,
                            FeedChanged,
                            StaleStateIgnored,
                            OlderConfigurationIgnored,
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -11,6 +11,7 @@
 #include "src/direct/flow_monitor.h"
 #include "src/direct/flow_resetter.h"
 #include "src/direct/flow_table.h"
+#include "src/direct/overflow_log.h"
 #include "src/direct/own_load.h"
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
@@ -51,7 +52,8 @@
         placer_(options.seed),
         own_load_(options.zone),
         fleet_load_(options.zone),
-        zone_balancer_(options.zone, options.seed) {}
+        zone_balancer_(options.zone, options.seed),
+        overflow_log_(&events_) {}
 
   void ApplyConfiguration(const Configuration& configuration,
                           Version revision) {
@@ -128,6 +130,7 @@
     flow_monitor_.OnTick(now);
     fleet_load_.SetOwn(own_load_.Measure(servers_, now), now);
     zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
+    overflow_log_.OnTick(zone_balancer_, fleet_load_, now);
     admission_table_.OnTick(servers_, fleet_load_, now);
     failure_detector_.OnTick(now);
     const HeldState state = HeldStateAt(now);
@@ -469,6 +472,7 @@
   OwnLoad own_load_;
   FleetLoad fleet_load_;
   ZoneBalancer zone_balancer_;
+  OverflowLog overflow_log_;
   UnknownCookies unknown_cookies_;
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -170,6 +170,16 @@
   return it == services_.end() ? 0 : it->second.overflow_share;
 }
 
+std::vector<std::string_view> ZoneBalancer::OverflowingServices() const {
+  std::vector<std::string_view> names;
+  for (const auto& [service, state] : services_) {
+    if (state.overflow_share > 0) {
+      names.push_back(service);
+    }
+  }
+  return names;
+}
+
 std::vector<ZoneLoadStats> ZoneBalancer::Stats() const {
   std::vector<ZoneLoadStats> stats;
   for (const auto& [service, state] : services_) {
--- a/src/direct/zone_balancer.h
+++ b/src/direct/zone_balancer.h
@@ -49,6 +49,10 @@
   // to 1.
   double overflow_share(std::string_view service) const;
 
+  // The services of which some new flows go to other zones. Valid until the
+  // next Update().
+  std::vector<std::string_view> OverflowingServices() const;
+
   // The utilisation of each zone by service, for metrics.
   std::vector<ZoneLoadStats> Stats() const;
 
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -58,6 +58,13 @@
     return {e.limited ? LogLevel::kWarning : LogLevel::kInfo, kRouting,
             "admission_changed"};
   }
+  LogHeading operator()(const direct::OverflowChanged&) const {
+    return {LogLevel::kInfo, kRouting, "overflow_changed"};
+  }
+  LogHeading operator()(const direct::FleetLoadChanged& e) const {
+    return {e.recent ? LogLevel::kInfo : LogLevel::kWarning, kFleet,
+            "fleet_load_changed"};
+  }
   LogHeading operator()(const direct::FeedChanged& e) const {
     return {e.connected ? LogLevel::kInfo : LogLevel::kWarning, kState,
             "feed_changed"};
@@ -147,6 +154,7 @@
             {"repeat", e.repeat},
             {"server_flows", e.server_flows},
             {"candidates", e.candidates},
+            {"overflow", e.overflow},
             {"configuration", e.configuration},
             {"servers_age_ms", MillisecondsOrNull(e.servers_age)}};
   }
@@ -205,6 +213,22 @@
             {"limited", e.limited},
             {"requests_per_slot", e.requests_per_slot}};
   }
+  ordered_json operator()(const direct::OverflowChanged& e) const {
+    ordered_json utilisation = ordered_json::object();
+    for (const direct::ZoneUtilisation& zone : e.zones) {
+      utilisation[zone.zone] = zone.utilisation < 0
+                                   ? ordered_json()
+                                   : ordered_json(zone.utilisation);
+    }
+    return {{"service", e.service},
+            {"active", e.active},
+            {"share", e.share},
+            {"utilisation", std::move(utilisation)},
+            {"load_age_ms", MillisecondsOrNull(e.load_age)}};
+  }
+  ordered_json operator()(const direct::FleetLoadChanged& e) const {
+    return {{"recent", e.recent}, {"age_ms", MillisecondsOrNull(e.age)}};
+  }
   ordered_json operator()(const direct::FeedChanged& e) const {
     return {{"feed", e.feed},
             {"connected", e.connected},
--- a/src/direct_balancer/event_writer.h
+++ b/src/direct_balancer/event_writer.h
@@ -23,7 +23,7 @@
 
 // A part of the process could not be started and is tried again.
 struct StartDelayed {
-  std::string part;   // Field of the settings, "state" or "members_port".
+  std::string part;   // Field of the settings or "state".
   std::string error;  // Of the last attempt.
   std::uint64_t attempts = 0;
 };
