--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -165,6 +165,57 @@
   }
 }
 
+void Metrics::RenderLoad(std::string& out) const {
+  const auto end = std::back_inserter(out);
+  AppendHeader(out, "gcw_zone_utilisation", "gauge",
+               "Requests of all daemons per slot, as estimated here.");
+  for (const direct::ZoneLoadStats& zone : router_.zone_loads) {
+    if (zone.utilisation) {
+      fmt::format_to(end,
+                     "gcw_zone_utilisation{{service=\"{}\",zone=\"{}\"}} {}\n",
+                     zone.service, zone.zone, *zone.utilisation);
+    }
+  }
+  AppendHeader(out, "gcw_zone_slots", "gauge",
+               "Slots of the servers that can take new flows.");
+  for (const direct::ZoneLoadStats& zone : router_.zone_loads) {
+    fmt::format_to(end, "gcw_zone_slots{{service=\"{}\",zone=\"{}\"}} {}\n",
+                   zone.service, zone.zone, zone.slots);
+  }
+  AppendHeader(out, "gcw_load_age_seconds", "gauge",
+               "Age of the newest figures of the fleet's load.");
+  fmt::format_to(end, "gcw_load_age_seconds {}\n",
+                 absl::ToDoubleSeconds(router_.load_age));
+  AppendHeader(out, "gcw_overflow_share", "gauge",
+               "Part of the new flows that goes to other zones.");
+  for (const direct::ServiceLoadStats& service : router_.service_loads) {
+    fmt::format_to(end, "gcw_overflow_share{{service=\"{}\"}} {}\n",
+                   service.service, service.overflow_share);
+  }
+  AppendHeader(out, "gcw_admitted_share", "gauge",
+               "Part of the new flows that is not refused.");
+  for (const direct::ServiceLoadStats& service : router_.service_loads) {
+    fmt::format_to(end, "gcw_admitted_share{{service=\"{}\"}} {}\n",
+                   service.service, service.admitted_share);
+  }
+  AppendSample(out, "gcw_slow_start_servers", "gauge",
+               "Backend servers in slow start.", router_.slow_starts.size());
+  AppendHeader(out, "gcw_slow_start_share", "gauge",
+               "Part of the usual new flows of a server in slow start.");
+  for (const direct::SlowStartStats& server : router_.slow_starts) {
+    fmt::format_to(end, "gcw_slow_start_share{{server=\"{}\"}} {}\n",
+                   server.server, server.share);
+  }
+  AppendSample(out, "gcw_load_datagrams_sent_total", "counter",
+               "Datagrams of the load exchange sent.",
+               load_exchange_.datagrams_sent);
+  AppendSample(out, "gcw_load_bytes_sent_total", "counter",
+               "UDP payload of these datagrams.", load_exchange_.bytes_sent);
+  AppendSample(out, "gcw_load_refused_total", "counter",
+               "Received datagrams of the load exchange without effect.",
+               load_exchange_.refused);
+}
+
 std::string Metrics::Render(const EventLogStats& log) const {
   std::string out;
   const auto end = std::back_inserter(out);
@@ -224,6 +275,7 @@
     fmt::format_to(end, "gcw_accept_pauses_total{{port=\"{}\"}} {}\n", port,
                    stats.pauses);
   }
+  RenderLoad(out);
   latency_histograms_->Render(out);
   AppendSample(out, "gcw_start_delays_total", "counter",
                "Failed attempts to open a port or to start a thread.",
--- a/src/direct_balancer/metrics.h
+++ b/src/direct_balancer/metrics.h
@@ -16,6 +16,7 @@
 #include "gcw/base/event_log.h"
 #include "gcw/direct/direct_router.h"
 #include "src/direct_balancer/call_metrics.h"
+#include "src/direct_balancer/load_exchange.h"
 
 namespace gcw::direct_balancer {
 
@@ -58,6 +59,12 @@
   // Replaces the counters of connections to a TCP port, named `port`.
   void SetAcceptStats(std::string_view port, const AcceptStats& stats);
 
+  // Replaces the counters of the load exchange.
+  void SetLoadExchangeStats(const LoadExchangeStats& stats) {
+    absl::MutexLock lock(&mutex_);
+    load_exchange_ = stats;
+  }
+
   // Counters of calls to the platform.
   CallMetrics& calls() { return calls_; }
 
@@ -67,6 +74,8 @@
  private:
   class LatencyHistograms;
 
+  void RenderLoad(std::string& out) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+
   std::array<std::atomic<std::uint64_t>, direct::kReasonCount> packets_{};
   std::atomic<std::uint64_t> start_delays_ = 0;
   CallMetrics calls_;
@@ -74,6 +83,7 @@
   direct::RouterStats router_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, AcceptStats, std::less<>> accepts_
       ABSL_GUARDED_BY(mutex_);  // By port.
+  LoadExchangeStats load_exchange_ ABSL_GUARDED_BY(mutex_);
   const std::unique_ptr<LatencyHistograms> latency_histograms_
       ABSL_GUARDED_BY(mutex_);
 };
--- a/tests/direct_balancer/metrics_test.cc
+++ b/tests/direct_balancer/metrics_test.cc
@@ -1,6 +1,7 @@
 #include "src/direct_balancer/metrics.h"
 
 #include <catch2/catch.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -29,6 +30,37 @@
   }
 }
 
+// Without these samples an operator cannot tell a daemon that sends flows to
+// other zones, or refuses them, for good reason from one that does so wrongly.
+TEST_CASE("metrics tell the load, the overflow and the slow starts") {
+  Metrics metrics;
+  direct::RouterStats stats;
+  stats.zone_loads = {{"s", "a", 80, 0.75}, {"s", "b", 40, std::nullopt}};
+  stats.service_loads = {{"s", 0.25, 0.5}};
+  stats.slow_starts = {{"i-1", 0.125}};
+  stats.load_age = absl::Milliseconds(400);
+  metrics.SetRouterStats(stats);
+  metrics.SetLoadExchangeStats(
+      {.datagrams_sent = 5, .bytes_sent = 900, .refused = 2});
+  const std::string text = metrics.Render({});
+  for (const char* line :
+       {"gcw_zone_utilisation{service=\"s\",zone=\"a\"} 0.75\n",
+        "gcw_zone_slots{service=\"s\",zone=\"a\"} 80\n",
+        "gcw_zone_slots{service=\"s\",zone=\"b\"} 40\n",
+        "gcw_load_age_seconds 0.4\n",
+        "gcw_overflow_share{service=\"s\"} 0.25\n",
+        "gcw_admitted_share{service=\"s\"} 0.5\n", "gcw_slow_start_servers 1\n",
+        "gcw_slow_start_share{server=\"i-1\"} 0.125\n",
+        "gcw_load_datagrams_sent_total 5\n", "gcw_load_bytes_sent_total 900\n",
+        "gcw_load_refused_total 2\n"}) {
+    INFO(line);
+    CHECK(text.find(line) != std::string::npos);
+  }
+  // An unknown utilisation must not look like an idle zone.
+  CHECK(text.find("gcw_zone_utilisation{service=\"s\",zone=\"b\"}") ==
+        std::string::npos);
+}
+
 // A daemon that was near its memory limit, out of descriptors or busy could not
 // be told from any other.
 TEST_CASE("metrics tell memory, processor time and descriptors") {
