gcw-direct: figures of this daemon alone are not those of the fleet

A daemon whose exchange reached nobody, such as one beside daemons of the previous release, told the packet task its own figures as recent figures of the fleet. The load was then scaled by 2 at most instead of by the number of daemons. Datagrams that waited while the process was paused are refused, as the ages in them do not include that time. start_delayed names the port of the exchange load_exchange. LoadService takes the exchange out of the state task.

--- a/src/direct_balancer/load_exchange.cc
+++ b/src/direct_balancer/load_exchange.cc
@@ -1,5 +1,6 @@
 #include "src/direct_balancer/load_exchange.h"
 
+#include <algorithm>
 #include <utility>
 #include <vector>
 
@@ -7,6 +8,7 @@
 #include "absl/time/clock.h"
 #include "gcw/auth/replay_window.h"
 #include "gcw/auth/signer.h"
+#include "gcw/kernel/pause_guard.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/load/aggregator.h"
 #include "gcw/platform/backoff.h"
@@ -47,6 +49,9 @@
         names_[auth::SenderIdOf(member.name)] = member.name;
       }
     }
+    has_peers_ = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
+      return peer.name != options_.name;
+    });
     aggregator_->SetPeers(peers, now);
   }
 
@@ -55,6 +60,7 @@
   }
 
   void OnTick(absl::Time now) {
+    pause_guard_.OnActivity(now);
     if (socket_ == nullptr && now >= next_attempt_) {
       Open(now);
     }
@@ -64,8 +70,12 @@
     }
   }
 
-  load::FleetFigures Total(absl::Time now) const {
-    return aggregator_->Total(now);
+  std::optional<load::FleetFigures> Total(absl::Time now) const {
+    load::FleetFigures total = aggregator_->Total(now);
+    if (has_peers_ && total.sum.daemons <= 1) {
+      return std::nullopt;
+    }
+    return total;
   }
 
   LoadExchangeStats stats() const {
@@ -102,6 +112,7 @@
 
   void Receive() {
     const absl::Time now = kernel::MonotonicNow();
+    pause_guard_.OnActivity(now);
     socket_->ReceiveBatches(
         [&](const Endpoint&, std::span<const std::uint8_t> datagram) {
           if (!OnDatagram(datagram, now)) {
@@ -113,6 +124,10 @@
 
   // Returns false if the datagram is refused.
   bool OnDatagram(std::span<const std::uint8_t> datagram, absl::Time now) {
+    if (pause_guard_.stale(now)) {
+      // The ages in the datagram do not include the time that it waited here.
+      return false;
+    }
     const auto verified = signer_->Verify(auth::Channel::kLoad, datagram);
     if (!verified.ok() ||
         !replay_window_.Accept(verified.value(), absl::Now()).ok()) {
@@ -150,6 +165,8 @@
   auth::ReplayWindow replay_window_;
   absl::flat_hash_map<std::string, Endpoint> addresses_;
   absl::flat_hash_map<auth::SenderId, std::string> names_;
+  kernel::PauseGuard pause_guard_;
+  bool has_peers_ = false;  // Whether the fleet has other live daemons.
   std::uint64_t refused_ = 0;
 };
 
@@ -186,7 +203,7 @@
 void LoadExchange::OnTick(absl::Time now) {
   impl_->OnTick(now);
 }
-load::FleetFigures LoadExchange::Total(absl::Time now) const {
+std::optional<load::FleetFigures> LoadExchange::Total(absl::Time now) const {
   return impl_->Total(now);
 }
 LoadExchangeStats LoadExchange::stats() const {
--- a/src/direct_balancer/load_exchange.h
+++ b/src/direct_balancer/load_exchange.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 
@@ -20,8 +21,8 @@
 struct LoadExchangeStats {
   std::uint64_t datagrams_sent = 0;
   std::uint64_t bytes_sent = 0;  // Of UDP payloads.
-  // Datagrams with a wrong signature, malformed, or from a daemon that has no
-  // part in the exchange.
+  // Datagrams with a wrong signature, malformed, from a daemon that has no part
+  // in the exchange, or that waited while this process was paused.
   std::uint64_t refused = 0;
 };
 
@@ -59,8 +60,10 @@
   // monotonic time. Call this about every 50 ms.
   void OnTick(absl::Time now);
 
-  // The load of the fleet; see load::Aggregator::Total().
-  load::FleetFigures Total(absl::Time now) const;
+  // The load of the fleet; see load::Aggregator::Total(). Nullopt if the fleet
+  // has other daemons and the figures of none of them are known: figures of
+  // this daemon alone are not those of the fleet.
+  std::optional<load::FleetFigures> Total(absl::Time now) const;
   LoadExchangeStats stats() const;
 
  private:
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -20,7 +20,7 @@
 #include "platform/object_format.h"
 #include "src/direct_balancer/confirmation_log.h"
 #include "src/direct_balancer/feed_reader.h"
-#include "src/direct_balancer/load_exchange.h"
+#include "src/direct_balancer/load_service.h"
 #include "src/direct_balancer/messages.h"
 #include "src/direct_balancer/peer_message.h"
 #include "src/direct_balancer/relay_options.h"
@@ -66,11 +66,8 @@
 
 // The field of the settings with the ports for other daemons.
 constexpr char kMembersField[] = "members_port";
-// The load exchange uses the port this far above that of the members.
-constexpr std::uint16_t kLoadPortOffset = 2;
-constexpr std::size_t kLoadMailboxCapacity = 10;
-// How often the packet task is told the load of the fleet.
-constexpr absl::Duration kFleetLoadInterval = absl::Milliseconds(250);
+// The field of the settings that names the load exchange in the log.
+constexpr char kLoadField[] = "load_exchange";
 
 // Asks the task to announce that this daemon leaves the fleet.
 struct LeaveRequest {};
@@ -117,12 +114,10 @@
         unreadable_log_(log),
         confirmation_log_(ConfirmationLimits(settings), log) {}
 
-  ~Impl() { kernel_.Unregister(kLoadService); }
-
   Status Setup(kernel::EventLoop& loop) {
     for (const auto step :
          {&Impl::OpenMailbox, &Impl::MakeRelays, &Impl::StartCallers,
-          &Impl::MakeLink, &Impl::MakeLoadExchange}) {
+          &Impl::MakeLink, &Impl::MakeLoadService}) {
       Status done = (this->*step)(loop);
       if (!done.ok()) {
         return done;
@@ -190,7 +185,7 @@
     };
     handlers.on_open_delayed = [this](const Error& error,
                                       std::uint64_t attempts) {
-      OnLinkDelayed(error, attempts);
+      OnOpenDelayed(kMembersField, error, attempts);
     };
     handlers.on_bound_reached = [&log = log_](
                                     const Endpoint& listen,
@@ -209,46 +204,34 @@
     return OkStatus();
   }
 
-  Status MakeLoadExchange(kernel::EventLoop& loop) {
+  Status MakeLoadService(kernel::EventLoop& loop) {
     if (!settings_.load_exchange) {
       return OkStatus();
     }
-    LoadExchange::Options options;
-    options.name = settings_.name;
-    options.zone = settings_.zone;
-    options.listen = {
-        settings_.packets.ip,
-        static_cast<std::uint16_t>(settings_.members_port + kLoadPortOffset)};
-    options.secret = kUnkeyedSecret;
-    auto exchange = LoadExchange::Make(
-        options, loop, [this](const Error& error, std::uint64_t attempts) {
-          OnLinkDelayed(error, attempts);
-        });
-    if (!exchange.ok()) {
-      return exchange.error();
-    }
-    load_exchange_ = std::move(exchange).value();
-    auto mailbox = kernel::OpenService<OwnLoadMeasured>(
-        kernel_, loop, kLoadService, kLoadMailboxCapacity,
-        [this](OwnLoadMeasured& message) {
-          load_exchange_->SetOwn(std::move(message.figures),
-                                 kernel::MonotonicNow());
-        });
-    if (!mailbox.ok()) {
-      return mailbox.error();
-    }
-    load_mailbox_ = std::move(mailbox).value();
+    auto service = LoadService::Make(
+        settings_, kUnkeyedSecret, kernel_, loop, metrics_,
+        [this](const Error& error, std::uint64_t attempts) {
+          OnOpenDelayed(kLoadField, error, attempts);
+        },
+        [this](FleetLoadSummed total) { Send(std::move(total)); });
+    if (!service.ok()) {
+      return service.error();
+    }
+    load_service_ = std::move(service).value();
+    load_service_->SetMembers(link_->members(), kernel::MonotonicNow());
     return OkStatus();
   }
 
-  // Until the ports for other daemons can be opened, this daemon works as the
-  // only one of the fleet.
-  void OnLinkDelayed(Error error, std::uint64_t attempts) {
+  // Until the ports of the members can be opened, this daemon works as the only
+  // one of the fleet; until that of the load exchange can be, it estimates the
+  // load of the fleet from its own flows. `field` of the settings names the
+  // ports.
+  void OnOpenDelayed(const char* field, Error error, std::uint64_t attempts) {
     metrics_.CountStartDelay();
-    error.field = kMembersField;
+    error.field = field;
     // Twice as many attempts between two lines each time.
     if (std::has_single_bit(attempts)) {
-      log_.Write(StartDelayed{kMembersField, ToString(error), attempts});
+      log_.Write(StartDelayed{field, ToString(error), attempts});
     }
   }
 
@@ -303,8 +286,8 @@
     }
     PublishFleet();
     UpdateRelayPeers();
-    if (load_exchange_ != nullptr) {
-      load_exchange_->SetMembers(link_->members(), now);
+    if (load_service_ != nullptr) {
+      load_service_->SetMembers(link_->members(), now);
     }
   }
 
@@ -564,17 +547,8 @@
       UpdateRelayPeers();
     }
     ReportIfUnavailable(now);
-    TickLoadExchange(now);
-  }
-
-  void TickLoadExchange(absl::Time now) {
-    if (load_exchange_ == nullptr) {
-      return;
-    }
-    load_exchange_->OnTick(now);
-    if (now - last_load_sent_ >= kFleetLoadInterval) {
-      last_load_sent_ = now;
-      Send(FleetLoadSummed{load_exchange_->Total(now)});
+    if (load_service_ != nullptr) {
+      load_service_->OnTick(now);
     }
   }
 
@@ -630,9 +604,7 @@
   UnreadableLog unreadable_log_;
   ConfirmationLog confirmation_log_;
   RetainedExchange exchange_;
-  std::unique_ptr<LoadExchange> load_exchange_;  // Null if it is disabled.
-  std::shared_ptr<kernel::Mailbox<OwnLoadMeasured>> load_mailbox_;
-  absl::Time last_load_sent_ = absl::InfinitePast();
+  std::unique_ptr<LoadService> load_service_;  // Null if it is disabled.
 };
 
 StateTask::StateTask(const Settings& settings,
--- a/tests/direct_balancer/process_start_test.cc
+++ b/tests/direct_balancer/process_start_test.cc
@@ -92,6 +92,32 @@
   CHECK(ProcessFixture::WaitForExit(*process, absl::Seconds(4)) == 0);
 }
 
+// The port of the load exchange may be that of a program that the previous
+// release ran beside. It must delay neither the daemon nor the members.
+TEST_CASE("a daemon without its port for the load exchange serves") {
+  ProcessFixture fixture;
+  fixture.AddServer();
+  const Settings settings = fixture.SettingsOf(0);
+  const auto other = fixture.StartProcess(1);
+  std::unique_ptr<lab::DaemonProcess> process;
+  {
+    const TakenPort port({settings.packets.ip, static_cast<std::uint16_t>(
+                                                   settings.members_port + 2)},
+                         SOCK_DGRAM);
+    process = fixture.StartProcess(0);
+    CHECK(fixture.BecomesReady(0));
+    fixture.OpenFlow(0, 1000);
+    CHECK(fixture.LogContains(0, R"("delayed":"load_exchange")"));
+    CHECK_FALSE(fixture.MetricsWith(0, "gcw_daemons 2\n").empty());
+    CHECK_FALSE(fixture.MetricsWith(0, "gcw_load_age_seconds inf\n").empty());
+  }
+  CHECK_FALSE(fixture.MetricsWith(0, "gcw_load_age_seconds 0.").empty());
+  CHECK(fixture.LogOf(0).find(R"("delayed":"members_port")") ==
+        std::string::npos);
+  process->Signal(SIGTERM);
+  CHECK(ProcessFixture::WaitForExit(*process, absl::Seconds(4)) == 0);
+}
+
 // A daemon without a port could be stopped only by force, or ended by itself.
 TEST_CASE("a daemon that waits for its port stops at once on SIGTERM") {
   ProcessFixture fixture;
