gcw-direct: too little memory for the load exchange delays only the exchange

With the exchange switched off the test held. The socket is now opened by a timer of the state task, and a lack of memory counts as a failed attempt.

--- a/src/direct_balancer/load_exchange.cc
+++ b/src/direct_balancer/load_exchange.cc
@@ -1,6 +1,8 @@
 #include "src/direct_balancer/load_exchange.h"
 
 #include <algorithm>
+#include <cerrno>
+#include <new>
 #include <utility>
 #include <vector>
 
@@ -8,6 +10,7 @@
 #include "absl/time/clock.h"
 #include "gcw/auth/replay_window.h"
 #include "gcw/auth/signer.h"
+#include "gcw/base/system_error.h"
 #include "gcw/kernel/pause_guard.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/load/aggregator.h"
@@ -91,11 +94,12 @@
  private:
   void Open(absl::Time now) {
     ++attempts_;
-    auto socket = kernel::UdpSocket::Make(options_.listen);
-    Status opened = socket.ok() ? OkStatus() : Status(socket.error());
-    if (opened.ok()) {
-      socket_ = std::move(socket).value();
-      opened = loop_.WatchReadable(socket_->fd(), [this] { Receive(); });
+    Status opened = OkStatus();
+    try {
+      opened = OpenSocket();
+    } catch (const std::bad_alloc&) {
+      opened =
+          SystemError(ResultCode::kInternal, "cannot allocate memory", ENOMEM);
     }
     if (!opened.ok()) {
       socket_.reset();
@@ -104,6 +108,15 @@
     }
   }
 
+  Status OpenSocket() {
+    auto socket = kernel::UdpSocket::Make(options_.listen);
+    if (!socket.ok()) {
+      return socket.error();
+    }
+    socket_ = std::move(socket).value();
+    return loop_.WatchReadable(socket_->fd(), [this] { Receive(); });
+  }
+
   void Close() {
     if (socket_ != nullptr) {
       loop_.Unwatch(socket_->fd());
--- a/src/direct_balancer/state_task.cc
+++ b/src/direct_balancer/state_task.cc
@@ -219,6 +219,10 @@
     }
     load_service_ = std::move(service).value();
     load_service_->SetMembers(link_->members(), kernel::MonotonicNow());
+    // Not part of OnTick(), which Setup() calls: with too little memory, the
+    // buffers of the socket left none for the threads that run already.
+    loop.AddTimer(kTickInterval,
+                  [this] { load_service_->OnTick(kernel::MonotonicNow()); });
     return OkStatus();
   }
 
@@ -547,9 +551,6 @@
       UpdateRelayPeers();
     }
     ReportIfUnavailable(now);
-    if (load_service_ != nullptr) {
-      load_service_->OnTick(now);
-    }
   }
 
   // All feeds have the same peers, so they have the same watchers.
