--- a/tests/direct_balancer/load_exchange_test.cc
+++ b/tests/direct_balancer/load_exchange_test.cc
@@ -244,7 +244,9 @@
 
 TEST_CASE("the exchange starts once a port that was taken is free") {
   ExchangeRunner runner;
-  auto taken = kernel::UdpSocket::Make(runner.address()).value();
+  auto made = kernel::UdpSocket::Make(runner.address());
+  REQUIRE(made.ok());
+  auto taken = std::move(made).value();
   runner.Start();
   REQUIRE(ExchangeRunner::Eventually([&] { return runner.delays() > 1; }));
   CHECK(runner.stats().datagrams_sent == 0);
