--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -12,6 +12,7 @@
 #include "src/direct/flow_monitor.h"
 #include "src/direct/flow_resetter.h"
 #include "src/direct/flow_table.h"
+#include "src/direct/overflow_log.h"
 #include "src/direct/own_load.h"
 #include "src/direct/placer.h"
 #include "src/direct/server_failure_detector.h"
@@ -58,7 +59,8 @@
         placer_(options.seed),
         own_load_(options.zone),
         fleet_load_(options.zone),
-        zone_balancer_(options.zone, options.seed) {}
+        zone_balancer_(options.zone, options.seed),
+        overflow_log_(&events_) {}
 
   void ApplyConfiguration(const Configuration& configuration,
                           Version revision) {
@@ -150,6 +152,7 @@
     own.servers = server_figures_;
     fleet_load_.SetOwn(std::move(own), now);
     zone_balancer_.OnTick(servers_, fleet_load_, zones_out_.names(), now);
+    overflow_log_.OnTick(zone_balancer_, fleet_load_, now);
     admission_table_.OnTick(servers_, fleet_load_, now);
     failure_detector_.OnTick(now);
     const HeldState state = HeldStateAt(now);
@@ -528,6 +531,7 @@
   OwnLoad own_load_;
   FleetLoad fleet_load_;
   ZoneBalancer zone_balancer_;
+  OverflowLog overflow_log_;
   UnknownCookies unknown_cookies_;
   std::vector<load::ServerLoad> server_figures_;  // Of this daemon.
   absl::Time server_figures_taken_ = absl::InfinitePast();
--- a/src/direct_balancer/load_exchange.cc
+++ b/src/direct_balancer/load_exchange.cc
@@ -1,5 +1,8 @@
 #include "src/direct_balancer/load_exchange.h"
 
+#include <algorithm>
+#include <cerrno>
+#include <new>
 #include <utility>
 #include <vector>
 
@@ -7,6 +10,8 @@
 #include "absl/time/clock.h"
 #include "gcw/auth/replay_window.h"
 #include "gcw/auth/signer.h"
+#include "gcw/base/system_error.h"
+#include "gcw/kernel/pause_guard.h"
 #include "gcw/kernel/udp_socket.h"
 #include "gcw/load/aggregator.h"
 #include "gcw/platform/backoff.h"
@@ -47,6 +52,9 @@
         names_[auth::SenderIdOf(member.name)] = member.name;
       }
     }
+    has_peers_ = std::any_of(peers.begin(), peers.end(), [&](const auto& peer) {
+      return peer.name != options_.name;
+    });
     aggregator_->SetPeers(peers, now);
   }
 
@@ -55,6 +63,7 @@
   }
 
   void OnTick(absl::Time now) {
+    pause_guard_.OnActivity(now);
     if (socket_ == nullptr && now >= next_attempt_) {
       Open(now);
     }
@@ -64,8 +73,12 @@
     }
   }
 
-  load::FleetFigures Total(absl::Time now) const {
-    return aggregator_->Total(now);
+  std::optional<load::FleetFigures> Total(absl::Time now) const {
+    load::FleetFigures total = aggregator_->Total(now);
+    if (has_peers_ && total.sum.daemons <= 1) {
+      return std::nullopt;
+    }
+    return total;
   }
 
   LoadExchangeStats stats() const {
@@ -81,11 +94,12 @@
  private:
   void Open(absl::Time now) {
     ++attempts_;
-    auto socket = kernel::UdpSocket::Make(options_.listen);
-    Status opened = socket.ok() ? OkStatus() : Status(socket.error());
-    if (opened.ok()) {
-      socket_ = std::move(socket).value();
-      opened = loop_.WatchReadable(socket_->fd(), [this] { Receive(); });
+    Status opened = OkStatus();
+    try {
+      opened = OpenSocket();
+    } catch (const std::bad_alloc&) {
+      opened =
+          SystemError(ResultCode::kInternal, "cannot allocate memory", ENOMEM);
     }
     if (!opened.ok()) {
       socket_.reset();
@@ -94,6 +108,15 @@
     }
   }
 
+  Status OpenSocket() {
+    auto socket = kernel::UdpSocket::Make(options_.listen);
+    if (!socket.ok()) {
+      return socket.error();
+    }
+    socket_ = std::move(socket).value();
+    return loop_.WatchReadable(socket_->fd(), [this] { Receive(); });
+  }
+
   void Close() {
     if (socket_ != nullptr) {
       loop_.Unwatch(socket_->fd());
@@ -102,6 +125,7 @@
 
   void Receive() {
     const absl::Time now = kernel::MonotonicNow();
+    pause_guard_.OnActivity(now);
     socket_->ReceiveBatches(
         [&](const Endpoint&, std::span<const std::uint8_t> datagram) {
           if (!OnDatagram(datagram, now)) {
@@ -113,6 +137,10 @@
 
   // Returns false if the datagram is refused.
   bool OnDatagram(std::span<const std::uint8_t> datagram, absl::Time now) {
+    if (pause_guard_.stale(now)) {
+      // The ages in the datagram do not include the time that it waited here.
+      return false;
+    }
     const auto verified = signer_->Verify(auth::Channel::kLoad, datagram);
     if (!verified.ok() ||
         !replay_window_.Accept(verified.value(), absl::Now()).ok()) {
@@ -150,6 +178,8 @@
   auth::ReplayWindow replay_window_;
   absl::flat_hash_map<std::string, Endpoint> addresses_;
   absl::flat_hash_map<auth::SenderId, std::string> names_;
+  kernel::PauseGuard pause_guard_;
+  bool has_peers_ = false;  // Whether the fleet has other live daemons.
   std::uint64_t refused_ = 0;
 };
 
@@ -186,7 +216,7 @@
 void LoadExchange::OnTick(absl::Time now) {
   impl_->OnTick(now);
 }
-load::FleetFigures LoadExchange::Total(absl::Time now) const {
+std::optional<load::FleetFigures> LoadExchange::Total(absl::Time now) const {
   return impl_->Total(now);
 }
 LoadExchangeStats LoadExchange::stats() const {
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -17,6 +17,8 @@
 constexpr std::size_t kMaxSeeds = 1000;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxPort = 65'535;
+// The next port is used for other daemons as well.
+constexpr std::uint32_t kMaxMembersPort = kMaxPort - 1;
 
 // Reads an optional number of `unit`, which may have a fraction; without it,
 // `target` keeps its value. The platform may state `true` or `false`
@@ -108,7 +110,7 @@
   settings.metrics = {settings.packets.ip,
                       static_cast<std::uint16_t>(metrics_port)};
   std::uint32_t members_port = 0;
-  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxPort - 1,
+  reader.ReadUint("members_port", Presence::kRequired, 1, kMaxMembersPort,
                   &members_port);
   settings.members_port = static_cast<std::uint16_t>(members_port);
   ReadSeeds(reader, &errors, &settings.seeds);
