soak: load patterns

Plans get bursts of the callers of one zone, slow servers, and bursts while daemons restart in turn, and a load phase follows each run in which nothing else is wrong. The stand-in servers have slots and a bounded queue. Two invariants are new: 98.5 % of the requests of a zone under a load pattern are answered while another zone has room, and no flow is refused while the fleet has room.

--- a/src/soak/caller.cc
+++ b/src/soak/caller.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "src/soak/server.h"
+
 namespace gcw::soak {
 namespace {
 
@@ -39,10 +41,14 @@
       send_(std::move(send)),
       observer_(observer),
       flow_{address, service},
-      next_port_(address.port) {}
+      first_port_(address.port) {}
 
 void Caller::Start() {
-  scheduler_.After(random_.Exponential(kMeanPause), [this] { StartRequest(); });
+  stopped_ = false;
+  if (state_ == State::kIdle) {
+    ++attempt_generation_;
+    AfterIfCurrent(random_.Exponential(kMeanPause), [this] { StartRequest(); });
+  }
 }
 
 void Caller::AfterIfCurrent(absl::Duration delay,
@@ -70,7 +76,8 @@
   ++attempts_;
   first_part_received_ = false;
   if (!open_) {
-    flow_.caller.port = next_port_++;
+    flow_.caller.port =
+        static_cast<std::uint16_t>(first_port_ + flow_count_++ % kPorts);
     flow_requests_.clear();
   }
   request_ = fmt::format("{}/{}/{}", ToString(flow_.caller), request_count_++,
@@ -78,7 +85,7 @@
   flow_requests_.insert(request_);
   AfterIfCurrent(kAttemptTimeout, [this] {
     open_ = false;
-    FinishRequest();
+    FinishRequest(false);
   });
   if (open_) {
     SendRequest();
@@ -152,6 +159,9 @@
   }
   if (end.packet.rst) {
     open_ = false;
+    if (state_ == State::kOpening) {
+      observer_.OnRefused(flow_);
+    }
     if (state_ != State::kIdle) {
       RetryOrFinish();
     }
@@ -178,6 +188,12 @@
     }
     return;
   }
+  if (end.data.back() == Server::kRejectedPart) {
+    open_ = false;
+    Acknowledge(true);
+    RetryOrFinish();
+    return;
+  }
   if (end.data.back() == '1') {
     first_part_received_ = true;
     return;
@@ -190,21 +206,21 @@
   const bool close = new_flow_per_request_ || end.packet.fin;
   open_ = !close;
   Acknowledge(close);
-  observer_.OnAnswered(started_);
-  FinishRequest();
+  FinishRequest(true);
 }
 
 void Caller::RetryOrFinish() {
   ++attempt_generation_;
   state_ = State::kIdle;
   if (attempts_ >= kMaxAttempts) {
-    FinishRequest();
+    FinishRequest(false);
     return;
   }
   StartAttempt();
 }
 
-void Caller::FinishRequest() {
+void Caller::FinishRequest(bool answered) {
+  observer_.OnFinished(flow_, started_, answered);
   ++attempt_generation_;
   state_ = State::kIdle;
   AfterIfCurrent(random_.Exponential(kMeanPause), [this] { StartRequest(); });
--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -19,8 +19,13 @@
 
   // A request started. Its retries are not reported.
   virtual void OnRequest(absl::Time started) = 0;
-  // The request that started at `started` was answered.
-  virtual void OnAnswered(absl::Time started) = 0;
+  // The request that started at `started` ended, answered or not. `flow` is its
+  // latest flow.
+  virtual void OnFinished(const direct::FlowKey& flow,
+                          absl::Time started,
+                          bool answered) = 0;
+  // `flow` was reset before it was open.
+  virtual void OnRefused(const direct::FlowKey& flow) = 0;
   // The caller got an answer to a request sent from another IP address.
   virtual void OnWrongAnswer() = 0;
   // A daemon, not a server, sent a reset of `flow` to its caller.
@@ -32,9 +37,13 @@
 // Not thread-safe; all actions run on the scheduler.
 class Caller {
  public:
+  // Distance between the first ports of callers that share an address.
+  static constexpr std::uint16_t kPorts = 600;
+
   using Send = std::function<void(const adapter::EndHostPacket&)>;
 
-  // Each new flow uses the next port, beginning with that of `address`. With
+  // Each new flow uses the next of kPorts ports, beginning with that of
+  // `address`. With
   // `new_flow_per_request` each request opens a flow of its own. `scheduler`
   // and `observer` must outlive the caller.
   Caller(lab::Scheduler& scheduler,
@@ -45,7 +54,7 @@
          Send send,
          CallerObserver& observer);
 
-  // Starts the first request after a random pause.
+  // Starts the next request after a random pause, unless one is in progress.
   void Start();
   // Starts no further requests.
   void Stop() { stopped_ = true; }
@@ -73,7 +82,7 @@
   // Ends the attempt and starts the next one, if the request has any left.
   void RetryOrFinish();
   // Ends the request, answered or not, and schedules the next one.
-  void FinishRequest();
+  void FinishRequest(bool answered);
   void OnAnswer(const adapter::EndHostPacket& end);
   // Runs `action` after `delay` unless the attempt has ended by then.
   void AfterIfCurrent(absl::Duration delay, std::function<void()> action);
@@ -85,7 +94,8 @@
   const Send send_;
   CallerObserver& observer_;
   direct::FlowKey flow_;
-  std::uint16_t next_port_;
+  const std::uint16_t first_port_;
+  std::uint16_t flow_count_ = 0;
   State state_ = State::kIdle;
   bool open_ = false;
   bool stopped_ = false;
--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -22,14 +22,19 @@
 constexpr std::uint32_t kServerNet = 100;
 constexpr std::uint32_t kCallerNet = 200;
 constexpr std::uint16_t kFirstCallerPort = 1000;
-// Distance between the first ports of the callers of a zone, which share an
-// address. Each flow of a caller takes a new port.
-constexpr std::uint16_t kPortsPerCaller = 600;
 constexpr absl::Duration kMaintenanceInterval = absl::Milliseconds(50);
 constexpr absl::Duration kUsageInterval = absl::Milliseconds(500);
 // Few enough that idle connections use them up.
 constexpr std::uint64_t kFewDescriptors = 200;
-constexpr std::uint32_t kServerSlots = 4;
+// Callers that a burst adds for each usual one. The default 20 callers use a
+// fifth of the slots of their zone; with a burst they need more than all.
+constexpr std::size_t kBurstFactor = 5;
+// One caller of so many opens a new flow for each request. Half of the burst
+// callers do, as only new flows can be placed by load.
+constexpr std::size_t kCallersPerShortFlows = 5;
+constexpr std::size_t kBurstCallersPerShortFlows = 2;
+// Callers that have ports enough at one address.
+constexpr std::size_t kMaxCallers = 100;
 // Addresses that callers connect to.
 constexpr Endpoint kService{0xc6120001, 8443};
 constexpr Endpoint kOptionalService{0xc6120001, 9000};
@@ -77,10 +82,53 @@
 
 void Deployment::StartCallers() {
   for (CallerRecord& record : callers_) {
-    record.caller->Start();
+    if (!record.burst) {
+      record.caller->Start();
+    }
+  }
+}
+
+void Deployment::BeginLoad(std::size_t zone, bool burst) {
+  ZoneLoad& load = loads_[zone];
+  if (load.patterns++ == 0) {
+    load.began = now();
+    load.ended = absl::InfiniteFuture();
+  }
+  if (burst && load.bursts++ == 0) {
+    StartOrStopBurst(zone);
   }
 }
 
+void Deployment::EndLoad(std::size_t zone, bool burst) {
+  ZoneLoad& load = loads_[zone];
+  if (--load.patterns == 0) {
+    load.ended = now();
+  }
+  if (burst && --load.bursts == 0) {
+    StartOrStopBurst(zone);
+  }
+}
+
+void Deployment::StartOrStopBurst(std::size_t zone) {
+  for (CallerRecord& record : callers_) {
+    if (record.burst && record.zone == zone) {
+      if (loads_[zone].bursts > 0) {
+        record.caller->Start();
+      } else {
+        record.caller->Stop();
+      }
+    }
+  }
+}
+
+bool Deployment::IsLoaded(std::size_t zone, absl::Time time) const {
+  return time >= loads_[zone].began && time <= loads_[zone].ended;
+}
+
+std::size_t Deployment::CallerZone(const direct::FlowKey& flow) const {
+  return ((flow.caller.ip & 0xff) - 1) % kZones;
+}
+
 void Deployment::SetOutboundCut(std::size_t zone, bool cut) {
   if (cut) {
     outbound_cut_zones_.insert(zone);
@@ -289,7 +337,7 @@
   entry.service = "s";
   entry.address = record.address;
   entry.zone = topology_.zones[record.zone];
-  entry.slots = kServerSlots;
+  entry.slots = Server::kSlots;
   entry.draining = record.draining_since != absl::InfiniteFuture();
   return entry;
 }
@@ -341,34 +389,43 @@
 }
 
 Status Deployment::MakeCallers() {
-  for (std::size_t z = 0; z < kZones; ++z) {
+  const std::size_t bursting =
+      options_.added.load_patterns
+          ? std::min(options_.callers_per_zone * kBurstFactor, kMaxCallers)
+          : 0;
+  for (std::size_t i = 0; i < 2 * kZones; ++i) {
     auto port =
-        lab::UdpPort::Make(*loop_, {LoopbackIp(kCallerNet, z), kPacketPort},
+        lab::UdpPort::Make(*loop_, {LoopbackIp(kCallerNet, i), kPacketPort},
                            [this](std::span<const std::uint8_t> bytes,
                                   const Endpoint&) { OnDaemonPacket(bytes); });
     if (!port.ok()) {
       return port.error();
     }
     caller_ports_.push_back(std::move(port).value());
-    for (std::size_t i = 0; i < options_.callers_per_zone; ++i) {
-      AddCaller(z, i);
+    const bool burst = i >= kZones;
+    const std::size_t count = burst ? bursting : options_.callers_per_zone;
+    for (std::size_t j = 0; j < count; ++j) {
+      AddCaller(i % kZones, j, burst);
     }
   }
   return OkStatus();
 }
 
-void Deployment::AddCaller(std::size_t zone, std::size_t index) {
+void Deployment::AddCaller(std::size_t zone, std::size_t index, bool burst) {
   const std::size_t id = callers_.size();
   CallerRecord record;
   record.zone = zone;
+  record.burst = burst;
+  record.port = burst ? kZones + zone : zone;
   // The first caller of each zone uses the optional route all the time.
-  record.optional_route = index == 0;
+  record.optional_route = !burst && index == 0;
   const Endpoint address{
-      LoopbackIp(kCallerNet, zone),
-      static_cast<std::uint16_t>(kFirstCallerPort + index * kPortsPerCaller)};
+      LoopbackIp(kCallerNet, record.port),
+      static_cast<std::uint16_t>(kFirstCallerPort + index * Caller::kPorts)};
   record.caller = std::make_unique<Caller>(
       *loop_, options_.seed * 1000 + id, address,
-      record.optional_route ? kOptionalService : kService, index % 5 == 0,
+      record.optional_route ? kOptionalService : kService,
+      index % (burst ? kBurstCallersPerShortFlows : kCallersPerShortFlows) == 0,
       [this, id](const EndHostPacket& end) { OnCallerPacket(id, end); },
       record.optional_route ? static_cast<CallerObserver&>(ignoring_observer_)
                             : observer_);
@@ -377,9 +434,10 @@
 
 void Deployment::OnCallerPacket(std::size_t caller, const EndHostPacket& end) {
   const std::size_t zone = callers_[caller].zone;
-  network_->Carry(lab::LinkKind::kCallers, zone, zone, [this, zone, end] {
+  const std::size_t port = callers_[caller].port;
+  network_->Carry(lab::LinkKind::kCallers, zone, zone, [this, zone, port, end] {
     const std::size_t daemon = fleet_->Route(zone, HashFlow(end.packet.flow));
-    caller_ports_[zone]->Send(adapter::EncodeEndHostPacket(end),
+    caller_ports_[port]->Send(adapter::EncodeEndHostPacket(end),
                               fleet_->PacketAddress(daemon));
   });
 }
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -1,6 +1,7 @@
 #ifndef GCW_SOAK_DEPLOYMENT_H_
 #define GCW_SOAK_DEPLOYMENT_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -126,6 +127,16 @@
   // Returns the zone to service. Precondition: TakeZoneOut() took it out.
   void PutZoneBack(std::size_t zone);
 
+  // Marks the zone as under a load pattern until EndLoad(). With `burst`, its
+  // callers ask several times as much meanwhile. Calls may overlap; each needs
+  // one EndLoad() with the same `burst`.
+  void BeginLoad(std::size_t zone, bool burst);
+  void EndLoad(std::size_t zone, bool burst);
+  // Whether the latest load pattern of the zone was active at `time`.
+  bool IsLoaded(std::size_t zone, absl::Time time) const;
+  // The zone of the caller of `flow`.
+  std::size_t CallerZone(const direct::FlowKey& flow) const;
+
   // Whether `flow` uses the optional route, which operators add and remove.
   static bool IsOptional(const direct::FlowKey& flow);
   // Whether the latest configuration has the optional route.
@@ -139,6 +150,8 @@
   struct CallerRecord {
     std::size_t zone = 0;
     bool optional_route = false;
+    bool burst = false;    // Sends requests only in bursts.
+    std::size_t port = 0;  // Index in `caller_ports_`.
     std::unique_ptr<Caller> caller;
   };
 
@@ -148,7 +161,8 @@
   class IgnoringCallerObserver : public CallerObserver {
    public:
     void OnRequest(absl::Time) override {}
-    void OnAnswered(absl::Time) override {}
+    void OnFinished(const direct::FlowKey&, absl::Time, bool) override {}
+    void OnRefused(const direct::FlowKey&) override {}
     void OnWrongAnswer() override {}
     void OnDaemonReset(const direct::FlowKey&) override {}
   };
@@ -162,8 +176,10 @@
   Status StartServers();
   Status StartFleet();
   Status MakeCallers();
-  // Creates the caller with number `index` in the zone.
-  void AddCaller(std::size_t zone, std::size_t index);
+  void StartOrStopBurst(std::size_t zone);
+  // Creates the caller with number `index` among the usual callers or the burst
+  // callers of the zone.
+  void AddCaller(std::size_t zone, std::size_t index, bool burst);
   // The address 127.OCTET.`net`.(`host` + 1).
   std::uint32_t LoopbackIp(std::uint32_t net, std::size_t host) const;
   // The key of the server's entry in the store.
@@ -210,6 +226,7 @@
   std::unique_ptr<fake_platform::FakePlatform> store_;
   std::vector<ServerRecord> servers_;
   std::unique_ptr<Fleet> fleet_;
+  // Of the usual callers of each zone, then of the burst callers of each zone.
   std::vector<std::unique_ptr<lab::UdpPort>> caller_ports_;
   std::vector<CallerRecord> callers_;
   std::uint64_t configuration_number_ = 0;  // `version` in the configuration.
@@ -225,6 +242,13 @@
     config::Version version = 0;  // Of the store entry that takes it out.
   };
   std::map<std::size_t, OutZone> out_zones_;
+  struct ZoneLoad {
+    int patterns = 0;  // Load patterns that are active, and bursts of them.
+    int bursts = 0;
+    absl::Time began = absl::InfiniteFuture();
+    absl::Time ended = absl::InfinitePast();
+  };
+  std::array<ZoneLoad, kZones> loads_;
 };
 
 }  // namespace gcw::soak
--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -151,6 +151,12 @@
       return HoldIdleConnections(daemon, fault.duration);
     case FaultKind::kTakenPort:
       return TakePort(daemon, fault.target, fault.duration);
+    case FaultKind::kBusyZone:
+      return BurstInZone(zone, fault.duration);
+    case FaultKind::kSlowServer:
+      return SlowServer(server, fault.duration);
+    case FaultKind::kBusyZoneRestarts:
+      return BurstDuringRestarts(zone);
     case FaultKind::kCount:
       return;
   }
@@ -161,7 +167,7 @@
                                     absl::Duration until_start) {
   deployment_.fleet().Signal(daemon, SIGCONT);
   deployment_.fleet().Signal(daemon, signal);
-  Impair({DaemonName(daemon)}, until_start,
+  Impair({DaemonName(daemon), "daemons"}, until_start,
          [this, daemon] { deployment_.fleet().Restart(daemon); });
 }
 
@@ -179,7 +185,7 @@
 
 void FaultInjector::CutFromStore(std::size_t daemon, absl::Duration duration) {
   deployment_.fleet().store_proxy(daemon).set_silent(true);
-  Impair({DaemonName(daemon)}, duration, [this, daemon] {
+  Impair({DaemonName(daemon), "daemons"}, duration, [this, daemon] {
     deployment_.fleet().store_proxy(daemon).set_silent(false);
   });
 }
@@ -315,7 +321,7 @@
     deployment_.fleet().Restart(daemon);
     deployment_.loop().After(duration, [holder]() mutable { holder.reset(); });
   });
-  Impair({DaemonName(daemon)}, kRestartDelay + duration, [] {});
+  Impair({DaemonName(daemon), "daemons"}, kRestartDelay + duration, [] {});
 }
 
 void FaultInjector::LoseServerEntries() {
@@ -377,6 +383,40 @@
   });
 }
 
+void FaultInjector::BurstInZone(std::size_t zone, absl::Duration duration) {
+  deployment_.BeginLoad(zone, true);
+  deployment_.loop().After(duration,
+                           [this, zone] { deployment_.EndLoad(zone, true); });
+}
+
+void FaultInjector::SlowServer(std::size_t server, absl::Duration duration) {
+  const std::size_t zone = deployment_.servers()[server].zone;
+  deployment_.servers()[server].server->set_slow(true);
+  deployment_.BeginLoad(zone, false);
+  deployment_.loop().After(duration, [this, server, zone] {
+    deployment_.servers()[server].server->set_slow(false);
+    deployment_.EndLoad(zone, false);
+  });
+}
+
+// A planned stop of one daemon at a time is no reason to serve less, so these
+// restarts do not impair "daemons".
+void FaultInjector::BurstDuringRestarts(std::size_t zone) {
+  BurstInZone(zone, kRestartsInTurn * kRestartTurn);
+  Fleet& fleet = deployment_.fleet();
+  std::size_t turn = 0;
+  for (std::size_t i = 0; i < fleet.size() && turn < kRestartsInTurn; ++i) {
+    if (fleet.ZoneOf(i) == zone) {
+      deployment_.loop().After(turn++ * kRestartTurn, [this, i] {
+        deployment_.fleet().Signal(i, SIGTERM);
+        // Starts the process again once it has exited.
+        Impair({DaemonName(i)}, kGracefulStopDuration,
+               [this, i] { deployment_.fleet().Restart(i); });
+      });
+    }
+  }
+}
+
 void FaultInjector::TakeZoneOut(std::size_t zone, absl::Duration duration) {
   if (deployment_.TakeZoneOut(zone)) {
     deployment_.loop().After(duration,
--- a/src/soak/fault_injector.h
+++ b/src/soak/fault_injector.h
@@ -79,6 +79,12 @@
   // and 2 s later starts another server at the same address. Does nothing if
   // the server is not in service.
   void DrainServer(std::size_t server);
+  // The zone's callers ask several times as much.
+  void BurstInZone(std::size_t zone, absl::Duration duration);
+  void SlowServer(std::size_t server, absl::Duration duration);
+  // A burst in the zone while kRestartsInTurn of its daemons stop and start
+  // again, each after the one before.
+  void BurstDuringRestarts(std::size_t zone);
   void TakeZoneOut(std::size_t zone, absl::Duration duration);
 
   Deployment& deployment_;
--- a/src/soak/invariant_checker.cc
+++ b/src/soak/invariant_checker.cc
@@ -13,6 +13,8 @@
 // taken out of service, and on a route after it was removed.
 constexpr absl::Duration kZoneOutBound = absl::Seconds(5);
 constexpr absl::Duration kRouteBound = absl::Seconds(3);
+// The age up to which daemons use the load figures of others.
+constexpr absl::Duration kMaxFigureAge = absl::Milliseconds(1500);
 // Requests that start later than this before the end of the run may have no
 // time left for an answer.
 constexpr absl::Duration kMinAnswerTime = absl::Seconds(1);
@@ -33,13 +35,40 @@
 }
 
 void InvariantChecker::OnRequest(absl::Time started) {
-  ++counts_.requests;
+  counts_.requests += started < start_ + length_ ? 1 : 0;
   counts_.fault_free_requests += IsInFaultFreeEnd(started) ? 1 : 0;
 }
 
-void InvariantChecker::OnAnswered(absl::Time started) {
-  ++counts_.answered;
-  counts_.fault_free_answered += IsInFaultFreeEnd(started) ? 1 : 0;
+void InvariantChecker::OnFinished(const direct::FlowKey& flow,
+                                  absl::Time started,
+                                  bool answered) {
+  const std::uint64_t count = answered ? 1 : 0;
+  if (deployment_->now() < start_ + length_) {
+    counts_.answered += count;
+    counts_.fault_free_answered += IsInFaultFreeEnd(started) ? count : 0;
+  }
+  const std::size_t zone = deployment_->CallerZone(flow);
+  if (deployment_->IsLoaded(zone, started) &&
+      load_.OthersHaveRoomSince(zone) <= started) {
+    ++counts_.busy_zone_requests;
+    counts_.busy_zone_answered += count;
+    if (!answered) {
+      AddFinding(fmt::format("a request of busy zone {}, last on {}, failed",
+                             zone, ToString(flow.caller)));
+    }
+  }
+}
+
+void InvariantChecker::OnRefused(const direct::FlowKey& flow) {
+  if (load_.FleetHasRoomSince() <= deployment_->now() - kMaxFigureAge) {
+    ++counts_.refused_with_room;
+    AddFinding(fmt::format("{} was refused while the fleet had room ({})",
+                           ToString(flow.caller), load_.ToString()));
+  }
+}
+
+void InvariantChecker::MeasureLoad() {
+  load_.Measure(*deployment_, impairments_);
 }
 
 void InvariantChecker::OnWrongAnswer() {
--- a/src/soak/invariant_checker.h
+++ b/src/soak/invariant_checker.h
@@ -9,6 +9,7 @@
 #include "absl/time/time.h"
 #include "src/soak/deployment.h"
 #include "src/soak/invariants.h"
+#include "src/soak/load_watch.h"
 
 namespace gcw::soak {
 
@@ -20,7 +21,8 @@
 // servers observe. Not thread-safe; used on the deployment's thread.
 class InvariantChecker : public DeploymentObserver {
  public:
-  // `length` is the duration of the run. `impairments` must outlive the
+  // `length` is the duration of the run without the load phase, whose requests
+  // count only as those of busy zones. `impairments` must outlive the
   // checker.
   InvariantChecker(absl::Duration length, const Impairments& impairments)
       : length_(length), impairments_(impairments) {}
@@ -29,13 +31,19 @@
   // `deployment` must outlive the last event.
   void Start(Deployment& deployment);
 
+  // Measures the load of the servers. Call it every LoadWatch::kInterval.
+  void MeasureLoad();
+
   const InvariantCounts& counts() const { return counts_; }
   // The first violations with their time in the run, one line each.
   const std::vector<std::string>& findings() const { return findings_; }
 
   // DeploymentObserver:
   void OnRequest(absl::Time started) override;
-  void OnAnswered(absl::Time started) override;
+  void OnFinished(const direct::FlowKey& flow,
+                  absl::Time started,
+                  bool answered) override;
+  void OnRefused(const direct::FlowKey& flow) override;
   void OnWrongAnswer() override;
   void OnDaemonReset(const direct::FlowKey& flow) override;
   void OnFlowOpen(std::size_t server,
@@ -65,6 +73,7 @@
   Deployment* deployment_ = nullptr;
   absl::Time start_;
   std::map<std::string, std::size_t> server_by_request_;  // Where requests ran.
+  LoadWatch load_;
   InvariantCounts counts_;
   std::vector<std::string> findings_;
 };
--- a/src/soak/invariants.cc
+++ b/src/soak/invariants.cc
@@ -11,6 +11,10 @@
 // servers reachable.
 constexpr double kMinAnsweredShare = 0.5;
 
+// Least share of answered requests of a busy zone while other zones have room:
+// the target of docs/design/load.md.
+constexpr double kMinBusyZoneAnsweredShare = 0.985;
+
 double Share(std::uint64_t part, std::uint64_t whole) {
   return whole == 0 ? 0
                     : static_cast<double>(part) / static_cast<double>(whole);
@@ -38,12 +42,18 @@
   expect_zero("to_leaving_late", counts.to_leaving_late);
   expect_zero("to_out_zone_late", counts.to_out_zone_late);
   expect_zero("old_routes", counts.old_routes);
+  expect_zero("refused_with_room", counts.refused_with_room);
   expect_zero("crashes", counts.crashes);
   expect_zero("over_memory", counts.over_memory);
   expect_zero("busy_windows", counts.busy_windows);
   expect_at_least("calm_service",
                   Share(counts.fault_free_answered, counts.fault_free_requests),
                   kMinFaultFreeAnsweredShare);
+  if (counts.busy_zone_requests > 0) {
+    expect_at_least("busy_zone",
+                    Share(counts.busy_zone_answered, counts.busy_zone_requests),
+                    kMinBusyZoneAnsweredShare);
+  }
   expect_at_least("service", Share(counts.answered, counts.requests),
                   kMinAnsweredShare);
   return failures;
--- a/src/soak/invariants.h
+++ b/src/soak/invariants.h
@@ -35,6 +35,13 @@
   std::uint64_t to_out_zone_late = 0;
   // Flows opened on a removed route later than the users' bound allows.
   std::uint64_t old_routes = 0;
+  // Requests of callers of a zone under a load pattern while other zones had
+  // room and no fault was near.
+  std::uint64_t busy_zone_requests = 0;
+  std::uint64_t busy_zone_answered = 0;  // Those of them that were answered.
+  // Flows refused by daemons while the whole fleet had room and no fault was
+  // near.
+  std::uint64_t refused_with_room = 0;
   std::uint64_t crashes = 0;  // Daemons that exited without being told to.
   // Daemons that used more memory than their VM has.
   std::uint64_t over_memory = 0;
--- a/src/soak/plan.cc
+++ b/src/soak/plan.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 #include "src/lab/random.h"
 
@@ -11,19 +12,21 @@
 namespace {
 
 constexpr auto kFaultNames = std::to_array<std::string_view>(
-    {"kill_daemon",      "pause_daemon",
-     "stop_daemon",      "reload_daemon",
-     "kill_all",         "store_refuses",
-     "store_silent",     "store_slow",
-     "store_forgets",    "cut_from_store",
-     "reset_from_store", "cut_zone",
-     "cut_zone_one_way", "lossy_servers",
-     "slow_servers",     "crash_server",
-     "dark_server",      "drain_server",
-     "zone_out",         "change_routes",
-     "store_restored",   "silent_store_connections",
-     "odd_entry",        "large_entries",
-     "idle_connections", "taken_port"});
+    {"kill_daemon",       "pause_daemon",
+     "stop_daemon",       "reload_daemon",
+     "kill_all",          "store_refuses",
+     "store_silent",      "store_slow",
+     "store_forgets",     "cut_from_store",
+     "reset_from_store",  "cut_zone",
+     "cut_zone_one_way",  "lossy_servers",
+     "slow_servers",      "crash_server",
+     "dark_server",       "drain_server",
+     "zone_out",          "change_routes",
+     "store_restored",    "silent_store_connections",
+     "odd_entry",         "large_entries",
+     "idle_connections",  "taken_port",
+     "busy_zone",         "slow_server",
+     "busy_zone_restarts"});
 static_assert(kFaultNames.size() ==
               static_cast<std::size_t>(FaultKind::kCount));
 
@@ -46,6 +49,14 @@
 constexpr std::uint64_t kLargeEntriesSeedOffset = 0xd6e8feb86659fd93;
 constexpr std::uint64_t kIdleSeedOffset = 0xa0761d6478bd642f;
 constexpr std::uint64_t kTakenPortSeedOffset = 0xe7037ed1a0b428db;
+constexpr std::uint64_t kBusyZoneSeedOffset = 0x589965cc75374cc3;
+constexpr std::uint64_t kSlowServerSeedOffset = 0x1d8e4e27c47d124f;
+constexpr std::uint64_t kBusyRestartsSeedOffset = 0xeb44accab455d165;
+constexpr std::uint64_t kLoadPhaseSeedOffset = 0x2127599bf4325c37;
+// Length of a load pattern without restarts in the load phase, and the pause
+// before the next one, in which the daemons' figures return to normal.
+constexpr absl::Duration kLoadPatternDuration = absl::Seconds(4);
+constexpr absl::Duration kLoadPatternPause = absl::Milliseconds(1500);
 // Targets are drawn below this and taken modulo the number of candidates.
 constexpr std::uint64_t kTargetRange = 1 << 16;
 // A series repeats a fault on consecutive targets, kSeriesGap apart.
@@ -125,10 +136,36 @@
     AddKind(FaultKind::kIdleConnections, seed + kIdleSeedOffset, end, plan);
     AddKind(FaultKind::kTakenPort, seed + kTakenPortSeedOffset, end, plan);
   }
+  if (added.load_patterns) {
+    AddKind(FaultKind::kBusyZone, seed + kBusyZoneSeedOffset, end, plan);
+    AddKind(FaultKind::kSlowServer, seed + kSlowServerSeedOffset, end, plan);
+    AddKind(FaultKind::kBusyZoneRestarts, seed + kBusyRestartsSeedOffset,
+            end - kRestartsInTurn * kRestartTurn, plan);
+  }
   std::stable_sort(
       plan.begin(), plan.end(),
       [](const Fault& a, const Fault& b) { return a.start < b.start; });
   return plan;
 }
 
+std::vector<Fault> GenerateLoadPhase(std::uint64_t seed,
+                                     absl::Duration length) {
+  lab::Random random(seed + kLoadPhaseSeedOffset);
+  std::array kinds{FaultKind::kBusyZone, FaultKind::kSlowServer,
+                   FaultKind::kBusyZoneRestarts};
+  for (std::size_t i = kinds.size() - 1; i > 0; --i) {
+    std::swap(kinds[i], kinds[random.Below(i + 1)]);
+  }
+  std::vector<Fault> plan;
+  absl::Duration start = length + kLoadPatternPause;
+  for (const FaultKind kind : kinds) {
+    const absl::Duration duration = kind == FaultKind::kBusyZoneRestarts
+                                        ? kRestartsInTurn * kRestartTurn
+                                        : kLoadPatternDuration;
+    plan.push_back({start, kind, random.Below(kTargetRange), duration});
+    start += duration + kLoadPatternPause;
+  }
+  return plan;
+}
+
 }  // namespace gcw::soak
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -39,7 +39,11 @@
   kLargeEntries,     // Another writer leaves large entries there.
   kIdleConnections,  // Many connections to a daemon that send nothing.
   kTakenPort,        // A daemon restarts while another process has its port.
-  kCount,            // Number of kinds; not a fault.
+  kBusyZone,         // The callers of a zone ask several times as much.
+  kSlowServer,       // A server is several times slower than the others.
+  // The same as kBusyZone, while two daemons of the zone restart in turn.
+  kBusyZoneRestarts,
+  kCount,  // Number of kinds; not a fault.
 };
 
 // The name of `kind` in reports, such as "kill_daemon". Precondition: `kind` is
@@ -66,6 +70,9 @@
   // kLargeEntries, kIdleConnections and kTakenPort; the daemons then run with
   // few descriptors.
   bool exhaustion = false;
+  // kBusyZone, kSlowServer and kBusyZoneRestarts, also in a load phase after
+  // the plan.
+  bool load_patterns = false;
 };
 
 // Formats `fault` as "3.2 s kill_daemon 4 for 1.5 s". Thread-safe.
@@ -81,6 +88,19 @@
                                 absl::Duration length,
                                 const AddedFaults& added);
 
+// Returns one load pattern of each kind in random order, which start one after
+// the other in the kLoadPhase that follows a run of `length`. No other faults
+// occur there, so that the daemons' handling of load is checked on its own.
+// Returns equal plans for equal arguments. Thread-safe.
+std::vector<Fault> GenerateLoadPhase(std::uint64_t seed, absl::Duration length);
+
+// Duration of the load phase.
+inline constexpr absl::Duration kLoadPhase = absl::Seconds(24);
+// How long a daemon that restarts in turn has until the next one does.
+inline constexpr absl::Duration kRestartTurn = absl::Seconds(5);
+// Daemons that kBusyZoneRestarts restarts.
+inline constexpr std::size_t kRestartsInTurn = 2;
+
 // Time without faults before the first fault starts, so that all daemons are
 // running and ready, and at the end of the run, so that recovery is checked.
 inline constexpr absl::Duration kFaultFreeStart = absl::Seconds(4);
--- a/src/soak/server.cc
+++ b/src/soak/server.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <string_view>
 #include <utility>
 
 namespace gcw::soak {
@@ -10,6 +11,10 @@
 
 // Time from a request's arrival to its answer.
 constexpr absl::Duration kProcessingTime = absl::Milliseconds(15);
+// The same while the server is slow: five times as long.
+constexpr absl::Duration kSlowProcessingTime = absl::Milliseconds(75);
+// Requests that wait for each slot at most, as with the users' servers.
+constexpr std::uint32_t kQueuePerSlot = 4;
 // The server's initial sequence number in every flow.
 constexpr std::uint32_t kInitialSequence = 500'000;
 // Own connections that more than fill the queue of a listener with backlog 0.
@@ -83,7 +88,9 @@
   ++incarnation_;
   closing_ = false;
   flows_.clear();
-  answered_by_request_.clear();
+  state_by_request_.clear();
+  running_ = 0;
+  queue_.clear();
 }
 
 void Server::SendReply(const adapter::EndHostPacket& to,
@@ -123,28 +130,51 @@
 
 void Server::HandleRequest(const adapter::EndHostPacket& request) {
   const auto [it, inserted] =
-      answered_by_request_.try_emplace(request.data, false);
+      state_by_request_.try_emplace(request.data, RequestState::kAccepted);
   if (!inserted) {
-    if (it->second) {
-      SendAnswer(request);  // The caller has not received the answer.
-    }
+    SendAnswer(request, it->second);  // The caller may not have received it.
+    return;
+  }
+  if (running_ + queue_.size() >= kSlots * (1 + kQueuePerSlot)) {
+    it->second = RequestState::kRejected;
+    SendAnswer(request, it->second);
     return;
   }
   on_executed_(request.data);
-  scheduler_.After(kProcessingTime, [this, request, life = incarnation_] {
-    if (life == incarnation_) {
-      answered_by_request_[request.data] = true;
-      SendAnswer(request);
-    }
-  });
+  queue_.push_back(request);
+  RunQueued();
 }
 
-void Server::SendAnswer(const adapter::EndHostPacket& request) {
-  for (const char* part : {"1", "2"}) {
+void Server::RunQueued() {
+  while (running_ < kSlots && !queue_.empty()) {
+    ++running_;
+    scheduler_.After(
+        slow_ ? kSlowProcessingTime : kProcessingTime,
+        [this, request = std::move(queue_.front()), life = incarnation_] {
+          if (life == incarnation_) {
+            --running_;
+            state_by_request_[request.data] = RequestState::kAnswered;
+            SendAnswer(request, RequestState::kAnswered);
+            RunQueued();
+          }
+        });
+    queue_.pop_front();
+  }
+}
+
+void Server::SendAnswer(const adapter::EndHostPacket& request,
+                        RequestState state) {
+  if (state == RequestState::kAccepted) {
+    return;
+  }
+  const std::string_view parts = state == RequestState::kAnswered
+                                     ? std::string_view("12")
+                                     : std::string_view(&kRejectedPart, 1);
+  for (const char part : parts) {
     adapter::EndHostPacket reply;
     reply.ack = true;
     reply.packet.sequence = kInitialSequence + 1;
-    reply.packet.fin = closing_ && *part == '2';
+    reply.packet.fin = closing_ && part == '2';
     reply.data = request.data + part;
     SendReply(request, reply);
   }
--- a/src/soak/server.h
+++ b/src/soak/server.h
@@ -2,6 +2,7 @@
 #define GCW_SOAK_SERVER_H_
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <string>
@@ -48,10 +49,15 @@
   std::vector<int> backlog_fillers_;
 };
 
-// Simulated backend server: accepts flows, executes each request once and
-// answers it in two packets. Not thread-safe.
+// Simulated backend server: accepts flows, executes each request once, at most
+// kSlots at the same time, and answers it in two packets. Rejects requests when
+// its queue is full. Not thread-safe.
 class Server {
  public:
+  static constexpr std::uint32_t kSlots = 4;
+  // Ends the packet that says that a request was rejected and has not run.
+  static constexpr char kRejectedPart = '0';
+
   using Send = std::function<void(const adapter::EndHostPacket&)>;
   using ExecutedCallback = std::function<void(const std::string& request)>;
 
@@ -66,6 +72,10 @@
   void Restart();
   // While closing, the server ends each flow with a FIN in its next answer.
   void set_closing(bool closing) { closing_ = closing; }
+  // While slow, the server takes several times as long for each request.
+  void set_slow(bool slow) { slow_ = slow; }
+  // Requests that are being executed.
+  std::size_t running() const { return running_; }
   // Whether the server got the SYN of `flow` in this incarnation and the flow
   // has not ended.
   bool HasFlow(const direct::FlowKey& flow) const {
@@ -76,9 +86,14 @@
   void OnPacket(const adapter::EndHostPacket& end);
 
  private:
-  // Executes a new request; repeats the answer to a retransmitted one.
+  enum class RequestState : std::uint8_t { kAccepted, kAnswered, kRejected };
+
+  // Queues or rejects a new request; repeats the answer to a retransmitted one.
   void HandleRequest(const adapter::EndHostPacket& request);
-  void SendAnswer(const adapter::EndHostPacket& request);
+  // Executes queued requests while slots are free.
+  void RunQueued();
+  // Sends what the caller of `request` is to know in `state`.
+  void SendAnswer(const adapter::EndHostPacket& request, RequestState state);
   void SendReply(const adapter::EndHostPacket& to,
                  adapter::EndHostPacket reply);
 
@@ -86,10 +101,12 @@
   const Send send_;
   const ExecutedCallback on_executed_;
   bool closing_ = false;
+  bool slow_ = false;
   std::uint64_t incarnation_ = 0;
   absl::flat_hash_set<direct::FlowKey> flows_;
-  // Whether each request that has arrived was answered.
-  absl::flat_hash_map<std::string, bool> answered_by_request_;
+  absl::flat_hash_map<std::string, RequestState> state_by_request_;
+  std::size_t running_ = 0;
+  std::deque<adapter::EndHostPacket> queue_;
 };
 
 }  // namespace gcw::soak
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -16,8 +16,10 @@
 struct SoakOptions {
   // Determines the fault plan, the callers' timing and the network faults.
   std::uint64_t seed = 1;
-  absl::Duration length = absl::Seconds(40);  // Duration of the whole run.
-  AddedFaults added{true, true, true, true};
+  // Duration of the run, without the kLoadPhase that follows if load patterns
+  // are among the added faults.
+  absl::Duration length = absl::Seconds(40);
+  AddedFaults added{true, true, true, true, true};
   std::size_t daemons_per_zone = 2;
   std::size_t servers_per_zone = 4;
   std::size_t callers_per_zone = 20;
@@ -38,7 +40,8 @@
 
 // Runs real daemon processes in three availability zones under the fault plan
 // of `options.seed`. Callers, backend servers and the store are simulated in
-// this process. Blocks for `options.length`. Fails with kBindFailed or
+// this process. Blocks for `options.length` and the load
+// phase. Fails with kBindFailed or
 // kInternal if the deployment cannot start. Not thread-safe.
 Result<SoakReport> RunSoak(const SoakOptions& options);
 
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -8,7 +8,7 @@
 namespace gcw::soak {
 namespace {
 
-constexpr AddedFaults kAllAdded{true, true, true, true};
+constexpr AddedFaults kAllAdded{true, true, true, true, true};
 
 TEST_CASE("equal seeds give equal plans and different seeds different plans") {
   CHECK(GeneratePlan(7, absl::Seconds(60), kAllAdded) ==
@@ -42,7 +42,10 @@
       {{.odd_entries = true}, {FaultKind::kOddEntry}},
       {{.exhaustion = true},
        {FaultKind::kLargeEntries, FaultKind::kIdleConnections,
-        FaultKind::kTakenPort}}};
+        FaultKind::kTakenPort}},
+      {{.load_patterns = true},
+       {FaultKind::kBusyZone, FaultKind::kSlowServer,
+        FaultKind::kBusyZoneRestarts}}};
   const auto plain = GeneratePlan(49, absl::Seconds(60), {});
   for (const auto& [added, kinds] : cases) {
     INFO(FaultName(*kinds.begin()));
@@ -60,6 +63,26 @@
   }
 }
 
+TEST_CASE("a load phase has each load pattern alone") {
+  std::set<FaultKind> first;
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    const auto plan = GenerateLoadPhase(seed, absl::Seconds(40));
+    CHECK(plan == GenerateLoadPhase(seed, absl::Seconds(40)));
+    std::set<FaultKind> kinds;
+    absl::Duration free = absl::Seconds(41);
+    for (const Fault& pattern : plan) {
+      kinds.insert(pattern.kind);
+      CHECK(pattern.start >= free);
+      free = pattern.start + pattern.duration + absl::Seconds(1);
+    }
+    CHECK(free <= absl::Seconds(40) + kLoadPhase);
+    CHECK(kinds == std::set{FaultKind::kBusyZone, FaultKind::kSlowServer,
+                            FaultKind::kBusyZoneRestarts});
+    first.insert(plan.front().kind);
+  }
+  CHECK(first.size() == 3);
+}
+
 TEST_CASE("a component is settled 4 s after its last impairment ended") {
   Impairments impairments;
   const absl::Time start = absl::UnixEpoch();
@@ -90,6 +113,15 @@
   bad = good;
   bad.fault_free_answered = 90;
   CHECK(Failures(bad).size() == 1);
+  bad = good;
+  bad.refused_with_room = 1;
+  CHECK(Failures(bad).size() == 1);
+  bad = good;
+  bad.busy_zone_requests = 1000;
+  bad.busy_zone_answered = 984;
+  CHECK(Failures(bad).size() == 1);
+  bad.busy_zone_answered = 985;
+  CHECK(Failures(bad).empty());
   CHECK(Failures({}).size() == 2);
 }
 
--- a/tests/soak/short_run_test.cc
+++ b/tests/soak/short_run_test.cc
@@ -20,6 +20,7 @@
 constexpr std::uint64_t kRestoreSeeds[] = {2, 3};
 constexpr std::uint64_t kOddEntrySeeds[] = {4};
 constexpr std::uint64_t kExhaustionSeeds[] = {7};
+constexpr std::uint64_t kLoadSeeds[] = {8};
 
 // Lengths with which the seeds failed; the plan depends on the length as well.
 absl::Duration LengthOf(std::uint64_t seed) {
@@ -89,5 +90,13 @@
   }
 }
 
+// Guards against refusals and lost requests while the callers of one zone ask
+// for more than its servers can do, or one server is slow.
+TEST_CASE("short soak runs with load patterns violate no invariant") {
+  for (const std::uint64_t seed : kLoadSeeds) {
+    RunSeed(seed, {.load_patterns = true});
+  }
+}
+
 }  // namespace
 }  // namespace gcw::soak
--- a/tools/gcw-soak/main.cc
+++ b/tools/gcw-soak/main.cc
@@ -43,9 +43,11 @@
   const auto& c = report.counts;
   fmt::print(
       "seed {}: {} ({} faults, {} of {} requests answered, "
-      "{} of {} after the last fault, {} MB at the peak)\n",
+      "{} of {} after the last fault, {} of {} in busy zones, "
+      "{} MB at the peak)\n",
       seed, report.failures.empty() ? "held" : "FAILED", report.plan.size(),
       c.answered, c.requests, c.fault_free_answered, c.fault_free_requests,
+      c.busy_zone_answered, c.busy_zone_requests,
       c.peak_resident_bytes / kBytesPerMegabyte);
   if (report.failures.empty()) {
     std::fflush(stdout);
@@ -87,6 +89,9 @@
                "leave odd entries among those of the servers for some time");
   app.add_flag("--exhaustion,!--no-exhaustion", options.added.exhaustion,
                "use up memory, descriptors and ports of daemons");
+  app.add_flag("--load-patterns,!--no-load-patterns",
+               options.added.load_patterns,
+               "busy zones and slow servers, also in a phase after each run");
   app.add_option("--daemons", options.daemons_per_zone,
                  "daemons in each of 3 availability zones")
       ->check(CLI::Range(1, 60));
