--- a/src/soak/caller.cc
+++ b/src/soak/caller.cc
@@ -30,6 +30,7 @@
 Caller::Caller(lab::Scheduler& scheduler,
                std::uint64_t seed,
                const Endpoint& address,
+               std::uint16_t ports,
                const Endpoint& service,
                bool new_flow_per_request,
                Send send,
@@ -41,7 +42,8 @@
       send_(std::move(send)),
       observer_(observer),
       flow_{address, service},
-      first_port_(address.port) {}
+      first_port_(address.port),
+      ports_(ports) {}
 
 void Caller::Start() {
   stopped_ = false;
@@ -77,7 +79,7 @@
   first_part_received_ = false;
   if (!open_) {
     flow_.caller.port =
-        static_cast<std::uint16_t>(first_port_ + flow_count_++ % kPorts);
+        static_cast<std::uint16_t>(first_port_ + flow_count_++ % ports_);
     flow_requests_.clear();
   }
   request_ = fmt::format("{}/{}/{}", ToString(flow_.caller), request_count_++,
--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -37,18 +37,15 @@
 // Not thread-safe; all actions run on the scheduler.
 class Caller {
  public:
-  // Distance between the first ports of callers that share an address.
-  static constexpr std::uint16_t kPorts = 600;
-
   using Send = std::function<void(const adapter::EndHostPacket&)>;
 
-  // Each new flow uses the next of kPorts ports, beginning with that of
-  // `address`. With
-  // `new_flow_per_request` each request opens a flow of its own. `scheduler`
-  // and `observer` must outlive the caller.
+  // Each new flow uses the next of `ports` ports, beginning with that of
+  // `address`. With `new_flow_per_request` each request opens a flow of its
+  // own. `scheduler` and `observer` must outlive the caller.
   Caller(lab::Scheduler& scheduler,
          std::uint64_t seed,
          const Endpoint& address,
+         std::uint16_t ports,
          const Endpoint& service,
          bool new_flow_per_request,
          Send send,
@@ -95,6 +92,7 @@
   CallerObserver& observer_;
   direct::FlowKey flow_;
   const std::uint16_t first_port_;
+  const std::uint16_t ports_;
   std::uint16_t flow_count_ = 0;
   State state_ = State::kIdle;
   bool open_ = false;
--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -26,15 +26,21 @@
 constexpr absl::Duration kUsageInterval = absl::Milliseconds(500);
 // Few enough that idle connections use them up.
 constexpr std::uint64_t kFewDescriptors = 200;
+// Ports of each usual caller and each burst caller, which is more seldom
+// active.
+constexpr std::uint16_t kPorts = 600;
+constexpr std::uint16_t kBurstPorts = 300;
 // Callers that a burst adds for each usual one. The default 20 callers use a
-// fifth of the slots of their zone; with a burst they need more than all.
-constexpr std::size_t kBurstFactor = 5;
+// fifth of the slots of their zone. With a burst they need 1.8 times the slots
+// of the zone, or 0.7 of those of the fleet; without other zones, the queues of
+// the servers in the zone would overflow.
+constexpr std::size_t kBurstFactor = 9;
 // One caller of so many opens a new flow for each request. Half of the burst
 // callers do, as only new flows can be placed by load.
 constexpr std::size_t kCallersPerShortFlows = 5;
 constexpr std::size_t kBurstCallersPerShortFlows = 2;
 // Callers that have ports enough at one address.
-constexpr std::size_t kMaxCallers = 100;
+constexpr std::size_t kMaxBurstCallers = 200;
 // Addresses that callers connect to.
 constexpr Endpoint kService{0xc6120001, 8443};
 constexpr Endpoint kOptionalService{0xc6120001, 9000};
@@ -391,7 +397,7 @@
 Status Deployment::MakeCallers() {
   const std::size_t bursting =
       options_.added.load_patterns
-          ? std::min(options_.callers_per_zone * kBurstFactor, kMaxCallers)
+          ? std::min(options_.callers_per_zone * kBurstFactor, kMaxBurstCallers)
           : 0;
   for (std::size_t i = 0; i < 2 * kZones; ++i) {
     auto port =
@@ -419,11 +425,12 @@
   record.port = burst ? kZones + zone : zone;
   // The first caller of each zone uses the optional route all the time.
   record.optional_route = !burst && index == 0;
+  const std::uint16_t ports = burst ? kBurstPorts : kPorts;
   const Endpoint address{
       LoopbackIp(kCallerNet, record.port),
-      static_cast<std::uint16_t>(kFirstCallerPort + index * Caller::kPorts)};
+      static_cast<std::uint16_t>(kFirstCallerPort + index * ports)};
   record.caller = std::make_unique<Caller>(
-      *loop_, options_.seed * 1000 + id, address,
+      *loop_, options_.seed * 1000 + id, address, ports,
       record.optional_route ? kOptionalService : kService,
       index % (burst ? kBurstCallersPerShortFlows : kCallersPerShortFlows) == 0,
       [this, id](const EndHostPacket& end) { OnCallerPacket(id, end); },
