--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -19,8 +19,13 @@
 
   // A request started. Its retries are not reported.
   virtual void OnRequest(absl::Time started) = 0;
-  // The request that started at `started` was answered.
-  virtual void OnAnswered(absl::Time started) = 0;
+  // The request that started at `started` ended, answered or not. `flow` is its
+  // latest flow.
+  virtual void OnFinished(const direct::FlowKey& flow,
+                          absl::Time started,
+                          bool answered) = 0;
+  // `flow` was reset before it was open.
+  virtual void OnRefused(const direct::FlowKey& flow) = 0;
   // The caller got an answer to a request sent from another IP address.
   virtual void OnWrongAnswer() = 0;
   // A daemon, not a server, sent a reset of `flow` to its caller.
@@ -34,18 +39,19 @@
  public:
   using Send = std::function<void(const adapter::EndHostPacket&)>;
 
-  // Each new flow uses the next port, beginning with that of `address`. With
-  // `new_flow_per_request` each request opens a flow of its own. `scheduler`
-  // and `observer` must outlive the caller.
+  // Each new flow uses the next of `ports` ports, beginning with that of
+  // `address`. With `new_flow_per_request` each request opens a flow of its
+  // own. `scheduler` and `observer` must outlive the caller.
   Caller(lab::Scheduler& scheduler,
          std::uint64_t seed,
          const Endpoint& address,
+         std::uint16_t ports,
          const Endpoint& service,
          bool new_flow_per_request,
          Send send,
          CallerObserver& observer);
 
-  // Starts the first request after a random pause.
+  // Starts the next request after a random pause, unless one is in progress.
   void Start();
   // Starts no further requests.
   void Stop() { stopped_ = true; }
@@ -73,7 +79,7 @@
   // Ends the attempt and starts the next one, if the request has any left.
   void RetryOrFinish();
   // Ends the request, answered or not, and schedules the next one.
-  void FinishRequest();
+  void FinishRequest(bool answered);
   void OnAnswer(const adapter::EndHostPacket& end);
   // Runs `action` after `delay` unless the attempt has ended by then.
   void AfterIfCurrent(absl::Duration delay, std::function<void()> action);
@@ -85,7 +91,9 @@
   const Send send_;
   CallerObserver& observer_;
   direct::FlowKey flow_;
-  std::uint16_t next_port_;
+  const std::uint16_t first_port_;
+  const std::uint16_t ports_;
+  std::uint16_t flow_count_ = 0;
   State state_ = State::kIdle;
   bool open_ = false;
   bool stopped_ = false;
