--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -198,7 +198,7 @@
 std::vector<std::string_view> ZoneBalancer::OverflowingServices() const {
   std::vector<std::string_view> names;
   for (const auto& [service, state] : services_) {
-    if (state.overflow_share > 0) {
+    if (state.own_share < 1) {
       names.push_back(service);
     }
   }
--- a/src/direct_balancer/event_writer.cc
+++ b/src/direct_balancer/event_writer.cc
@@ -169,6 +169,9 @@
             {"lost", e.excluded.lost},
             {"limited", e.excluded.limited},
             {"admitted_share", e.admitted_share},
+            {"priority", e.priority},
+            {"over_caller_limit", e.over_caller_limit},
+            {"figures_recent", e.figures_recent},
             {"configuration", e.configuration},
             {"servers_age_ms", MillisecondsOrNull(e.servers_age)}};
   }
@@ -211,7 +214,9 @@
   ordered_json operator()(const direct::AdmissionChanged& e) const {
     return {{"service", e.service},
             {"limited", e.limited},
-            {"requests_per_slot", e.requests_per_slot}};
+            {"requests_per_slot", e.requests_per_slot},
+            {"admitted_share", e.admitted_share},
+            {"figures_recent", e.figures_recent}};
   }
   ordered_json operator()(const direct::OverflowChanged& e) const {
     ordered_json utilisation = ordered_json::object();
--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -198,6 +198,14 @@
     fmt::format_to(end, "gcw_admitted_share{{service=\"{}\"}} {}\n",
                    service.service, service.admitted_share);
   }
+  AppendHeader(out, "gcw_flows_refused_total", "counter",
+               "New flows that were refused, by cause and priority.");
+  for (const direct::RefusalStats& refusal : router_.refusals) {
+    fmt::format_to(end,
+                   "gcw_flows_refused_total{{cause=\"{}\",priority=\"{}\"}} "
+                   "{}\n",
+                   refusal.cause, refusal.priority, refusal.flows);
+  }
   AppendSample(out, "gcw_slow_start_servers", "gauge",
                "Backend servers in slow start.", router_.slow_starts.size());
   AppendHeader(out, "gcw_slow_start_share", "gauge",
