direct: the overflow ends within seconds after a burst

A share that was cut to 0.02 grew by a factor only, so a quiet zone still sent flows away 10 s later (overflow_log_test.cc). Below three quarters of the target it now grows by the free part. The test of the swing draws ten times as many flows: with 200 a step, chance alone made up most of its bound.

--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -26,6 +26,10 @@
 // update. The figures are up to a second old, so larger steps would let the
 // load swing between the zones. A fall takes effect at once.
 constexpr double kRiseStep = 0.2;
+// The same once the utilisation is below this part of the target: the burst is
+// over, and the flows should stay in their zone again soon.
+constexpr double kCalmPart = 0.75;
+constexpr double kCalmRiseStep = 0.5;
 // Some new flows always stay, since they show how the own zone does.
 constexpr double kMinOwnShare = 0.02;
 // Without figures of the fleet, new flows leave the own zone only above this
@@ -135,12 +139,18 @@
       share_then = past.share;
     }
   }
-  // If all requests were on new flows, this share would lead to the target at
-  // once. Requests on flows that are open already make the step smaller.
-  const double wanted = std::clamp(
-      share_then * target / std::max(utilisation, kMinRoom), kMinOwnShare, 1.0);
-  const double step = wanted > state.own_share ? kRiseStep : 1;
-  return state.own_share + (wanted - state.own_share) * step;
+  // If all requests were on new flows, the product would lead to the target at
+  // once. Requests on flows that are open already make the step smaller. A
+  // small share grows by the free part of the target instead.
+  const double product = share_then * target / std::max(utilisation, kMinRoom);
+  const double sum = share_then + 1 - utilisation / target;
+  const bool calm = utilisation < kCalmPart * target;
+  const double wanted =
+      std::clamp(calm ? std::max(product, sum) : product, kMinOwnShare, 1.0);
+  const double rise = calm ? kCalmRiseStep : kRiseStep;
+  const double step = wanted > state.own_share ? rise : 1;
+  const double share = state.own_share + (wanted - state.own_share) * step;
+  return share > 1 - kMinOwnShare ? 1 : share;
 }
 
 void ZoneBalancer::UpdateWeights(double own,
--- a/tests/direct/zone_balancer_test.cc
+++ b/tests/direct/zone_balancer_test.cc
@@ -209,7 +209,7 @@
     std::array<double, 3> placed = pinned;
     for (std::size_t i = 0; i < kZones.size(); ++i) {
       balancers_[i].OnTick(servers_.table(), loads_[i], {}, now_);
-      constexpr int kDraws = 200;
+      constexpr int kDraws = 2000;
       for (int draw = 0; draw < kDraws; ++draw) {
         const std::string_view zone =
             overflow_ ? balancers_[i].ChooseZone(kService) : kZones[i];
