--- a/src/direct/server_pace.cc
+++ b/src/direct/server_pace.cc
@@ -19,6 +19,9 @@
 // A server that answers too slowly still gets some flows, which show when it is
 // faster again.
 constexpr double kMinShare = 1.0 / 16;
+// A server that was cold has been limited for that time already, so it begins
+// with this share once it is warm.
+constexpr double kFirstShareAfterCold = 1.0 / 2;
 // The share changes after this many answers for each slot: each slot was then
 // used about twice.
 constexpr double kAnswersPerSlot = 2;
@@ -249,6 +252,10 @@
     // A cold server has its own limit and gets few flows. Its slow start counts
     // from when it is warm.
     slow_start.calm_since = now;
+    slow_start.was_cold = true;
+  } else if (slow_start.was_cold) {
+    slow_start.was_cold = false;
+    slow_start.share = std::max(slow_start.share, kFirstShareAfterCold);
   }
   const Answers* answers = Evidence(server, slow_start, now);
   const double mean =
--- a/src/direct/server_pace.h
+++ b/src/direct/server_pace.h
@@ -90,7 +90,8 @@
     double share = 0;
     // When the server began, last answered too slowly or was cold.
     absl::Time calm_since;
-    absl::Time changed;  // When `share` was last set.
+    absl::Time changed;     // When `share` was last set.
+    bool was_cold = false;  // At the last tick.
     // Answers since `changed`: of all daemons of the zone according to their
     // figures, and an estimate of them from this daemon's own answers.
     Answers fleet_answers;
