load, direct: correct doc comments

The utilisation in metrics and events is not smoothed; no setting turns the exchange off for want of a port. Adds missing comments of public items and preconditions.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -42,7 +42,7 @@
   std::uint32_t max_flows = 100'000;
   std::uint64_t seed = 1;  // Of the random number generators.
   // The time of day. All daemons refuse the new flows of the same callers at
-  // the same time of day.
+  // the same time of day. Must not be empty; called for each new flow.
   std::function<absl::Time()> wall_clock = absl::Now;
 };
 
@@ -140,7 +140,7 @@
   std::string service;
   std::string zone;
   std::uint64_t slots = 0;  // Of the servers that can take new flows.
-  // Requests of all daemons per slot, smoothed; nullopt if not known.
+  // Outstanding requests of all daemons per slot; nullopt if not known.
   std::optional<double> utilisation;
 };
 
@@ -231,9 +231,10 @@
   void KeepZonesOut(std::span<const std::string> zones, absl::Time until);
 
   // Sets this daemon's position among the daemons that share the rate limits of
-  // cold servers. After the first call, cold servers get no flows
-  // for a second, while the daemons discover each other. Precondition:
-  // position.rank < position.daemons.
+  // cold servers, and the numbers of daemons by which estimates from its own
+  // flows are scaled. After the first call, cold servers get no flows for a
+  // second, while the daemons discover each other. Preconditions: position.rank
+  // < position.daemons; position.zone_daemons is positive.
   void SetFleetPosition(const FleetPosition& position, absl::Time now);
 
   // Replaces what is known of the load of all daemons together. The figures
--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -72,8 +72,7 @@
   std::uint32_t leaving = 0;
   std::uint32_t zone_out = 0;  // In a zone taken out of service.
   std::uint32_t lost = 0;      // Suspected or known to be unreachable.
-  // At the flow limit of the service or, while cold, at the
-  // rate limit.
+  // At the flow limit of the service or, while cold, at the rate limit.
   std::uint32_t limited = 0;
 };
 
@@ -179,7 +178,7 @@
 // The load of a service in one availability zone.
 struct ZoneUtilisation {
   std::string zone;
-  // Requests of all daemons per slot, smoothed; negative if not known.
+  // Outstanding requests of all daemons per slot; negative if not known.
   double utilisation = -1;
 };
 
--- a/include/gcw/load/aggregator.h
+++ b/include/gcw/load/aggregator.h
@@ -52,14 +52,14 @@
 // ascending and one in descending order, so that a daemon that fails in one
 // tree is mostly a leaf of the other one. In rounds that the roots start,
 // partial sums pass up the trees, the roots of the zones exchange their sums,
-// and the total passes down again. All
-// figures are soft state with an age; nothing is stored or agreed upon.
+// and the total passes down again. All figures are soft state with an age;
+// nothing is stored or agreed upon.
 //
 // Has no I/O. Not thread-safe. `now` must come from a monotonic clock.
 class Aggregator {
  public:
-  // Fails with kInvalidField if the name or zone is empty, or if `fanout` or an
-  // interval is zero.
+  // Fails with kInvalidField if the name or zone is empty, or if another option
+  // is not positive.
   static Result<std::unique_ptr<Aggregator>> Make(const Options& options);
   ~Aggregator();
   Aggregator(const Aggregator&) = delete;
@@ -68,7 +68,8 @@
   // Replaces the list of live daemons; this daemon may be absent from `peers`.
   void SetPeers(std::span<const Peer> peers, absl::Time now);
 
-  // Replaces this daemon's own figures, as measured at `now`.
+  // Replaces this daemon's own figures, as measured at `now`. They count as one
+  // daemon's, whatever Figures::daemons is.
   void SetOwn(Figures figures, absl::Time now);
 
   // Handles a message from the live daemon `from`, and returns the messages to
@@ -87,7 +88,7 @@
   // figures.
   FleetFigures Total(absl::Time now) const;
 
-  // Messages ignored since the start.
+  // The number of messages that OnMessage() has ignored since the start.
   std::uint64_t ignored_messages() const;
 
  private:
--- a/include/gcw/load/figures.h
+++ b/include/gcw/load/figures.h
@@ -22,7 +22,7 @@
   NameHash zone = 0;  // Of the backend servers.
   // Requests that run or queue at the servers.
   std::uint32_t outstanding = 0;
-  std::uint32_t open_flows = 0;
+  std::uint32_t open_flows = 0;  // With or without a request.
   // New flows per second that were placed on the servers, and that were refused
   // because the service was overloaded. Refused flows count for the daemon's
   // own zone.
@@ -46,7 +46,9 @@
   bool operator==(const ServerLoad&) const = default;
 };
 
+// The time over which ServerLoad counts answers.
 inline constexpr absl::Duration kServerWindow = absl::Seconds(2);
+// The fixed-point unit of ServerLoad::slowness: a slowness of 1.
 inline constexpr std::uint32_t kSlownessUnit = 16;
 
 // The load that some daemons put on the backend servers: of one daemon, or the
--- a/include/gcw/load/message.h
+++ b/include/gcw/load/message.h
@@ -11,6 +11,7 @@
 
 namespace gcw::load {
 
+// The direction of a message and the daemons whose load it sums.
 enum class MessageType : std::uint8_t {
   kPartial = 0,  // Up a tree: the sum over the sender's subtree.
   kZone = 1,     // Between roots: the sum over the sender's zone.
--- a/src/direct/placer.h
+++ b/src/direct/placer.h
@@ -27,11 +27,10 @@
 // - Servers are excluded if they are draining, gone, unreachable, at their flow
 //   limit, in a zone taken out of service, or cold (`cold_until` in the future)
 //   with this daemon's quota of new flows used up.
-// - Servers in the zone that the caller of Choose() prefers come first. If
-// there
-//   are many, some are drawn at random. Servers of other zones, cold servers
-//   and servers that lapsed are considered only if none of these can take the
-//   flow.
+// - Servers in the zone that the caller of Choose() prefers come first; if
+//   there are many, some are drawn at random. Servers of other zones, cold
+//   servers and servers that lapsed are considered only if none of these can
+//   take the flow.
 // - Among these, a server in slow start is chosen with a probability by its
 //   share (ServerEntry::share), or if the expected waits of the others are many
 //   times longer.
--- a/src/direct_balancer/settings.cc
+++ b/src/direct_balancer/settings.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kMaxSeeds = 1000;
 constexpr std::size_t kMaxNameLength = 63;
 constexpr std::uint32_t kMaxPort = 65'535;
-// The next port is used for other daemons as well.
+// The next port is used for messages between daemons as well.
 constexpr std::uint32_t kMaxMembersPort = kMaxPort - 1;
 
 // Reads an optional number of `unit`, which may have a fraction; without it,
--- a/src/direct_balancer/settings.h
+++ b/src/direct_balancer/settings.h
@@ -37,13 +37,11 @@
   absl::Duration servers_deadline = absl::Seconds(3);
   absl::Duration zones_deadline = absl::Seconds(5);
   // Whether this daemon exchanges its load with the others. Without the
-  // exchange it estimates the load of the fleet from its own flows. Always
-  // false if `members_port` leaves no port for the exchange.
+  // exchange it estimates the load of the fleet from its own flows.
   bool load_exchange = true;
   LogLevel log_level = LogLevel::kInfo;
   // The fields that were ignored and why: unknown ones, which another release
-  // may know, times that are `true` or `false`, and a load exchange without a
-  // port.
+  // may know, and times that are `true` or `false`.
   std::vector<Error> ignored;
 
   bool operator==(const Settings&) const = default;
