direct: shorter functions for metrics, slow start figures and placement

Splits Metrics::RenderLoad, ServerPace::OwnFigures and HandleSyn by step. No change of behaviour; gcw_direct_tests and gcw_load_tests hold (one known failure).

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -307,20 +307,30 @@
       return RefuseUnplaced(packet, route.priority, placement.excluded, now);
     }
     Track(packet, route, flow, placement.server, now);
-    ++placement.server->placed;
-    own_load_.OnPlaced(*placement.server);
-    const Reason reason = repeated_syn ? Reason::kPlacedAgain : Reason::kPlaced;
+    return ForwardPlaced(packet, placement,
+                         repeated_syn ? Reason::kPlacedAgain : Reason::kPlaced,
+                         now);
+  }
+
+  // Records and reports that a SYN was placed on a server, and forwards it.
+  Decision ForwardPlaced(const Packet& packet,
+                         const Placement& placement,
+                         Reason reason,
+                         absl::Time now) {
+    ServerEntry& server = *placement.server;
+    ++server.placed;
+    own_load_.OnPlaced(server);
     events_.push_back(FlowOpened{.flow = packet.flow,
                                  .reason = reason,
-                                 .server = placement.server->server.name,
-                                 .server_zone = placement.server->server.zone,
+                                 .server = server.server.name,
+                                 .server_zone = server.server.zone,
                                  .repeat = packet.acknowledged,
-                                 .server_flows = placement.server->open_flows,
+                                 .server_flows = server.open_flows,
                                  .candidates = placement.candidates,
-                                 .overflow = IsOverflow(*placement.server),
+                                 .overflow = IsOverflow(server),
                                  .configuration = configuration_.version(),
                                  .servers_age = ServersAge(now)});
-    return Forward(*placement.server, reason);
+    return Forward(server, reason);
   }
 
   // Whether a new flow goes to `server` because the own zone is near its
--- a/src/direct/server_pace.cc
+++ b/src/direct/server_pace.cc
@@ -336,8 +336,9 @@
   return relevance;
 }
 
-std::vector<load::ServerLoad> ServerPace::OwnFigures(const ServerTable& servers,
-                                                     absl::Time now) const {
+std::vector<const ServerEntry*> ServerPace::ServersToTell(
+    const ServerTable& servers,
+    absl::Time now) const {
   std::vector<std::pair<double, const ServerEntry*>> told;
   const auto add = [&](const ServerEntry& server, const State& state) {
     const double relevance = Relevance(server, state, now);
@@ -362,9 +363,18 @@
                      std::greater<>());
     told.resize(kMaxTold);
   }
-  std::vector<load::ServerLoad> figures;
-  figures.reserve(told.size());
+  std::vector<const ServerEntry*> entries;
+  entries.reserve(told.size());
   for (const auto& [relevance, entry] : told) {
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+std::vector<load::ServerLoad> ServerPace::OwnFigures(const ServerTable& servers,
+                                                     absl::Time now) const {
+  std::vector<load::ServerLoad> figures;
+  for (const ServerEntry* entry : ServersToTell(servers, now)) {
     const auto it = states_.find(entry->cookie);
     const Answers answers =
         it == states_.end() ? Answers() : it->second.window.Sum(now);
--- a/src/direct/server_pace.h
+++ b/src/direct/server_pace.h
@@ -117,6 +117,9 @@
   static bool AnswersWell(const SlowStart& slow_start);
   // Adjusts the share of `server`, and ends its slow start if it is over.
   void AdjustShare(const ServerEntry& server, State& state, absl::Time now);
+  // The servers that are worth telling the others, at most kMaxTold.
+  std::vector<const ServerEntry*> ServersToTell(const ServerTable& servers,
+                                                absl::Time now) const;
   // How much the others should know of `server`: 0 if nothing, the most
   // important server has the largest value.
   double Relevance(const ServerEntry& server,
--- a/src/direct_balancer/metrics.cc
+++ b/src/direct_balancer/metrics.cc
@@ -165,7 +165,7 @@
   }
 }
 
-void Metrics::RenderLoad(std::string& out) const {
+void Metrics::RenderZoneLoads(std::string& out) const {
   const auto end = std::back_inserter(out);
   AppendHeader(out, "gcw_zone_utilisation", "gauge",
                "Requests of all daemons per slot, as estimated here.");
@@ -186,6 +186,10 @@
                "Age of the newest figures of the fleet's load.");
   fmt::format_to(end, "gcw_load_age_seconds {}\n",
                  absl::ToDoubleSeconds(router_.load_age));
+}
+
+void Metrics::RenderServiceLoads(std::string& out) const {
+  const auto end = std::back_inserter(out);
   AppendHeader(out, "gcw_overflow_share", "gauge",
                "Part of the new flows that goes to other zones.");
   for (const direct::ServiceLoadStats& service : router_.service_loads) {
@@ -206,6 +210,10 @@
                    "{}\n",
                    refusal.cause, refusal.priority, refusal.flows);
   }
+}
+
+void Metrics::RenderSlowStarts(std::string& out) const {
+  const auto end = std::back_inserter(out);
   AppendSample(out, "gcw_slow_start_servers", "gauge",
                "Backend servers in slow start.", router_.slow_starts.size());
   AppendHeader(out, "gcw_slow_start_share", "gauge",
@@ -214,6 +222,9 @@
     fmt::format_to(end, "gcw_slow_start_share{{server=\"{}\"}} {}\n",
                    server.server, server.share);
   }
+}
+
+void Metrics::RenderLoadExchange(std::string& out) const {
   AppendSample(out, "gcw_load_datagrams_sent_total", "counter",
                "Datagrams of the load exchange sent.",
                load_exchange_.datagrams_sent);
@@ -283,7 +294,10 @@
     fmt::format_to(end, "gcw_accept_pauses_total{{port=\"{}\"}} {}\n", port,
                    stats.pauses);
   }
-  RenderLoad(out);
+  RenderZoneLoads(out);
+  RenderServiceLoads(out);
+  RenderSlowStarts(out);
+  RenderLoadExchange(out);
   latency_histograms_->Render(out);
   AppendSample(out, "gcw_start_delays_total", "counter",
                "Failed attempts to open a port or to start a thread.",
--- a/src/direct_balancer/metrics.h
+++ b/src/direct_balancer/metrics.h
@@ -74,7 +74,16 @@
  private:
   class LatencyHistograms;
 
-  void RenderLoad(std::string& out) const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  // Append the load of zones, of services, of servers in slow start, and of the
+  // load exchange to `out`.
+  void RenderZoneLoads(std::string& out) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RenderServiceLoads(std::string& out) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RenderSlowStarts(std::string& out) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  void RenderLoadExchange(std::string& out) const
+      ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
 
   std::array<std::atomic<std::uint64_t>, direct::kReasonCount> packets_{};
   std::atomic<std::uint64_t> start_delays_ = 0;
