load, direct: one maximum age of figures; tests say what they guard against

The maximum age stood in gcw/load and in FleetLoad; both now use load::kMaxFiguresAge (1.5 s as before). Admission moves out of HandleSyn.

--- a/include/gcw/load/aggregator.h
+++ b/include/gcw/load/aggregator.h
@@ -29,7 +29,7 @@
   // Every how many rounds messages include the figures of single servers.
   std::uint32_t server_rounds = 4;
   // Figures older than this are left out.
-  absl::Duration max_age = absl::Milliseconds(1500);
+  absl::Duration max_age = kMaxFiguresAge;
 };
 
 // A live daemon of the fleet.
--- a/include/gcw/load/figures.h
+++ b/include/gcw/load/figures.h
@@ -46,6 +46,9 @@
   bool operator==(const ServerLoad&) const = default;
 };
 
+// Figures of other daemons that are older than this are not used: the load of a
+// service may have changed several times since then.
+inline constexpr absl::Duration kMaxFiguresAge = absl::Milliseconds(1500);
 // The time over which ServerLoad counts answers.
 inline constexpr absl::Duration kServerWindow = absl::Seconds(2);
 // The fixed-point unit of ServerLoad::slowness: a slowness of 1.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "src/direct/active_configuration.h"
@@ -290,11 +291,10 @@
     // A retransmitted SYN is always admitted: a server may already have opened
     // its flow.
     if (flow == nullptr && packet.acknowledged == 0) {
-      const Admission admission = admission_table_.Admit(
-          name, {.priority = route.priority, .caller = packet.flow.caller.ip},
-          now, options_.wall_clock());
-      if (!admission.admitted) {
-        return RefuseOverloaded(packet, route.priority, name, admission, now);
+      const std::optional<Decision> refusal =
+          RefuseIfOverloaded(packet, route.priority, name, now);
+      if (refusal) {
+        return *refusal;
       }
     }
     Placement placement;
@@ -340,6 +340,21 @@
            zone_balancer_.overflow_share(server.server.service) > 0;
   }
 
+  // Counts a new flow as demand of `service`, and refuses it if admission
+  // control does not admit it.
+  std::optional<Decision> RefuseIfOverloaded(const Packet& packet,
+                                             std::uint32_t priority,
+                                             std::string_view service,
+                                             absl::Time now) {
+    const Admission admission = admission_table_.Admit(
+        service, {.priority = priority, .caller = packet.flow.caller.ip}, now,
+        options_.wall_clock());
+    if (admission.admitted) {
+      return std::nullopt;
+    }
+    return RefuseOverloaded(packet, priority, service, admission, now);
+  }
+
   // Resets a new flow because `service` is overloaded.
   Decision RefuseOverloaded(const Packet& packet,
                             std::uint32_t priority,
--- a/src/direct/fleet_load.h
+++ b/src/direct/fleet_load.h
@@ -17,7 +17,7 @@
 class FleetLoad {
  public:
   // Figures of the fleet older than this are not used.
-  static constexpr absl::Duration kMaxAge = absl::Milliseconds(1500);
+  static constexpr absl::Duration kMaxAge = load::kMaxFiguresAge;
 
   // `zone` is the daemon's own availability zone.
   explicit FleetLoad(std::string_view zone);
--- a/src/soak/load_watch.cc
+++ b/src/soak/load_watch.cc
@@ -11,7 +11,7 @@
 namespace gcw::soak {
 namespace {
 
-// Zones above this utilisation get no flows of other zones.
+// A zone above this utilisation has no room for flows of other zones.
 constexpr double kMaxUtilisationWithRoom = 0.85;
 // Smooths over about 0.5 s, which is as old as the daemons' figures.
 constexpr double kSmoothing = 0.1;
--- a/tests/direct/fleet_load_test.cc
+++ b/tests/direct/fleet_load_test.cc
@@ -30,6 +30,7 @@
   return load;
 }
 
+// Guards against figures of another service or zone in the sum.
 TEST_CASE("the load of a zone is that of all daemons") {
   FleetLoad load = MakeLoad();
   load.SetOwn(Figures(3, 1), kStart);
@@ -54,6 +55,8 @@
   CHECK(load.Outstanding("board", later) == 80);
 }
 
+// Guards against a zone that seems to have room because some of its daemons are
+// not heard from.
 TEST_CASE("figures that lack daemons of the own zone are scaled up") {
   FleetLoad load = MakeLoad();
   load::FleetFigures figures = FleetFigures(32, 20);
--- a/tests/direct/zone_balancer_test.cc
+++ b/tests/direct/zone_balancer_test.cc
@@ -95,6 +95,7 @@
   ZoneBalancer balancer_{"a", 3};
 };
 
+// Flows between zones cost bytes and break when the zones are separated.
 TEST_CASE("new flows stay in their zone while it has room") {
   CHECK(SteadyLoad({0.5, 0.1, 0.1}).Shares()[0] == Approx(1));
 }
@@ -109,11 +110,13 @@
   CHECK(shares[1] / shares[2] == Approx(0.75 / 0.35).epsilon(0.1));
 }
 
+// Guards against zones that exchange flows although neither has more room.
 TEST_CASE("a zone that is hardly less utilised gets no overflow") {
   CHECK(SteadyLoad({0.8, 0.75, 0.75}).Shares()[0] == Approx(1));
   CHECK(SteadyLoad({3.0, 2.95, 2.9}).Shares()[0] == Approx(1));
 }
 
+// Guards against flows to zones whose servers may be lost or full.
 TEST_CASE("a zone that is out of service or not heard from gets no overflow") {
   SteadyLoad load({1.2, 0.1, 0.1});
   SECTION("out of service") {
@@ -141,6 +144,7 @@
   CHECK(shares[2] > 0.3);
 }
 
+// Guards against a split that ignores how much room each other zone has.
 TEST_CASE("without servers in their zone new flows go where there is room") {
   SteadyLoad load({0, 0.8, 0.3});
   load.zones_out().insert("a");
--- a/tests/load/aggregator_test.cc
+++ b/tests/load/aggregator_test.cc
@@ -7,6 +7,7 @@
 namespace gcw::load {
 namespace {
 
+// Guards against trees that lose or count a daemon twice at some size.
 TEST_CASE("every daemon knows the load of the whole fleet") {
   for (const auto& [zones, daemons] :
        std::vector<std::pair<std::size_t, std::size_t>>{
@@ -23,6 +24,7 @@
   }
 }
 
+// Guards against figures that wait for a round at each level of a tree.
 TEST_CASE("a change of load is known everywhere within a second") {
   Fleet fleet(3, 27);
   fleet.Run(absl::Seconds(4));
@@ -70,6 +72,7 @@
   }
 }
 
+// Guards against figures of a lost zone that stay in the sum.
 TEST_CASE("a zone that is cut off disappears from the sum and comes back") {
   Fleet fleet(3, 10);
   fleet.Run(absl::Seconds(4));
@@ -100,6 +103,8 @@
   }
 }
 
+// Guards against loops and wrong sums while daemons have different lists of
+// members.
 TEST_CASE("messages of daemons without a part in the tree are ignored") {
   auto daemon = Aggregator::Make({.name = "a", .zone = "zone"}).value();
   const std::vector<Peer> peers{{"b", "zone"}, {"c", "zone"}};
@@ -152,6 +157,7 @@
   }
 }
 
+// Guards against constant control traffic of a fleet without load.
 TEST_CASE("an idle fleet sends less") {
   Fleet busy(3, 10);
   Fleet idle(3, 10);
