--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "src/direct/active_configuration.h"
@@ -290,11 +291,10 @@
     // A retransmitted SYN is always admitted: a server may already have opened
     // its flow.
     if (flow == nullptr && packet.acknowledged == 0) {
-      const Admission admission = admission_table_.Admit(
-          name, {.priority = route.priority, .caller = packet.flow.caller.ip},
-          now, options_.wall_clock());
-      if (!admission.admitted) {
-        return RefuseOverloaded(packet, route.priority, name, admission, now);
+      const std::optional<Decision> refusal =
+          RefuseIfOverloaded(packet, route.priority, name, now);
+      if (refusal) {
+        return *refusal;
       }
     }
     Placement placement;
@@ -307,20 +307,30 @@
       return RefuseUnplaced(packet, route.priority, placement.excluded, now);
     }
     Track(packet, route, flow, placement.server, now);
-    ++placement.server->placed;
-    own_load_.OnPlaced(*placement.server);
-    const Reason reason = repeated_syn ? Reason::kPlacedAgain : Reason::kPlaced;
+    return ForwardPlaced(packet, placement,
+                         repeated_syn ? Reason::kPlacedAgain : Reason::kPlaced,
+                         now);
+  }
+
+  // Records and reports that a SYN was placed on a server, and forwards it.
+  Decision ForwardPlaced(const Packet& packet,
+                         const Placement& placement,
+                         Reason reason,
+                         absl::Time now) {
+    ServerEntry& server = *placement.server;
+    ++server.placed;
+    own_load_.OnPlaced(server);
     events_.push_back(FlowOpened{.flow = packet.flow,
                                  .reason = reason,
-                                 .server = placement.server->server.name,
-                                 .server_zone = placement.server->server.zone,
+                                 .server = server.server.name,
+                                 .server_zone = server.server.zone,
                                  .repeat = packet.acknowledged,
-                                 .server_flows = placement.server->open_flows,
+                                 .server_flows = server.open_flows,
                                  .candidates = placement.candidates,
-                                 .overflow = IsOverflow(*placement.server),
+                                 .overflow = IsOverflow(server),
                                  .configuration = configuration_.version(),
                                  .servers_age = ServersAge(now)});
-    return Forward(*placement.server, reason);
+    return Forward(server, reason);
   }
 
   // Whether a new flow goes to `server` because the own zone is near its
@@ -330,6 +340,21 @@
            zone_balancer_.overflow_share(server.server.service) > 0;
   }
 
+  // Counts a new flow as demand of `service`, and refuses it if admission
+  // control does not admit it.
+  std::optional<Decision> RefuseIfOverloaded(const Packet& packet,
+                                             std::uint32_t priority,
+                                             std::string_view service,
+                                             absl::Time now) {
+    const Admission admission = admission_table_.Admit(
+        service, {.priority = priority, .caller = packet.flow.caller.ip}, now,
+        options_.wall_clock());
+    if (admission.admitted) {
+      return std::nullopt;
+    }
+    return RefuseOverloaded(packet, priority, service, admission, now);
+  }
+
   // Resets a new flow because `service` is overloaded.
   Decision RefuseOverloaded(const Packet& packet,
                             std::uint32_t priority,
