direct, load: figures of a minority, of one side of a partition or too old are not used

Found in review. With 2 of 29 daemons upgraded, their sum scaled by 2 looked like an idle fleet, so admission control was off; now figures count only if they include half of the daemons. During a partition, the requests of all zones were divided by the slots of one side. A total kept the load of a zone whose figures had expired. A total that waited while the process was paused counted as new. Admission control is dated by the oldest figures in the sum. Idle rounds come every 0.8 s instead of 1 s, so that figures do not expire between them.

--- a/src/direct/admission_table.cc
+++ b/src/direct/admission_table.cc
@@ -8,16 +8,41 @@
 namespace gcw::direct {
 namespace {
 
-// The number of requests that the reachable servers of `service` can run at the
-// same time (slots).
-std::uint64_t SlotsOf(const ServerTable& servers, std::string_view service) {
+// The number of requests that the reachable servers among `servers` can run at
+// the same time (slots).
+double SlotsOf(std::span<ServerEntry* const> servers) {
   std::uint64_t slots = 0;
-  for (const ServerEntry* entry : servers.OfService(service)) {
+  for (const ServerEntry* entry : servers) {
     const bool usable =
         entry->presence == Presence::kListed && entry->reach.usable();
     slots += usable ? entry->server.slots : 0;
   }
-  return slots;
+  return static_cast<double>(slots);
+}
+
+// The requests that run or queue at the reachable servers of `service`, per
+// slot; 0 without such servers. With figures of the fleet, zones of which they
+// tell nothing, or of which no server is reachable, count neither way: during a
+// partition, requests would otherwise be divided by the slots of one side only.
+double RequestsPerSlot(const ServerTable& servers,
+                       std::string_view service,
+                       const FleetLoad& load,
+                       absl::Time now) {
+  if (!load.fresh(now)) {
+    const double slots = SlotsOf(servers.OfService(service));
+    return slots == 0 ? 0 : load.Outstanding(service, now) / slots;
+  }
+  double requests = 0;
+  double slots = 0;
+  for (const ZoneServers& zone : servers.ZonesOfService(service)) {
+    const double zone_slots = SlotsOf(zone.servers);
+    const auto outstanding = load.Outstanding(service, zone.zone, now);
+    if (zone_slots > 0 && outstanding) {
+      requests += *outstanding;
+      slots += zone_slots;
+    }
+  }
+  return slots == 0 ? 0 : requests / slots;
 }
 
 }  // namespace
@@ -65,11 +90,8 @@
   const std::optional<absl::Duration> figures_age =
       fresh ? std::optional(load.age(now)) : std::nullopt;
   for (auto& [service, controller] : controllers_) {
-    const std::uint64_t slots = SlotsOf(servers, service);
     const double requests_per_slot =
-        slots == 0
-            ? 0
-            : load.Outstanding(service, now) / static_cast<double>(slots);
+        RequestsPerSlot(servers, service, load, now);
     const bool was_limited = controller.admitted_share() < 1;
     controller.OnTick(requests_per_slot, now, figures_age);
     const bool limited = controller.admitted_share() < 1;
--- a/src/direct/fleet_load.cc
+++ b/src/direct/fleet_load.cc
@@ -10,8 +10,9 @@
 // A rise of this daemon's own requests counts if it is larger than this many
 // standard deviations of the difference between two Poisson counts.
 constexpr double kSignificantDeviations = 2;
-// Figures that lack daemons of the own zone are scaled up at most this much: a
-// larger gap is more likely a wrong list of daemons than missing load.
+// Figures are scaled up by the daemons that they lack, at most this much.
+// Beyond it, as while few daemons of a fleet have been upgraded, an estimate
+// from this daemon's own flows is closer.
 constexpr double kMaxScale = 2;
 
 // The outstanding requests of `service` in `figures`: at the servers of `zone`,
@@ -52,7 +53,10 @@
       [&](const load::Coverage& part) { return part.zone == zone; });
   const bool recent =
       it != fleet_.coverage.end() && it->age + (now - fleet_set_at_) <= kMaxAge;
-  return recent ? &*it : nullptr;
+  const bool covers_half =
+      recent &&
+      (zone != zone_ || kMaxScale * it->daemons >= position_.zone_daemons);
+  return covers_half ? &*it : nullptr;
 }
 
 double FleetLoad::OwnRise(load::NameHash service,
@@ -90,8 +94,19 @@
   }
   const double missing = static_cast<double>(position_.zone_daemons) /
                          std::max<std::uint32_t>(coverage->daemons, 1);
-  return outstanding * std::clamp(missing, 1.0, kMaxScale) +
-         OwnRise(service_hash, *coverage, now) * position_.zone_daemons;
+  return outstanding * std::clamp(missing, 1.0, kMaxScale);
+}
+
+std::optional<double> FleetLoad::OutstandingWithRise(std::string_view service,
+                                                     std::string_view zone,
+                                                     absl::Time now) const {
+  std::optional<double> outstanding = Outstanding(service, zone, now);
+  const load::Coverage* coverage = RecentCoverage(zone_, now);
+  if (outstanding && coverage != nullptr && load::HashName(zone) == zone_) {
+    *outstanding += OwnRise(load::HashName(service), *coverage, now) *
+                    position_.zone_daemons;
+  }
+  return outstanding;
 }
 
 double FleetLoad::Outstanding(std::string_view service, absl::Time now) const {
@@ -109,12 +124,22 @@
          std::clamp(missing, 1.0, kMaxScale);
 }
 
+bool FleetLoad::fresh(absl::Time now) const {
+  std::uint32_t covered = 0;
+  for (const load::Coverage& part : fleet_.coverage) {
+    const bool recent = part.age + (now - fleet_set_at_) <= kMaxAge;
+    covered += recent ? part.daemons : 0;
+  }
+  return covered > 0 && kMaxScale * covered >= position_.daemons;
+}
+
 absl::Duration FleetLoad::age(absl::Time now) const {
-  absl::Duration age = absl::InfiniteDuration();
+  absl::Duration oldest = -absl::InfiniteDuration();
   for (const load::Coverage& part : fleet_.coverage) {
-    age = std::min(age, part.age + (now - fleet_set_at_));
+    const absl::Duration age = part.age + (now - fleet_set_at_);
+    oldest = age <= kMaxAge ? std::max(oldest, age) : oldest;
   }
-  return age;
+  return oldest < absl::ZeroDuration() ? absl::InfiniteDuration() : oldest;
 }
 
 }  // namespace gcw::direct
--- a/src/direct/fleet_load.h
+++ b/src/direct/fleet_load.h
@@ -30,24 +30,31 @@
   void SetFleetPosition(const FleetPosition& position) { position_ = position; }
 
   // The requests of all daemons that run or queue at the servers of `service`
-  // in `zone`. Without recent figures of the daemons of `zone`: for the own
-  // zone an estimate from this daemon's own requests and the number of daemons
-  // in the zone, for another zone nullopt.
+  // in `zone`, when the figures were measured. Without recent figures of the
+  // daemons of `zone`: for the own zone an estimate from this daemon's own
+  // requests and the number of daemons in the zone, for another zone nullopt.
   std::optional<double> Outstanding(std::string_view service,
                                     std::string_view zone,
                                     absl::Time now) const;
-  // The same summed over all zones; an estimate from this daemon's own requests
-  // and the number of daemons of the fleet if no recent figures are known.
+  // The same with a sharp rise of this daemon's own requests in the own zone
+  // since then, scaled by the daemons of the zone.
+  std::optional<double> OutstandingWithRise(std::string_view service,
+                                            std::string_view zone,
+                                            absl::Time now) const;
+  // Outstanding() summed over all zones; an estimate from this daemon's own
+  // requests and the number of daemons of the fleet if no recent figures are
+  // known.
   double Outstanding(std::string_view service, absl::Time now) const;
 
-  // Whether figures of the fleet that are not older than kMaxAge are known.
-  bool fresh(absl::Time now) const { return age(now) <= kMaxAge; }
+  // Whether figures that are not older than kMaxAge are known of at least half
+  // of the fleet's daemons.
+  bool fresh(absl::Time now) const;
   // The same for figures of the daemons of the own zone.
   bool covers_own_zone(absl::Time now) const {
     return RecentCoverage(zone_, now) != nullptr;
   }
-  // The age of the newest figures of the fleet; InfiniteDuration if there are
-  // none.
+  // The age of the oldest figures of the fleet that are in use;
+  // InfiniteDuration if there are none.
   absl::Duration age(absl::Time now) const;
 
   const load::Figures& own() const { return own_; }
@@ -59,7 +66,8 @@
   };
 
   // The part of the figures that comes from the daemons of `zone`, if it is not
-  // older than kMaxAge.
+  // older than kMaxAge and, for the own zone, includes at least half of the
+  // daemons.
   const load::Coverage* RecentCoverage(load::NameHash zone,
                                        absl::Time now) const;
   // How many more requests this daemon has at the servers of `service` in the
--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -94,11 +94,12 @@
                                  const FleetLoad& load,
                                  absl::Time now,
                                  ServiceState& state) const {
-  const bool fresh = load.fresh(now);
+  const bool fresh = load.fresh(now) && load.covers_own_zone(now);
   double outstanding = 0;
   double slots = 0;
   for (auto& [name, zone] : state.zones) {
-    const std::optional<double> requests = load.Outstanding(service, name, now);
+    const std::optional<double> requests =
+        load.OutstandingWithRise(service, name, now);
     zone.utilisation.reset();
     if (zone.slots > 0 && requests) {
       outstanding += *requests;
--- a/src/direct_balancer/load_service.cc
+++ b/src/direct_balancer/load_service.cc
@@ -75,7 +75,7 @@
   last_total_ = now;
   metrics_.SetLoadExchangeStats(exchange_->stats());
   if (auto total = exchange_->Total(now)) {
-    on_total_({*std::move(total)});
+    on_total_({*std::move(total), now});
   }
 }
 
--- a/src/direct_balancer/messages.h
+++ b/src/direct_balancer/messages.h
@@ -69,6 +69,7 @@
 // The load of all daemons together, as known when the message is sent.
 struct FleetLoadSummed {
   load::FleetFigures figures;
+  absl::Time summed;  // By kernel::MonotonicNow().
 };
 
 // The messages that the state task sends to the packet task.
--- a/src/direct_balancer/packet_task.cc
+++ b/src/direct_balancer/packet_task.cc
@@ -245,8 +245,9 @@
   void Handle(const FleetChanged& m, absl::Time now) {
     router_->SetFleetPosition(m.place, now);
   }
-  void Handle(const FleetLoadSummed& m, absl::Time now) {
-    router_->SetFleetLoad(m.figures, now);
+  void Handle(const FleetLoadSummed& m, absl::Time /*now*/) {
+    // The message may have waited while the process was paused.
+    router_->SetFleetLoad(m.figures, m.summed);
   }
   void Handle(const FeedFailed& m, absl::Time now) {
     router_->OnStoreFailure(m.feed, m.code, now);
--- a/src/load/aggregation_tree.cc
+++ b/src/load/aggregation_tree.cc
@@ -10,7 +10,7 @@
 // without its slowest children. Daemons look at their timers every 50 ms.
 constexpr absl::Duration kCollectTimePerLevel = absl::Milliseconds(50);
 // While there is no load, rounds are this many times rarer.
-constexpr int kIdleFactor = 2;
+constexpr double kIdleFactor = 1.6;
 // By how much of its length an interval is changed to keep the rounds of the
 // two trees apart.
 constexpr double kMaxShift = 0.25;
@@ -286,14 +286,16 @@
 
 void AggregationTree::AddRecent(const Received& received,
                                 bool with_servers,
+                                absl::Duration max_age,
                                 absl::Time now,
                                 PartialSum* sum) const {
   const absl::Duration waited = now - received.received;
   FleetFigures recent = received.figures;
-  std::erase_if(recent.coverage, [&](const Coverage& part) {
-    return part.age + waited > options_.max_age;
-  });
-  if (recent.coverage.empty()) {
+  // The load of one zone cannot be taken out of the sum.
+  const bool too_old = std::any_of(
+      recent.coverage.begin(), recent.coverage.end(),
+      [&](const Coverage& part) { return part.age + waited > max_age; });
+  if (too_old || recent.coverage.empty()) {
     return;
   }
   const absl::Duration retention =
@@ -312,7 +314,7 @@
     sum.Add(own.figures, {zone_, 1, age});
   }
   for (const auto& [name, child] : children_) {
-    AddRecent(child, true, now, &sum);
+    AddRecent(child, true, options_.max_age, now, &sum);
   }
   return sum.Result();
 }
@@ -322,7 +324,9 @@
   PartialSum sum;
   sum.Add(SubtreeSum(own, now), absl::ZeroDuration());
   for (const auto& [zone, part] : zones_) {
-    AddRecent(part, false, now, &sum);
+    // A part that is nearly too old would make the whole total too old for its
+    // receivers before the next one arrives.
+    AddRecent(part, false, options_.max_age - options_.interval / 2, now, &sum);
   }
   return sum.Result();
 }
@@ -333,7 +337,7 @@
     return RootTotal(own, now);
   }
   PartialSum sum;
-  AddRecent(total_, true, now, &sum);
+  AddRecent(total_, true, options_.max_age, now, &sum);
   return sum.Result();
 }
 
--- a/src/load/aggregation_tree.h
+++ b/src/load/aggregation_tree.h
@@ -115,9 +115,10 @@
   bool PartialHasServers() const;
   bool TotalHasServers() const;
 
-  // Adds the parts of `received` that are not too old to `sum`.
+  // Adds `received` to `sum` if none of its parts is older than `max_age`.
   void AddRecent(const Received& received,
                  bool with_servers,
+                 absl::Duration max_age,
                  absl::Time now,
                  PartialSum* sum) const;
   FleetFigures SubtreeSum(const OwnFigures& own, absl::Time now) const;
--- a/tests/direct/fleet_load_test.cc
+++ b/tests/direct/fleet_load_test.cc
@@ -63,11 +63,25 @@
   figures.coverage[0].daemons = 8;
   load.SetFleet(figures, kStart);
   CHECK(load.Outstanding("board", "near", kStart) == 40);
-  figures.coverage[0].daemons = 1;
+  figures.coverage[0].daemons = 5;
   load.SetFleet(figures, kStart);
   CHECK(load.Outstanding("board", "near", kStart) == 64);
 }
 
+// While few daemons of a fleet send their load, as during an upgrade, their sum
+// would make the fleet look idle and switch admission control off.
+TEST_CASE("figures of a minority of the daemons are not used") {
+  FleetLoad load = MakeLoad();
+  load.SetOwn(Figures(4, 1), kStart);
+  load::FleetFigures figures = FleetFigures(8, 2);
+  figures.coverage[0].daemons = 2;
+  figures.coverage[1].daemons = 2;
+  load.SetFleet(figures, kStart);
+  CHECK_FALSE(load.fresh(kStart));
+  CHECK(load.Outstanding("board", "near", kStart) == 40);
+  CHECK(load.Outstanding("board", kStart) == 100);
+}
+
 // Figures of the fleet are half a second old, in which a burst fills the queues
 // of all servers.
 TEST_CASE("a sharp rise of the daemon's own load counts before it is told") {
@@ -77,11 +91,11 @@
   const absl::Time now = kStart + absl::Milliseconds(450);
   SECTION("chance") {
     load.SetOwn(Figures(6, 0), now);
-    CHECK(load.Outstanding("board", "near", now) == 30);
+    CHECK(load.OutstandingWithRise("board", "near", now) == 30);
   }
   SECTION("burst") {
     load.SetOwn(Figures(20, 0), now);
-    CHECK(load.Outstanding("board", "near", now) == 30 + 17 * 10);
+    CHECK(load.OutstandingWithRise("board", "near", now) == 30 + 17 * 10);
   }
 }
 
