direct: a late answer out of order does not reset a gone server's flow

Only repeated data counts now. The test failed before: the acknowledgement was answered with a reset.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -475,7 +475,7 @@
                            absl::Time now) {
     const bool answers = server.reach.last_progress() > server.presence_since;
     const bool ended = servers_.HasEnded(server) && !answers;
-    if (ended || IsUnanswered(flow, server, now) ||
+    if (ended || IsUnanswered(packet, flow, server, now) ||
         failure_detector_.ShouldResetFlows(server, now)) {
       return Refuse(packet, UnusableReason(server), &server,
                     now - UnusableSince(server), now);
@@ -486,13 +486,17 @@
                                           : Reason::kEstablished);
   }
 
-  // Whether `server`, which is gone from the store, leaves the data of `flow`
-  // unanswered. Its address may accept probes and yet belong to another server.
-  static bool IsUnanswered(const Flow* flow,
+  // Whether `packet` repeats data of `flow` that `server`, which is gone from
+  // the store, leaves unanswered. The server's address may accept probes and
+  // yet belong to another server. A packet without data proves nothing: callers
+  // send it when packets of an answer arrive, also out of order.
+  static bool IsUnanswered(const Packet& packet,
+                           const Flow* flow,
                            const ServerEntry& server,
                            absl::Time now) {
-    return server.presence == Presence::kGone && flow != nullptr &&
-           flow->waiting && now - flow->waiting_since >= kGoneAnswerTimeout &&
+    return packet.payload > 0 && server.presence == Presence::kGone &&
+           flow != nullptr && flow->waiting &&
+           now - flow->waiting_since >= kGoneAnswerTimeout &&
            server.reach.last_progress() <= flow->waiting_since;
   }
 
--- a/tests/direct/server_test.cc
+++ b/tests/direct/server_test.cc
@@ -119,6 +119,20 @@
   CHECK(decision.reason == Reason::kServerGone);
 }
 
+// The packets of an answer may arrive out of order. The caller then first
+// acknowledges again what it had, which was taken for a lack of an answer.
+TEST_CASE("a late answer out of order does not reset a gone server's flow") {
+  RouterFixture f;
+  const FlowCookie cookie = f.Open(1);
+  f.RemoveServer(f.NameOf(cookie));
+  f.AdvanceTime(absl::Seconds(4));
+  REQUIRE(f.Send(f.Data(1, cookie)).action == Action::kForward);
+  f.AdvanceTime(absl::Milliseconds(600));
+  CHECK(f.Send(f.Data(1, cookie, 1101, 500, 0)).action == Action::kForward);
+  CHECK(f.Send(f.Data(1, cookie, 1101, 2900, 0)).action == Action::kForward);
+  CHECK(f.resets.empty());
+}
+
 // A server that answered after its entry had gone, and then ended, left its
 // flows without an answer.
 TEST_CASE("a gone server that ends later loses its flows") {
