--- a/review/stand-ins-2/world.h
+++ b/review/stand-ins-2/world.h
@@ -562,6 +562,10 @@
   }
   // While unreported, the server's heartbeats do not reach the store.
   void set_reporting(bool reporting) { reporting_ = reporting; }
+  // Any packet but the first one of a flow has reached the server.
+  void set_on_packet(std::function<void(const Packet&)> on_packet) {
+    on_packet_ = std::move(on_packet);
+  }
   void set_on_opening(OnOpening on_opening) {
     on_opening_ = std::move(on_opening);
   }
@@ -593,7 +597,6 @@
     bool open = false;
     std::uint32_t sequence = 0;  // Of the next byte to the caller.
     std::uint32_t expected = 0;  // Of the next byte from the caller.
-    std::uint32_t echo = 0;
     std::string last_answer;
     std::uint32_t last_answer_sequence = 0;
   };
@@ -646,10 +649,12 @@
           on_opening_(packet, daemon);
         }
       }
-      flow.echo = packet.echo;
-      Reply(packet, Packet::kSyn | Packet::kAck, flow.sequence, flow, "");
+      SendSynAck(packet, flow.sequence, 0.2, 0);
       return;
     }
+    if (on_packet_) {
+      on_packet_(packet);
+    }
     const auto it = flows_.find(key);
     if (it == flows_.end()) {
       if (!packet.has(Packet::kRst)) {
@@ -670,9 +675,8 @@
       flow.open = true;
       ++flow.sequence;
     }
-    flow.echo = packet.echo;
     if (!flow.open) {
-      return;
+      return;  // It acknowledges another server's first packet.
     }
     if (!packet.data.empty()) {
       OnRequest(packet, flow);
@@ -682,6 +686,27 @@
       flows_.erase(it);
     }
   }
+  // Repeats the answer to `syn` after `delay`, which doubles up to 1.6 s, until
+  // the caller acknowledges it, 8 times at most.
+  void SendSynAck(const Packet& syn,
+                  std::uint32_t sequence,
+                  double delay,
+                  int repeats) {
+    constexpr int kMaxRepeats = 8;
+    const auto it = flows_.find({syn.from.ip, syn.from.port});
+    if (!up_ || it == flows_.end() || it->second.open ||
+        it->second.sequence != sequence) {
+      return;
+    }
+    if (repeats > kMaxRepeats) {
+      flows_.erase(it);
+      return;
+    }
+    Reply(syn, Packet::kSyn | Packet::kAck, sequence, it->second, "");
+    loop_.After(delay, [this, syn, sequence, delay, repeats] {
+      SendSynAck(syn, sequence, std::min(2 * delay, 1.6), repeats + 1);
+    });
+  }
   void OnRequest(const Packet& packet, Flow& flow) {
     if (packet.sequence != flow.expected) {
       // A repeated request gets its answer again.
@@ -720,6 +745,7 @@
   const Options options_;
   const std::uint64_t number_;
   OnOpening on_opening_;
+  std::function<void(const Packet&)> on_packet_;
   int boot_ = 0;
   bool up_ = false;
   bool draining_ = false;
@@ -850,6 +876,12 @@
     record_.Write("daemon %s gets %s", names_[index].c_str(), name);
     kill(daemons_[index].pid, signal);
   }
+  // Stops a daemon with SIGTERM, as the platform does, and starts it again when
+  // it has ended.
+  void Roll(std::size_t index) {
+    Signal(index, SIGTERM, "TERM");
+    AwaitEnd(index);
+  }
   // Ends the case if a daemon has ended by itself.
   void CheckRunning() const {
     for (std::size_t i = 0; i < daemons_.size(); ++i) {
@@ -892,6 +924,15 @@
   }
 
  private:
+  void AwaitEnd(std::size_t index) {
+    if (waitpid(daemons_[index].pid, nullptr, WNOHANG) == 0) {
+      loop_.After(0.05, [this, index] { AwaitEnd(index); });
+      return;
+    }
+    record_.Write("daemon %s has ended", names_[index].c_str());
+    daemons_[index].pid = -1;
+    loop_.After(0.5, [this, index] { Start(index); });
+  }
   Address StoreAddress(std::size_t index) const {
     return {options_.store_ip + static_cast<std::uint32_t>(index),
             options_.store_port};
@@ -989,6 +1030,8 @@
               }) {}
 
   void set_on_reset(OnReset on_reset) { on_reset_ = std::move(on_reset); }
+  // The share of the packets to the callers that the link loses.
+  void set_loss(double loss) { loss_ = loss; }
   FlowKey KeyOf(const Flow& flow) const { return {options_.ip, flow.port}; }
 
   // Opens a flow for this many requests, with pauses between them.
@@ -1072,7 +1115,7 @@
 
   void OnPacket(const Packet& packet, const Address& from) {
     Flow* flow = Live(packet.to.port);
-    if (flow == nullptr) {
+    if (flow == nullptr || std::rand() < loss_ * RAND_MAX) {
       return;
     }
     if (packet.has(Packet::kRst)) {
@@ -1083,7 +1126,7 @@
       End(*flow, of_system ? "reset by a daemon" : "reset by a server");
       return;
     }
-    flow->echo = packet.echo;
+    flow->echo = packet.echo;  // The last one received on the flow.
     if (packet.has(Packet::kSyn)) {
       if (!flow->open) {
         flow->open = true;
@@ -1121,6 +1164,7 @@
   const Fleet& fleet_;
   const Options options_;
   OnReset on_reset_;
+  double loss_ = 0;
   std::uint16_t next_port_;
   std::map<std::uint16_t, Flow> flows_;
   UdpPort port_;
