--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -5,7 +5,7 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/[0-9]*/case.cc; do
+for source in review/[0-9]*/play.cc; do
   number="$(basename "$(dirname "$source")")"
   if [ "$number" -ge 6 ]; then
     "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -Werror -I. "$source" \
