--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,7 +8,7 @@
 for source in review/[0-9]*/play.cc; do
   number="$(basename "$(dirname "$source")")"
   if [ "$number" -ge 6 ]; then
-    "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -Werror -I. "$source" \
+    "${CXX:-g++}" -std=c++20 -O1 -Wall -Wextra -I. "$source" \
       -o "target/review-2/case-$number"
   fi
 done
--- a/review/stand-ins-2/deployment.h
+++ b/review/stand-ins-2/deployment.h
@@ -16,7 +16,7 @@
 
   Deployment(int argc, char** argv, std::uint32_t net)
       : net_(127U << 24 | net << 16),
-        port_(FreePort(Ip(1, 1), 16'000)),
+        port_(FreePort(Ip(1, 1))),
         record(loop, argc == 3 ? argv[2] : ""),
         store(loop),
         fleet(loop,
