--- a/review/stand-ins-2/deployment.h
+++ b/review/stand-ins-2/deployment.h
@@ -13,6 +13,10 @@
 class Deployment {
  public:
   static constexpr int kRoutePort = 8443;
+  // 127.198.18.1. It stands in packets and configurations only; nothing is sent
+  // to it.
+  static constexpr std::uint32_t kRouteIp =
+      127U << 24 | 198U << 16 | 18U << 8 | 1U;
 
   Deployment(int argc, char** argv, std::uint32_t net)
       : net_(127U << 24 | net << 16),
@@ -42,8 +46,8 @@
   }
   std::uint32_t DaemonIp(std::uint32_t index) const { return Ip(1, index + 1); }
 
-  // Writes a configuration whose routes lead to `service`: the ports of the
-  // address 198.18.0.1.
+  // Writes a configuration whose routes lead to `service`: the ports of
+  // the address kRouteIp.
   void Configure(const std::string& service,
                  double warmup_per_s,
                  int version = 7,
@@ -60,7 +64,7 @@
       const std::string number = std::to_string(port);
       routes += (routes.empty() ? "" : ",") +
                 (R"({"name":"r-)" + number +
-                 R"(","host":"198.18.0.1","path_prefix":"/)" + number +
+                 R"(","host":"127.198.18.1","path_prefix":"/)" + number +
                  R"(/","kind":"idempotent","timeout_ms":1500,)"
                  R"("target_latency_ms":250,"priority":1,"service":")" +
                  service + R"(","attempts":2})");
@@ -90,8 +94,7 @@
   std::unique_ptr<Callers> MakeCallers(const std::string& zone,
                                        std::uint32_t host,
                                        int route_port = kRoutePort) {
-    const Address route{198U << 24 | 18U << 16 | 1U,
-                        static_cast<std::uint16_t>(route_port)};
+    const Address route{kRouteIp, static_cast<std::uint16_t>(route_port)};
     return std::make_unique<Callers>(loop, record, fleet,
                                      Callers::Options{.zone = zone,
                                                       .ip = Ip(4, host),
