--- a/review/stand-ins-3/restarted_service.cc
+++ b/review/stand-ins-3/restarted_service.cc
@@ -21,7 +21,7 @@
 constexpr double kEnd = 20.0;
 constexpr int kArchiveServers = 4;
 // New flows a second in each zone to that service.
-constexpr double kArchiveFlows = 25;
+constexpr double kArchiveFlows = 40;
 
 int Run(const std::string& record_path, bool trouble) {
   World world(record_path, {{"za", 4, 60}, {"zb", 4, 60}, {"zc", 4, 60}});
