--- a/review/stand-ins-3/evacuation_end.cc
+++ b/review/stand-ins-3/evacuation_end.cc
@@ -1,7 +1,9 @@
 // Case: the operator takes an evacuation back. The servers of the zone have
 // become cold shortly before and have told so.
 //
-// Usage: evacuation_end RECORD. With TROUBLE=0 the servers stay warm.
+// Usage: evacuation_end RECORD. With TROUBLE=0 the servers stay warm; with
+// TROUBLE=later the evacuation ends when the daemons have read that they are
+// cold.
 
 #include <cstdlib>
 #include <string>
@@ -17,22 +19,24 @@
 constexpr double kEnd = 22.0;
 // From the last server's report to the end of the evacuation.
 constexpr double kPause = 0.02;
+constexpr double kLongPause = 0.45;
 
 // Takes the evacuation back once the store has each server's report.
-void TakeBackWhenReported(World& world) {
+void TakeBackWhenReported(World& world, double pause) {
   for (const auto& server : world.servers) {
     if (server->zone() == "za" && !server->cold_reported()) {
-      world.loop.After(0.01, [&world] { TakeBackWhenReported(world); });
+      world.loop.After(0.01,
+                       [&world, pause] { TakeBackWhenReported(world, pause); });
       return;
     }
   }
-  world.loop.After(kPause, [&world] {
+  world.loop.After(pause, [&world] {
     world.record.Say("the evacuation of za is taken back");
     world.store.Remove("evacuations", "za");
   });
 }
 
-int Run(const std::string& record_path, bool trouble) {
+int Run(const std::string& record_path, const std::string& trouble) {
   World world(record_path, {{"za", 4, 120}, {"zb", 3, 20}, {"zc", 3, 20}});
   if (!world.SetUp(kTrafficAt)) {
     return kNotRun;
@@ -44,14 +48,14 @@
   });
   world.loop.At(kColdAt, [&] {
     for (const auto& server : world.servers) {
-      if (trouble && server->zone() == "za") {
+      if (trouble != "0" && server->zone() == "za") {
         server->BecomeCold(World::kWarmup);
       }
     }
-    TakeBackWhenReported(world);
+    TakeBackWhenReported(world, trouble == "later" ? kLongPause : kPause);
   });
   world.loop.RunUntil(kEnd);
-  return world.Judge(trouble ? world.CountFlooded("za") : 0);
+  return world.Judge(world.CountFlooded("za"));
 }
 
 }  // namespace
@@ -59,7 +63,6 @@
 
 int main(int argc, char** argv) {
   const char* trouble = std::getenv("TROUBLE");
-  return argc == 2 ? review3::Run(argv[1], trouble == nullptr ||
-                                               std::string(trouble) != "0")
+  return argc == 2 ? review3::Run(argv[1], trouble == nullptr ? "1" : trouble)
                    : review3::kNotRun;
 }
--- a/review/stand-ins-3/replaced_daemons.cc
+++ b/review/stand-ins-3/replaced_daemons.cc
@@ -73,7 +73,7 @@
     });
   }
   world.loop.RunUntil(kEnd);
-  return world.Judge(trouble != "0" ? world.CountFlooded("za") : 0);
+  return world.Judge(world.CountFlooded("za"));
 }
 
 }  // namespace
--- a/review/stand-ins-3/restarted_service.cc
+++ b/review/stand-ins-3/restarted_service.cc
@@ -49,7 +49,7 @@
     }
   }
   world.loop.RunUntil(kEnd);
-  return world.Judge(trouble ? world.CountFlooded("za", "archive") : 0);
+  return world.Judge(world.CountFlooded("za", "archive"));
 }
 
 }  // namespace
--- a/review/stand-ins-3/world.h
+++ b/review/stand-ins-3/world.h
@@ -187,7 +187,7 @@
       if (server->zone() == zone && server->service() == service &&
           server->running()) {
         const std::size_t most = server->MostOpenings();
-        record.Say("server " + server->id() + " was cold and got " +
+        record.Say("server " + server->id() + " got while cold at most " +
                    std::to_string(most) + " requests in one second");
         flooded += most > 5 ? 1 : 0;
       }
