direct: the cookie of a flow names the server, not one start of it

Cause: a flow that opens before the daemons have read of a restart carries the cookie of the ended start. Daemons that saw both starts linked them; one that started later knew only the second.

Change: the cookie is a function of the server's number alone. Any daemon that knows the server finds it, and the server resets flows that it does not hold. Nothing is kept or passed on. What names one start (probe outcomes, figures of single servers between daemons) is the key of the incarnation, the former cookie; a packet that carries one is understood.

Tests that recognised a start by the cookie of its flows now ask the router for the present start, which is as strict.

--- a/include/gcw/direct/direct_router.h
+++ b/include/gcw/direct/direct_router.h
@@ -131,6 +131,7 @@
 // Statistics of one backend server, for metrics.
 struct ServerStats {
   std::string name;
+  std::int64_t incarnation = 0;  // BackendServer::incarnation.
   std::string service;
   std::string zone;
   std::string_view state;        // A PresenceName() or ReachName().
--- a/include/gcw/direct/events.h
+++ b/include/gcw/direct/events.h
@@ -67,8 +67,8 @@
 // How many servers of a service could not take a new flow. Each is counted
 // once, under the first reason that applies.
 struct ExcludedServers {
-  // Draining, gone, with an unreadable store entry, or with the same cookie as
-  // another server.
+  // Draining, gone, with an unreadable store entry, or with the same identity
+  // (cookie or key) as another server by chance.
   std::uint32_t leaving = 0;
   std::uint32_t zone_out = 0;  // In a zone taken out of service.
   std::uint32_t lost = 0;      // Suspected or known to be unreachable.
--- a/include/gcw/direct/packet.h
+++ b/include/gcw/direct/packet.h
@@ -7,9 +7,9 @@
 
 namespace gcw::direct {
 
-// Identifies the incarnation of the backend server that handles a flow. Both
-// ends of a flow write it into each packet, so that any daemon can find the
-// server. 0 means that the packet has no cookie yet.
+// Identifies the backend server that handles a flow. Both ends of a flow write
+// it into each packet, so that any daemon can find the server. 0 means that the
+// packet has no cookie yet.
 using FlowCookie = std::uint32_t;
 
 // Identifies a flow by its two addresses. Packets of both directions have the
--- a/include/gcw/direct/resources.h
+++ b/include/gcw/direct/resources.h
@@ -91,10 +91,19 @@
 // the other order. Thread-safe.
 bool IsEarlier(const BackendServer& a, const BackendServer& b);
 
-// The cookie of an incarnation: the same on all daemons and never 0.
-// Thread-safe.
+// The cookie of a server: the same on all daemons and for all incarnations of
+// the server, and never 0. A daemon that knows the server under any incarnation
+// can thus forward a packet of its flows, and a server resets flows that it
+// does not hold. Servers whose numbers have at most 32 bits have different
+// cookies. Thread-safe.
 FlowCookie CookieOf(const BackendServer& server);
 
+// Identifies one incarnation of a server in figures that daemons exchange; 0
+// identifies none. Two incarnations may have the same key by chance.
+using IncarnationKey = std::uint32_t;
+// The same on all daemons. Thread-safe.
+IncarnationKey KeyOf(const BackendServer& server);
+
 }  // namespace gcw::direct
 
 #endif  // GCW_DIRECT_RESOURCES_H_
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -186,8 +186,8 @@
   }
 
   void OnProbe(std::uint32_t id, ProbeOutcome outcome, absl::Time now) {
-    const FlowCookie cookie = failure_detector_.ResolveProbe(id, outcome, now);
-    ServerEntry* entry = servers_.FindByCookie(cookie);
+    const IncarnationKey key = failure_detector_.ResolveProbe(id, outcome, now);
+    ServerEntry* entry = servers_.FindByKey(key);
     if (entry == nullptr) {
       return;
     }
@@ -229,9 +229,9 @@
           entry->presence == Presence::kListed && !entry->reach.usable()
               ? ReachName(entry->reach.reach())
               : PresenceName(entry->presence);
-      stats.servers.push_back({entry->server.name, entry->server.service,
-                               entry->server.zone, state, entry->open_flows,
-                               entry->placed});
+      stats.servers.push_back({entry->server.name, entry->server.incarnation,
+                               entry->server.service, entry->server.zone, state,
+                               entry->open_flows, entry->placed});
     }
     stats.zone_loads = zone_balancer_.Stats();
     for (const Service& service : configuration_.services()) {
--- a/src/direct/placer.cc
+++ b/src/direct/placer.cc
@@ -106,7 +106,7 @@
   const bool listed = entry.presence == Presence::kListed ||
                       entry.presence == Presence::kLapsed;
   return listed && !entry.server.draining && !entry.caution.no_new_flows &&
-         !entry.cookie_collides;
+         !entry.collides;
 }
 
 Placement Placer::Choose(const ServerTable& servers,
--- a/src/direct/resources.cc
+++ b/src/direct/resources.cc
@@ -21,9 +21,16 @@
 }
 
 FlowCookie CookieOf(const BackendServer& server) {
+  constexpr unsigned kCookieBits = 32;
+  const auto folded =
+      static_cast<FlowCookie>(server.number ^ (server.number >> kCookieBits));
+  return std::max<FlowCookie>(folded, 1);
+}
+
+IncarnationKey KeyOf(const BackendServer& server) {
   const std::uint64_t hash =
       MixHash(server.number, static_cast<std::uint64_t>(server.incarnation));
-  return std::max<FlowCookie>(static_cast<FlowCookie>(hash), 1);
+  return std::max<IncarnationKey>(static_cast<IncarnationKey>(hash), 1);
 }
 
 }  // namespace gcw::direct
--- a/src/direct/server_entry.h
+++ b/src/direct/server_entry.h
@@ -33,7 +33,8 @@
   }
 
   BackendServer server;
-  FlowCookie cookie = 0;
+  FlowCookie cookie = 0;   // Of the server, whichever incarnation runs.
+  IncarnationKey key = 0;  // Of this incarnation.
   load::NameHash service_hash = 0;
   load::NameHash zone_hash = 0;
   Version revision = 0;  // Of the last report that was applied.
@@ -50,9 +51,6 @@
   absl::Time cold_until;
   // From a report of another incarnation that is deferred.
   Caution caution;
-  // The incarnation that may hold flows with this entry's cookie, because it
-  // ran already while this one was listed. Null if there is none.
-  ServerEntry* successor = nullptr;
   Reachability reach;
   // The two numbers of flows below include only flows that are in this daemon's
   // flow table.
@@ -80,9 +78,9 @@
   // Whether the server's flows were reset because the server is gone or
   // restarted.
   bool flows_reset = false;
-  // Whether an incarnation that was read earlier has the same cookie. This
-  // incarnation then gets no new flows.
-  bool cookie_collides = false;
+  // Whether another server that was read earlier has the same cookie, or
+  // another incarnation the same key. This incarnation then gets no new flows.
+  bool collides = false;
 };
 
 }  // namespace gcw::direct
--- a/src/direct/server_failure_detector.cc
+++ b/src/direct/server_failure_detector.cc
@@ -72,9 +72,9 @@
   return std::exchange(probes_, {});
 }
 
-FlowCookie ServerFailureDetector::ResolveProbe(std::uint32_t id,
-                                               ProbeOutcome outcome,
-                                               absl::Time now) {
+IncarnationKey ServerFailureDetector::ResolveProbe(std::uint32_t id,
+                                                   ProbeOutcome outcome,
+                                                   absl::Time now) {
   if (id == control_probe_id_) {
     control_probe_id_ = 0;
     if (outcome != ProbeOutcome::kTimedOut &&
@@ -87,9 +87,9 @@
   if (it == probe_targets_.end()) {
     return 0;
   }
-  const FlowCookie cookie = it->second;
+  const IncarnationKey key = it->second;
   probe_targets_.erase(it);
-  return cookie;
+  return key;
 }
 
 bool ServerFailureDetector::OnProbeOutcome(ServerEntry& server,
@@ -289,7 +289,7 @@
 
 void ServerFailureDetector::StartProbe(ServerEntry& server, absl::Time now) {
   const std::uint32_t id = ++last_probe_id_;
-  probe_targets_[id] = server.cookie;
+  probe_targets_[id] = server.key;
   probes_.push_back({id, server.server.address, server.reach.probe_timeout()});
   server.reach.OnProbeStarted(now);
   if (server.reach.probe_is_decisive()) {
--- a/src/direct/server_failure_detector.h
+++ b/src/direct/server_failure_detector.h
@@ -53,12 +53,12 @@
   bool OnProbeOutcome(ServerEntry& server,
                       ProbeOutcome outcome,
                       absl::Time now);
-  // Removes the probe `id` and returns the cookie of the probed server. Returns
-  // 0 if `id` is unknown, or belongs to a control probe (see
+  // Removes the probe `id` and returns the key of the probed incarnation.
+  // Returns 0 if `id` is unknown, or belongs to a control probe (see
   // StartControlProbe()), whose outcome is processed here.
-  FlowCookie ResolveProbe(std::uint32_t id,
-                          ProbeOutcome outcome,
-                          absl::Time now);
+  IncarnationKey ResolveProbe(std::uint32_t id,
+                              ProbeOutcome outcome,
+                              absl::Time now);
 
   // Whether the established flows of `server` should be reset: the server is
   // unreachable, and this daemon is neither cut off nor overloaded. If the
@@ -131,8 +131,8 @@
   const std::set<std::string, std::less<>>& zones_out_;
   std::vector<Event>* const events_;
   std::vector<ProbeRequest> probes_;
-  // Cookies of the probed servers, by probe id.
-  absl::flat_hash_map<std::uint32_t, FlowCookie> probe_targets_;
+  // Keys of the probed incarnations, by probe id.
+  absl::flat_hash_map<std::uint32_t, IncarnationKey> probe_targets_;
   std::uint32_t last_probe_id_ = 0;
   std::uint32_t control_probe_id_ = 0;  // 0 if no control probe is running.
   absl::Time control_probe_started_ = absl::InfinitePast();
--- a/src/direct/server_index.cc
+++ b/src/direct/server_index.cc
@@ -6,15 +6,21 @@
 
 void ServerIndex::Add(ServerEntry& entry) {
   MakeLatest(entry);
-  // If two incarnations have the same cookie, flows that carry it belong to the
-  // incarnation that was read first.
-  const auto [owner, added] = by_cookie_.try_emplace(entry.cookie, &entry);
-  entry.cookie_collides = !added;
+  // If two servers have the same cookie, flows that carry it belong to the
+  // server that was read first.
+  const bool owns_cookie =
+      FindByCookie(entry.cookie)->server.name == entry.server.name;
+  const bool owns_key = by_key_.try_emplace(entry.key, &entry).second;
+  entry.collides = !owns_cookie || !owns_key;
   SetAddress(entry);
 }
 
 void ServerIndex::MakeLatest(ServerEntry& entry) {
   by_name_[entry.server.name] = &entry;
+  ServerEntry*& holder = by_cookie_[entry.cookie];
+  if (holder == nullptr || holder->server.name == entry.server.name) {
+    holder = &entry;
+  }
 }
 
 void ServerIndex::SetAddress(ServerEntry& entry) {
@@ -34,6 +40,10 @@
   if (by_cookie != by_cookie_.end() && by_cookie->second == &entry) {
     by_cookie_.erase(by_cookie);
   }
+  const auto by_key = by_key_.find(entry.key);
+  if (by_key != by_key_.end() && by_key->second == &entry) {
+    by_key_.erase(by_key);
+  }
   absl::erase_if(by_address_,
                  [&](const auto& item) { return item.second == &entry; });
 }
@@ -64,6 +74,11 @@
   return it == by_cookie_.end() ? nullptr : it->second;
 }
 
+ServerEntry* ServerIndex::FindByKey(IncarnationKey key) const {
+  const auto it = by_key_.find(key);
+  return it == by_key_.end() ? nullptr : it->second;
+}
+
 const ServerEntry* ServerIndex::LatestAt(const Endpoint& address) const {
   const auto it = by_address_.find(address);
   return it == by_address_.end() ? nullptr : it->second;
--- a/src/direct/server_index.h
+++ b/src/direct/server_index.h
@@ -11,6 +11,7 @@
 #include "absl/container/flat_hash_map.h"
 #include "gcw/base/endpoint.h"
 #include "gcw/direct/packet.h"
+#include "gcw/direct/resources.h"
 #include "src/direct/server_entry.h"
 
 namespace gcw::direct {
@@ -21,12 +22,13 @@
   std::vector<ServerEntry*> servers;
 };
 
-// Finds the entries of a ServerTable by name, cookie, address and service. Does
-// not own them. Not thread-safe.
+// Finds the entries of a ServerTable by name, cookie, key, address and service.
+// Does not own them. Not thread-safe.
 class ServerIndex {
  public:
-  // Adds `entry`, as the latest incarnation of its server. Marks it if an
-  // incarnation that was added earlier has the same cookie.
+  // Adds `entry`, as the latest incarnation of its server. Marks it if another
+  // server that was added earlier has the same cookie, or another incarnation
+  // the same key.
   void Add(ServerEntry& entry);
   // Makes `entry` the latest incarnation of its server. Precondition: it was
   // added.
@@ -41,8 +43,10 @@
 
   // The latest incarnation of the server `name`, or null.
   ServerEntry* FindByName(std::string_view name) const;
-  // The incarnation that `cookie` identifies, or null.
+  // The latest incarnation of the server that `cookie` identifies, or null.
   ServerEntry* FindByCookie(FlowCookie cookie) const;
+  // The incarnation that `key` identifies, or null.
+  ServerEntry* FindByKey(IncarnationKey key) const;
   // The server that started last at `address`, or null.
   const ServerEntry* LatestAt(const Endpoint& address) const;
   // The entries of one service, all and by availability zone. The spans are
@@ -58,6 +62,7 @@
 
   std::map<std::string, ServerEntry*, std::less<>> by_name_;
   absl::flat_hash_map<FlowCookie, ServerEntry*> by_cookie_;
+  absl::flat_hash_map<IncarnationKey, ServerEntry*> by_key_;
   absl::flat_hash_map<Endpoint, ServerEntry*> by_address_;
   std::map<std::string, ServiceServers, std::less<>> by_service_;
 };
--- a/src/direct/server_pace.cc
+++ b/src/direct/server_pace.cc
@@ -138,7 +138,7 @@
   assert(usual > absl::ZeroDuration());
   const Answers answer{
       1, std::min(absl::FDivDuration(latency, usual), kMaxAnswerSlowness)};
-  State& state = states_[server.cookie];
+  State& state = states_[server.key];
   state.window.Add(answer, now);
   state.recent.Add(answer, 1);
   if (state.slow_start) {
@@ -150,8 +150,8 @@
   server.share = kFirstShare;
   server.slowness = 1;
   // What was measured before says nothing about the server now.
-  states_[server.cookie] = {.slow_start =
-                                SlowStart{kFirstShare, now, now, {}, {}}};
+  states_[server.key] = {.slow_start =
+                             SlowStart{kFirstShare, now, now, {}, {}}};
 }
 
 void ServerPace::SetFleet(std::span<const load::ServerLoad> servers,
@@ -177,7 +177,7 @@
   fleet_set_at_ = now;
 }
 
-const load::ServerLoad* ServerPace::FleetFigures(FlowCookie server,
+const load::ServerLoad* ServerPace::FleetFigures(IncarnationKey server,
                                                  absl::Time now) const {
   if (now - fleet_set_at_ > FleetLoad::kMaxAge) {
     return nullptr;
@@ -188,7 +188,7 @@
 
 double ServerPace::Outstanding(const ServerEntry& server,
                                absl::Time now) const {
-  const load::ServerLoad* fleet = FleetFigures(server.cookie, now);
+  const load::ServerLoad* fleet = FleetFigures(server.key, now);
   if (fleet != nullptr) {
     return fleet->outstanding;
   }
@@ -201,7 +201,7 @@
                                                   std::sqrt(own * unseen)));
 }
 
-double ServerPace::Slowness(FlowCookie server,
+double ServerPace::Slowness(IncarnationKey server,
                             const State& state,
                             absl::Time now) const {
   Answers answers = state.recent;
@@ -230,7 +230,7 @@
   // until then: if each of ten daemons doubles its share on its own answers,
   // their mean share rises more slowly than on the answers of all. Slow ones
   // wait for the figures, since a single one may be slow by chance.
-  const load::ServerLoad* fleet = FleetFigures(server.cookie, now);
+  const load::ServerLoad* fleet = FleetFigures(server.key, now);
   const bool good = estimated.slowness <= kGoodSlowness * estimated.count;
   const bool counts =
       fleet == nullptr || (good && MeanSlowness(*fleet) <= kGoodSlowness);
@@ -292,8 +292,8 @@
   const double kept = std::exp(-absl::FDivDuration(passed, kOwnTime));
   const double step = 1 - std::exp(-absl::FDivDuration(passed, kSlownessTime));
   absl::erase_if(states_, [&](auto& item) {
-    auto& [cookie, state] = item;
-    ServerEntry* server = servers.FindByCookie(cookie);
+    auto& [key, state] = item;
+    ServerEntry* server = servers.FindByKey(key);
     if (server == nullptr) {
       return true;
     }
@@ -302,11 +302,10 @@
       AdjustShare(*server, state, now);
     }
     server->share = state.slow_start ? state.slow_start->share : 1;
-    server->slowness +=
-        step * (Slowness(cookie, state, now) - server->slowness);
+    server->slowness += step * (Slowness(key, state, now) - server->slowness);
     const bool forgotten = !state.slow_start &&
                            state.recent.count < kForgottenAnswers &&
-                           FleetFigures(cookie, now) == nullptr &&
+                           FleetFigures(key, now) == nullptr &&
                            std::abs(server->slowness - 1) < kForgottenSlowness;
     if (forgotten) {
       server->slowness = 1;
@@ -325,7 +324,7 @@
       IsLoaded(server)
           ? static_cast<double>(server.outstanding) / server.server.slots
           : 0;
-  const load::ServerLoad* fleet = FleetFigures(server.cookie, now);
+  const load::ServerLoad* fleet = FleetFigures(server.key, now);
   if (fleet != nullptr && IsUnusual(MeanSlowness(*fleet), kUnusualSum)) {
     // Before the servers that only this daemon finds unusual, so that the sum
     // includes all daemons.
@@ -353,15 +352,15 @@
       told.emplace_back(relevance, &server);
     }
   };
-  for (const auto& [cookie, state] : states_) {
-    const ServerEntry* server = servers.FindByCookie(cookie);
+  for (const auto& [key, state] : states_) {
+    const ServerEntry* server = servers.FindByKey(key);
     if (server != nullptr) {
       add(*server, state);
     }
   }
   // Servers that have not answered yet.
   for (const auto& entry : servers.entries()) {
-    if (IsLoaded(*entry) && !states_.contains(entry->cookie)) {
+    if (IsLoaded(*entry) && !states_.contains(entry->key)) {
       add(*entry, {});
     }
   }
@@ -382,11 +381,11 @@
                                                      absl::Time now) const {
   std::vector<load::ServerLoad> figures;
   for (const ServerEntry* entry : ServersToTell(servers, now)) {
-    const auto it = states_.find(entry->cookie);
+    const auto it = states_.find(entry->key);
     const Answers answers =
         it == states_.end() ? Answers() : it->second.window.Sum(now);
     figures.push_back(
-        {.server = entry->cookie,
+        {.server = entry->key,
          .outstanding = entry->outstanding,
          .answers = static_cast<std::uint32_t>(std::lround(answers.count)),
          .slowness = static_cast<std::uint32_t>(
@@ -398,8 +397,8 @@
 std::vector<SlowStartStats> ServerPace::SlowStarts(
     const ServerTable& servers) const {
   std::vector<SlowStartStats> stats;
-  for (const auto& [cookie, state] : states_) {
-    const ServerEntry* server = servers.FindByCookie(cookie);
+  for (const auto& [key, state] : states_) {
+    const ServerEntry* server = servers.FindByKey(key);
     if (state.slow_start && server != nullptr &&
         server->presence != Presence::kRestarted) {
       stats.push_back({server->server.name, state.slow_start->share});
--- a/src/direct/server_pace.h
+++ b/src/direct/server_pace.h
@@ -104,10 +104,13 @@
   };
 
   // The zone's figures of `server`, or null if none are recent.
-  const load::ServerLoad* FleetFigures(FlowCookie server, absl::Time now) const;
+  const load::ServerLoad* FleetFigures(IncarnationKey server,
+                                       absl::Time now) const;
   // The requests of the daemons of the zone that run or queue at `server`.
   double Outstanding(const ServerEntry& server, absl::Time now) const;
-  double Slowness(FlowCookie server, const State& state, absl::Time now) const;
+  double Slowness(IncarnationKey server,
+                  const State& state,
+                  absl::Time now) const;
   // The answers since the share of `server` last changed that decide on the
   // next change; null if there are not enough.
   const Answers* Evidence(const ServerEntry& server,
@@ -129,8 +132,8 @@
 
   std::uint32_t zone_daemons_ = 1;
   // Servers with recent answers, in slow start, or in the zone's figures.
-  absl::flat_hash_map<FlowCookie, State> states_;
-  absl::flat_hash_map<FlowCookie, load::ServerLoad> fleet_;
+  absl::flat_hash_map<IncarnationKey, State> states_;
+  absl::flat_hash_map<IncarnationKey, load::ServerLoad> fleet_;
   absl::Time fleet_set_at_ = absl::InfinitePast();
   absl::Time last_tick_ = absl::InfinitePast();
 };
--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -158,7 +158,7 @@
   if (!report.readable) {
     entry.revision = report.revision;
     SetPresence(entry, Presence::kUnreadable, now);
-  } else if (entry.cookie != CookieOf(report.server)) {
+  } else if (entry.server.incarnation != report.server.incarnation) {
     Replace(entry, report, running_since, now);
   } else {
     Update(entry, report, now);
@@ -217,7 +217,6 @@
   const bool may_have_run =
       report.server.report_number > 0 || running_since < now;
   if (may_have_run && SamePlace(entry.server, next->server)) {
-    entry.successor = next;
     successions_.push_back({&entry, next, running_since});
   }
 }
@@ -230,16 +229,16 @@
 void ServerTable::Revive(ServerEntry& entry,
                          const ServerReport& report,
                          absl::Time now) {
-  entry.successor = nullptr;
   index_.MakeLatest(entry);
   Update(entry, report, now);
 }
 
 ServerEntry* ServerTable::FindIncarnation(const ServerReport& report) const {
-  const FlowCookie cookie = CookieOf(report.server);
+  const std::int64_t incarnation = report.server.incarnation;
   const auto it =
       std::find_if(entries_.begin(), entries_.end(), [&](const auto& entry) {
-        return entry->cookie == cookie && entry->server.name == report.name;
+        return entry->server.incarnation == incarnation &&
+               entry->server.name == report.name;
       });
   return it == entries_.end() ? nullptr : it->get();
 }
@@ -284,6 +283,7 @@
   auto entry = std::make_unique<ServerEntry>();
   entry->server = report.server;
   entry->cookie = CookieOf(report.server);
+  entry->key = KeyOf(report.server);
   entry->service_hash = load::HashName(report.server.service);
   entry->zone_hash = load::HashName(report.server.zone);
   entry->revision = report.revision;
@@ -443,11 +443,15 @@
   if (index_.FindByName(entry.server.name) == nullptr) {
     deferred_reports_.Drop(entry.server.name);
   }
-  for (const auto& other : entries_) {
-    if (other->successor == &entry) {
-      other->successor = entry.successor;
-    }
+}
+
+ServerEntry* ServerTable::FindHolder(FlowCookie cookie) const {
+  if (ServerEntry* const entry = index_.FindByCookie(cookie)) {
+    return entry;
   }
+  const ServerEntry* const incarnation = index_.FindByKey(cookie);
+  return incarnation == nullptr ? nullptr
+                                : FindByName(incarnation->server.name);
 }
 
 bool ServerTable::HasEnded(const ServerEntry& server) const {
@@ -469,12 +473,4 @@
          latest->presence == Presence::kListed;
 }
 
-ServerEntry* ServerTable::FindHolder(FlowCookie cookie) const {
-  ServerEntry* entry = FindByCookie(cookie);
-  while (entry != nullptr && entry->successor != nullptr) {
-    entry = entry->successor;
-  }
-  return entry;
-}
-
 }  // namespace gcw::direct
--- a/src/direct/server_table.h
+++ b/src/direct/server_table.h
@@ -17,8 +17,8 @@
 
 namespace gcw::direct {
 
-// Flows of one incarnation of a server that may be open at the next one. Both
-// have the same address and service.
+// Flows that this daemon tracks on one incarnation of a server and that may be
+// open at the next one. Both have the same address and service.
 struct Succession {
   ServerEntry* from = nullptr;
   ServerEntry* to = nullptr;
@@ -65,13 +65,15 @@
   ServerEntry* FindByName(std::string_view name) const {
     return index_.FindByName(name);
   }
-  // The incarnation that `cookie` identifies, or null.
-  ServerEntry* FindByCookie(FlowCookie cookie) const {
-    return index_.FindByCookie(cookie);
-  }
-  // The incarnation that may hold flows with `cookie`, or null. That is another
-  // one if this table did not know at times which one was running.
+  // The newest incarnation of the server that `cookie` identifies, or null. It
+  // may hold any flow with `cookie`, as daemons do not always know which
+  // incarnation is running. Also finds the server by the key of an incarnation,
+  // which daemons of earlier releases use as the cookie.
   ServerEntry* FindHolder(FlowCookie cookie) const;
+  // The incarnation that `key` identifies, or null.
+  ServerEntry* FindByKey(IncarnationKey key) const {
+    return index_.FindByKey(key);
+  }
 
   // Returns the servers that have started since the last call: incarnations
   // that were listed for the first time, and servers that were gone and are
--- a/src/direct/zone_balancer.cc
+++ b/src/direct/zone_balancer.cc
@@ -40,7 +40,7 @@
               const std::set<std::string, std::less<>>& zones_out,
               absl::Time now) {
   return entry.presence == Presence::kListed && !entry.server.draining &&
-         !entry.cookie_collides && entry.reach.usable() && !entry.cold(now) &&
+         !entry.collides && entry.reach.usable() && !entry.cold(now) &&
          !entry.caution.no_new_flows && !zones_out.contains(entry.server.zone);
 }
 
--- a/tests/direct/router_fixture.h
+++ b/tests/direct/router_fixture.h
@@ -149,6 +149,18 @@
     return "";
   }
 
+  // The incarnation that the router takes for the present one of the server
+  // `name`; 0 if it knows none.
+  std::int64_t IncarnationOf(std::string_view name) const {
+    for (const ServerStats& server : router->Stats(now).servers) {
+      if (server.name == name && server.state != "restarted" &&
+          server.state != "gone") {
+        return server.incarnation;
+      }
+    }
+    return 0;
+  }
+
   // Moves the router's probes, events and resets to the members `probes`,
   // `events` and `resets`.
   void Collect() {
