direct: a server that answers again after a loss may be cold

Cause: a lost server that answers a probe or a packet counted as it was before, although the list of servers was older than the answer. Evidence: for a flooded server the log has "refuses", "good" and 0.2 s later the new start; for the one that got 3 flows the new start came first.

Change: it counts as cold for the cold time of its service, unless its report of a new start tells otherwise, a flow from before the loss goes on, or the list is confirmed 6 s later without another start.

--- a/src/direct/cold_suspicion.cc
+++ b/src/direct/cold_suspicion.cc
@@ -4,6 +4,14 @@
 #include <utility>
 
 namespace gcw::direct {
+namespace {
+
+// The longest time after which the store executes a write that it did not
+// answer. A server that has restarted is listed as restarted by then.
+constexpr absl::Duration kMaxWriteDelay = absl::Seconds(6);
+
+}  // namespace
+
 void ColdSuspicion::SetServices(std::span<const Service> services) {
   cold_times_.clear();
   for (const Service& service : services) {
@@ -70,7 +78,27 @@
   }
 }
 
-void ColdSuspicion::OnTick(absl::Time now) {
+void ColdSuspicion::OnReturned(ServerEntry& server, absl::Time now) const {
+  server.returned_at = now;
+  server.restart_cold_until = now + ColdTime(server.server.service);
+}
+
+void ColdSuspicion::OnProgress(ServerEntry& server, absl::Time opened) {
+  if (opened < server.lost_at) {
+    server.restart_cold_until = absl::InfinitePast();
+  }
+}
+
+void ColdSuspicion::OnLost(ServerEntry& server, absl::Time now) {
+  server.lost_at = now;
+}
+
+void ColdSuspicion::OnTick(absl::Time confirmed, absl::Time now) {
+  for (const auto& entry : servers_.entries()) {
+    if (confirmed >= entry->returned_at + kMaxWriteDelay) {
+      entry->restart_cold_until = absl::InfinitePast();
+    }
+  }
   const auto has_ended = [&](const NewerState& state) {
     return std::all_of(
         cold_times_.begin(), cold_times_.end(),
--- a/src/direct/cold_suspicion.h
+++ b/src/direct/cold_suspicion.h
@@ -25,6 +25,9 @@
 //   of servers, which may be older than they are. Until the list includes all
 //   changes up to the version of the other feed, a report that the server is
 //   cold may be missing.
+// - It answers again after it was lost. It may have restarted meanwhile, and
+//   the report of the restart may be under way. A flow from before the loss
+//   that goes on shows that it has not.
 //
 // A server cannot be cold for longer than the cold time of its service after
 // such a moment, so that bounds both. Has no I/O. Not thread-safe.
@@ -51,8 +54,16 @@
   // that is more than the last call returned.
   std::optional<Version> TakeWantedVersion();
 
-  // Forgets what can no longer be. Call this about every second.
-  void OnTick(absl::Time now);
+  // `server` answers again after it was lost.
+  void OnReturned(ServerEntry& server, absl::Time now) const;
+  // `server` has answered on a flow that was opened at `opened`.
+  static void OnProgress(ServerEntry& server, absl::Time opened);
+  // `server` counts as lost from now on.
+  static void OnLost(ServerEntry& server, absl::Time now);
+
+  // Forgets what can no longer be. `confirmed` is when the list of servers was
+  // last known to be up to date. Call this about every second.
+  void OnTick(absl::Time confirmed, absl::Time now);
 
  private:
   // A state of another feed that the list of servers may be older than.
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -59,7 +59,7 @@
         cold_suspicion_(servers_),
         flows_(options.max_flows),
         flow_monitor_({servers_, flows_, failure_detector_, admission_table_,
-                       server_pace_},
+                       server_pace_, cold_suspicion_},
                       &events_),
         flow_resetter_(flows_, &events_),
         placer_(options.seed),
@@ -202,7 +202,7 @@
     servers_.OnTick(options_.max_flow_age, feeds_.confirmed(Feed::kServers),
                     now);
     FollowIncarnations(now);
-    cold_suspicion_.OnTick(now);
+    cold_suspicion_.OnTick(feeds_.confirmed(Feed::kServers), now);
     unknown_cookies_.Expire(options_.max_flow_age, now);
   }
 
@@ -220,8 +220,12 @@
     if (failure_detector_.OnProbeOutcome(*entry, outcome, now)) {
       flow_resetter_.ResetFlowsOf(*entry, HeldStateAt(now), now);
     }
+    if (!was_lost && entry->reach.lost()) {
+      ColdSuspicion::OnLost(*entry, now);
+    }
     if (was_lost && entry->reach.usable()) {
       server_pace_.OnStarted(*entry, now);
+      cold_suspicion_.OnReturned(*entry, now);
     }
   }
 
--- a/src/direct/flow_monitor.cc
+++ b/src/direct/flow_monitor.cc
@@ -72,6 +72,10 @@
   flow.acks_answers = flow.acks_answers || answer_acknowledged;
   flow.waiting = false;
   OnProgress(*flow.server, now);
+  // Other packets may acknowledge what the server sent before it was lost.
+  if (answer_acknowledged && !packet.fin) {
+    ColdSuspicion::OnProgress(*flow.server, flow.opened_at);
+  }
 }
 
 void FlowMonitor::OnData(const Packet& packet, Flow& flow, absl::Time now) {
@@ -162,6 +166,7 @@
   context_.failure_detector.OnProgress(server, now);
   if (was_lost) {
     context_.server_pace.OnStarted(server, now);
+    context_.cold_suspicion.OnReturned(server, now);
   }
 }
 
--- a/src/direct/flow_monitor.h
+++ b/src/direct/flow_monitor.h
@@ -8,6 +8,7 @@
 #include "gcw/direct/events.h"
 #include "gcw/direct/packet.h"
 #include "src/direct/admission_table.h"
+#include "src/direct/cold_suspicion.h"
 #include "src/direct/flow_table.h"
 #include "src/direct/server_failure_detector.h"
 #include "src/direct/server_pace.h"
@@ -29,6 +30,7 @@
     ServerFailureDetector& failure_detector;
     AdmissionTable& admission_table;
     ServerPace& server_pace;
+    const ColdSuspicion& cold_suspicion;
   };
 
   // The members of `context` and `events` must outlive the monitor.
--- a/src/direct/server_entry.h
+++ b/src/direct/server_entry.h
@@ -29,7 +29,8 @@
   // Whether the server may be cold, so that it gets new flows at a limited
   // rate.
   bool cold(absl::Time now) const {
-    return now < std::max({cold_until, caution.cold_until, unread_cold_until});
+    return now < std::max({cold_until, caution.cold_until, unread_cold_until,
+                           restart_cold_until});
   }
 
   BackendServer server;
@@ -52,8 +53,12 @@
   // From a report of another incarnation that is deferred.
   Caution caution;
   // Updated by ColdSuspicion: until when the server may be cold because reports
-  // of it may not have been read.
+  // of it may not have been read, or because it may have restarted.
   absl::Time unread_cold_until = absl::InfinitePast();
+  absl::Time restart_cold_until = absl::InfinitePast();
+  // When the server was last found lost, and last answered after that.
+  absl::Time lost_at = absl::InfinitePast();
+  absl::Time returned_at = absl::InfinitePast();
   Reachability reach;
   // The two numbers of flows below include only flows that are in this daemon's
   // flow table.
