direct: a list that is older than a packet proves no cookie unknown

What callers would see: a flow on a server that has joined since is reset by a daemon whose list of servers was confirmed up to 10 s ago.

Cause: the age of the list was compared with a constant, not with the packet. Evidence: by reading, and two tests that fail on the code before.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -27,10 +27,6 @@
 namespace gcw::direct {
 namespace {
 
-// A feed (one kind of state in the store) that the store has confirmed within
-// this time counts as up to date. Watch calls to the store return every few
-// seconds, and several daemons may relay their results.
-constexpr absl::Duration kFeedFreshness = absl::Seconds(10);
 // A flow is reset if its server is gone from the store and answers no data on
 // any flow for this time. Callers retransmit their data meanwhile.
 constexpr absl::Duration kGoneAnswerTimeout = absl::Milliseconds(500);
@@ -554,20 +550,24 @@
 
   // Refuses a packet whose cookie matches no known server. The packet is
   // dropped as long as this daemon may not have read the server from the store
-  // yet. The flow is reset once the cookie has been unknown for
-  // RouterOptions::lapse_grace and the server list is up to date.
+  // yet. The flow is reset if the server list is confirmed at least
+  // RouterOptions::lapse_grace after the cookie was first seen, and after the
+  // flow was: a list that is older than the packet cannot tell that the server
+  // is gone, or has not come back.
   Decision RefuseUnknownCookie(const Packet& packet, absl::Time now) {
     if (packet.cookie == 0) {
       return Refuse(packet, Reason::kNoCookie, nullptr, absl::ZeroDuration(),
                     now);
     }
-    const absl::Duration unknown_for =
-        now - unknown_cookies_.UnknownSince(packet.cookie, now);
+    const UnknownCookies::FirstSeen first_seen =
+        unknown_cookies_.OnPacket(packet.cookie, packet.flow, now);
+    const absl::Time confirmed = feeds_.confirmed(Feed::kServers);
     const bool expect_listed =
-        ServersAge(now) < kFeedFreshness && unknown_for >= options_.lapse_grace;
+        confirmed >= first_seen.cookie + options_.lapse_grace &&
+        confirmed > first_seen.flow;
     return Refuse(
         packet, expect_listed ? Reason::kCookieUnknown : Reason::kCookiePending,
-        nullptr, unknown_for, now);
+        nullptr, now - first_seen.cookie, now);
   }
 
   static Decision Forward(const ServerEntry& server, Reason reason) {
--- a/src/direct/unknown_cookies.h
+++ b/src/direct/unknown_cookies.h
@@ -7,17 +7,24 @@
 
 namespace gcw::direct {
 
-// The cookies in received packets that match no known server. Has no I/O. Not
-// thread-safe.
+// The cookies in received packets that match no known server, and the flows
+// that they came on. Has no I/O. Not thread-safe.
 class UnknownCookies {
  public:
-  // When a packet with `cookie` was first received; `now` if it is the first.
-  absl::Time UnknownSince(FlowCookie cookie, absl::Time now);
-  // Forgets the cookies that were first received before `now` - `max_age`.
+  // When the first packet was received with a cookie and on a flow.
+  struct FirstSeen {
+    absl::Time cookie;
+    absl::Time flow;
+  };
+
+  // Records a packet of `flow` with `cookie`.
+  FirstSeen OnPacket(FlowCookie cookie, const FlowKey& flow, absl::Time now);
+  // Forgets what was first received before `now` - `max_age`.
   void Expire(absl::Duration max_age, absl::Time now);
 
  private:
-  absl::flat_hash_map<FlowCookie, absl::Time> since_;
+  absl::flat_hash_map<FlowCookie, absl::Time> cookies_;
+  absl::flat_hash_map<FlowKey, absl::Time> flows_;
 };
 
 }  // namespace gcw::direct
--- a/tests/direct/flow_test.cc
+++ b/tests/direct/flow_test.cc
@@ -193,6 +193,32 @@
   CHECK(decision.reason == Reason::kCookieUnknown);
 }
 
+// The list was confirmed less than 10 s ago, but not since the packet came: it
+// may lack a server that has joined meanwhile. Such flows were reset.
+TEST_CASE("a list that is older than the packet proves no cookie unknown") {
+  RouterFixture f;
+  f.AdvanceTime(absl::Milliseconds(100));
+  f.store_answers = false;
+  f.AdvanceTime(absl::Seconds(2));
+  f.Send(f.Data(1, 77));
+  f.AdvanceTime(absl::Seconds(5));
+  CHECK(f.Send(f.Data(1, 77)).reason == Reason::kCookiePending);
+  f.store_answers = true;
+  f.AdvanceTime(absl::Milliseconds(100));
+  CHECK(f.Send(f.Data(1, 77)).reason == Reason::kCookieUnknown);
+}
+
+// A server that comes back under its id has the same cookie as before.
+TEST_CASE("a cookie that was unknown before does not condemn a new flow") {
+  RouterFixture f;
+  f.Send(f.Data(1, 77));
+  f.AdvanceTime(absl::Seconds(4));
+  REQUIRE(f.Send(f.Data(1, 77)).reason == Reason::kCookieUnknown);
+  CHECK(f.Send(f.Data(2, 77)).reason == Reason::kCookiePending);
+  f.AdvanceTime(absl::Milliseconds(100));
+  CHECK(f.Send(f.Data(2, 77)).reason == Reason::kCookieUnknown);
+}
+
 TEST_CASE(
     "packets with a pending cookie are forwarded once the server is listed") {
   RouterFixture f;
