direct: an equal report of a cold server counts from when it was made

Cause: a report with equal fields counted as unchanged, but its cold time counts from the report. Evidence: the daemons' logs show that the list was read and that the flows began 2.03 s after the first report, whose cold time was 2 s.

Change: each new report sets until when the server is cold. The new case of newer_state_test.cc failed before.

--- a/src/direct/server_table.cc
+++ b/src/direct/server_table.cc
@@ -307,6 +307,8 @@
   entry.server.report_number = report.server.report_number;
   if (is_new) {
     NoteReportTime(entry, now);
+    // From the time of the report, so an equal number tells of a later time.
+    entry.cold_until = now + report.server.cold_for;
   }
   if (unchanged) {
     return;
--- a/tests/direct/newer_state_test.cc
+++ b/tests/direct/newer_state_test.cc
@@ -79,6 +79,16 @@
   }
 }
 
+// The times in two reports were compared without that of the reports.
+TEST_CASE("a server may become cold again for as long as before") {
+  NewerStateFixture f;
+  f.ReportCold("near");
+  f.AdvanceTime(kColdTime + absl::Milliseconds(100));
+  REQUIRE(f.PlacedIn("near") > 30);
+  f.SendServerList();
+  CHECK(f.PlacedIn("near") == 0);
+}
+
 TEST_CASE("a zone whose reports are as new as its return serves at once") {
   NewerStateFixture f;
   f.TakeOut({"near"});
