direct: refusals are a class of their own

What is refused, reported and counted moves to FlowRefuser; no decision changes, the tests of gcw_direct hold.

--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <map>
 #include <optional>
 #include <utility>
 
@@ -12,6 +11,7 @@
 #include "src/direct/feed_states.h"
 #include "src/direct/fleet_load.h"
 #include "src/direct/flow_monitor.h"
+#include "src/direct/flow_refuser.h"
 #include "src/direct/flow_resetter.h"
 #include "src/direct/flow_table.h"
 #include "src/direct/overflow_log.h"
@@ -20,7 +20,6 @@
 #include "src/direct/server_failure_detector.h"
 #include "src/direct/server_pace.h"
 #include "src/direct/server_table.h"
-#include "src/direct/unknown_cookies.h"
 #include "src/direct/zone_balancer.h"
 #include "src/direct/zones_out.h"
 
@@ -32,8 +31,6 @@
 constexpr absl::Duration kGoneAnswerTimeout = absl::Milliseconds(500);
 // How often expired flows, servers and unknown cookies are removed.
 constexpr absl::Duration kSweepInterval = absl::Seconds(1);
-// RefusalStats::cause of flows beyond the limit of their caller.
-constexpr std::string_view kCallerLimitCause = "caller_limit";
 // How often the figures of single servers are taken. They are sent every 2 s.
 constexpr absl::Duration kServerFiguresInterval = absl::Milliseconds(250);
 
@@ -45,6 +42,7 @@
       : options_(options),
         feeds_(&events_),
         configuration_(&events_),
+        refuser_(configuration_, feeds_, options.lapse_grace, &events_),
         admission_table_(options.seed, &events_),
         zones_out_(options.restore_grace, &events_),
         servers_(options.lapse_grace,
@@ -154,8 +152,8 @@
     const Route* route = configuration_.FindRoute(packet.flow.service);
     if (route == nullptr) {
       flows_.Erase(packet.flow);
-      return Refuse(packet, Reason::kUnknownRoute, nullptr,
-                    absl::ZeroDuration(), now);
+      return refuser_.Refuse(packet, Reason::kUnknownRoute, nullptr,
+                             absl::ZeroDuration(), now);
     }
     if (packet.syn) {
       return HandleSyn(packet, *route, now);
@@ -199,7 +197,7 @@
                     now);
     FollowIncarnations(now);
     cold_suspicion_.OnTick(feeds_.confirmed(Feed::kServers), now);
-    unknown_cookies_.Expire(options_.max_flow_age, now);
+    refuser_.Expire(options_.max_flow_age, now);
   }
 
   std::vector<ProbeRequest> TakeProbes() {
@@ -264,9 +262,7 @@
           {service.name, zone_balancer_.overflow_share(service.name),
            admission_table_.AdmittedShare(service.name)});
     }
-    for (const auto& [key, flows] : refusals_) {
-      stats.refusals.push_back({key.first, key.second, flows});
-    }
+    stats.refusals = refuser_.Stats();
     stats.slow_starts = server_pace_.SlowStarts(servers_);
     stats.load_age = fleet_load_.age(now);
     return stats;
@@ -400,49 +396,21 @@
     if (admission.admitted) {
       return std::nullopt;
     }
-    return RefuseOverloaded(packet, priority, service, admission, now);
-  }
-
-  // Resets a new flow because `service` is overloaded.
-  Decision RefuseOverloaded(const Packet& packet,
-                            std::uint32_t priority,
-                            std::string_view service,
-                            const Admission& admission,
-                            absl::Time now) {
-    const Decision decision =
-        Refuse(packet, Reason::kOverloaded, nullptr, absl::ZeroDuration(), now);
     own_load_.OnRefused(service);
-    auto& event = std::get<FlowRefused>(events_.back());
-    event.admitted_share = admission_table_.AdmittedShare(service);
-    event.priority = priority;
-    event.over_caller_limit = admission.over_caller_limit;
-    event.figures_recent = fleet_load_.fresh(now);
-    CountRefusal(admission.over_caller_limit ? kCallerLimitCause
-                                             : ReasonName(decision.reason),
-                 priority);
-    return decision;
+    return refuser_.RefuseOverloaded(packet, priority,
+                                     admission_table_.AdmittedShare(service),
+                                     admission, fleet_load_.fresh(now), now);
   }
 
-  // Refuses a new flow that no server can take. If this daemon cannot reach
-  // enough servers, other daemons may reach more. The SYN is then dropped
-  // instead of reset, so that its caller retransmits it and another daemon can
-  // receive it.
+  // Refuses a new flow that no server can take.
   Decision RefuseUnplaced(const Packet& packet,
                           std::uint32_t priority,
                           const ExcludedServers& excluded,
                           absl::Time now) {
     const bool leave_to_others =
         excluded.lost > 0 && !failure_detector_.ServesMostDemand();
-    const Decision decision = Refuse(
-        packet, leave_to_others ? Reason::kLeftToOthers : Reason::kNoServer,
-        nullptr, absl::ZeroDuration(), now);
-    std::get<FlowRefused>(events_.back()).excluded = excluded;
-    CountRefusal(ReasonName(decision.reason), priority);
-    return decision;
-  }
-
-  void CountRefusal(std::string_view cause, std::uint32_t priority) {
-    ++refusals_[{cause, priority}];
+    return refuser_.RefuseUnplaced(packet, priority, excluded, leave_to_others,
+                                   now);
   }
 
   // Records that `packet` is the first packet of its flow at `server`. Adds the
@@ -491,7 +459,7 @@
       server = servers_.FindHolder(packet.cookie);
     }
     if (server == nullptr) {
-      return RefuseUnknownCookie(packet, now);
+      return refuser_.RefuseUnknownCookie(packet, now);
     }
     if (flow == nullptr) {
       flow = Track(packet, route, nullptr, server, now);
@@ -525,8 +493,8 @@
     const bool ended = servers_.HasEnded(server) && !answers;
     if (ended || IsUnanswered(packet, flow, server, now) ||
         failure_detector_.ShouldResetFlows(server, now)) {
-      return Refuse(packet, UnusableReason(server), &server,
-                    now - UnusableSince(server), now);
+      return refuser_.Refuse(packet, UnusableReason(server), &server,
+                             now - UnusableSince(server), now);
     }
     // The store removes a server's entry if the server's heartbeats don't
     // arrive, even if callers still reach the server.
@@ -548,58 +516,16 @@
            server.reach.last_progress() <= flow->waiting_since;
   }
 
-  // Refuses a packet whose cookie matches no known server. The packet is
-  // dropped as long as this daemon may not have read the server from the store
-  // yet. The flow is reset if the server list is confirmed at least
-  // RouterOptions::lapse_grace after the cookie was first seen, and after the
-  // flow was: a list that is older than the packet cannot tell that the server
-  // is gone, or has not come back.
-  Decision RefuseUnknownCookie(const Packet& packet, absl::Time now) {
-    if (packet.cookie == 0) {
-      return Refuse(packet, Reason::kNoCookie, nullptr, absl::ZeroDuration(),
-                    now);
-    }
-    const UnknownCookies::FirstSeen first_seen =
-        unknown_cookies_.OnPacket(packet.cookie, packet.flow, now);
-    const absl::Time confirmed = feeds_.confirmed(Feed::kServers);
-    const bool expect_listed =
-        confirmed >= first_seen.cookie + options_.lapse_grace &&
-        confirmed > first_seen.flow;
-    return Refuse(
-        packet, expect_listed ? Reason::kCookieUnknown : Reason::kCookiePending,
-        nullptr, now - first_seen.cookie, now);
-  }
-
   static Decision Forward(const ServerEntry& server, Reason reason) {
     return {Action::kForward, reason, server.server.address,
             server.server.number, server.cookie};
   }
 
-  // Reports that `packet` is not forwarded, and decides whether to drop it or
-  // to reset its flow. `evidence_age` is how long the reason has been known.
-  Decision Refuse(const Packet& packet,
-                  Reason reason,
-                  const ServerEntry* server,
-                  absl::Duration evidence_age,
-                  absl::Time now) {
-    const bool drop = packet.rst || reason == Reason::kCookiePending ||
-                      reason == Reason::kNoCookie ||
-                      reason == Reason::kLeftToOthers;
-    events_.push_back(
-        FlowRefused{.flow = packet.flow,
-                    .reason = reason,
-                    .server = server == nullptr ? "" : server->server.name,
-                    .cookie = packet.cookie,
-                    .evidence_age = evidence_age,
-                    .configuration = configuration_.version(),
-                    .servers_age = ServersAge(now)});
-    return {.action = drop ? Action::kDrop : Action::kReset, .reason = reason};
-  }
-
   const RouterOptions options_;
   std::vector<Event> events_;
   FeedStates feeds_;
   ActiveConfiguration configuration_;
+  FlowRefuser refuser_;
   AdmissionTable admission_table_;
   ZonesOut zones_out_;
   ServerTable servers_;
@@ -614,13 +540,10 @@
   FleetLoad fleet_load_;
   ZoneBalancer zone_balancer_;
   OverflowLog overflow_log_;
-  UnknownCookies unknown_cookies_;
   std::vector<load::ServerLoad> server_figures_;  // Of this daemon.
   absl::Time server_figures_taken_ = absl::InfinitePast();
   absl::Time last_sweep_ = absl::InfinitePast();
   std::uint64_t untracked_ = 0;
-  // Refused new flows by cause and priority.
-  std::map<std::pair<std::string_view, std::uint32_t>, std::uint64_t> refusals_;
 };
 
 Result<std::unique_ptr<DirectRouter>> DirectRouter::Make(
