direct: a list that was restored does not prove that servers are warm

Cause: the version of the restored list is higher than that of the zone's return, but the list lacks the reports, which servers write again within 10 s.

Change: for the grace time after a restore the limit of cold servers lasts for their cold time, whatever version the list has.

--- a/src/direct/cold_suspicion.cc
+++ b/src/direct/cold_suspicion.cc
@@ -35,8 +35,12 @@
   Add({.version = version, .since = now});
 }
 
+bool ColdSuspicion::Includes(const NewerState& state, absl::Time now) const {
+  return state.version <= list_version_ && now >= restore_grace_end_;
+}
+
 void ColdSuspicion::Add(NewerState state) {
-  if (state.version <= list_version_) {
+  if (Includes(state, state.since)) {
     return;
   }
   wanted_ = std::max(wanted_, state.version);
@@ -44,14 +48,17 @@
   Mark();
 }
 
-bool ColdSuspicion::OnListIncludes(Version version) {
+bool ColdSuspicion::OnListIncludes(Version version, absl::Time now) {
+  // Before the first list there is nothing that a restore can have undone.
+  if (list_version_ != 0 && EpochOf(version) > EpochOf(list_version_)) {
+    restore_grace_end_ = now + restore_grace_;
+  }
   list_version_ = std::max(list_version_, version);
   if (newer_.empty()) {
     return false;
   }
-  const auto read = std::erase_if(newer_, [&](const NewerState& state) {
-    return state.version <= list_version_;
-  });
+  const auto read = std::erase_if(
+      newer_, [&](const NewerState& state) { return Includes(state, now); });
   Mark();
   return read > 0;
 }
--- a/src/direct/cold_suspicion.h
+++ b/src/direct/cold_suspicion.h
@@ -33,8 +33,10 @@
 // such a moment, so that bounds both. Has no I/O. Not thread-safe.
 class ColdSuspicion {
  public:
-  // `servers` must outlive this object.
-  explicit ColdSuspicion(const ServerTable& servers) : servers_(servers) {}
+  // `servers` must outlive this object. `restore_grace` is how long after a
+  // restore of the store the list may lack reports that servers had made.
+  ColdSuspicion(const ServerTable& servers, absl::Duration restore_grace)
+      : servers_(servers), restore_grace_(restore_grace) {}
 
   // Sets the cold times of the services.
   void SetServices(std::span<const Service> services);
@@ -49,7 +51,7 @@
 
   // The list of servers has changed, or is known to include all changes up to
   // `version`. Returns whether fewer servers may be cold for that.
-  bool OnListIncludes(Version version);
+  bool OnListIncludes(Version version, absl::Time now);
   // The version up to which the list of servers is to be read without delay, if
   // that is more than the last call returned.
   std::optional<Version> TakeWantedVersion();
@@ -74,12 +76,16 @@
     std::string service;  // Likewise.
   };
 
+  // Whether the list shows all that servers had reported before `state`.
+  bool Includes(const NewerState& state, absl::Time now) const;
   void Add(NewerState state);
   // Sets ServerEntry::unread_cold_until of all servers.
   void Mark();
   absl::Duration ColdTime(std::string_view service) const;
 
   const ServerTable& servers_;
+  const absl::Duration restore_grace_;
+  absl::Time restore_grace_end_ = absl::InfinitePast();
   std::map<std::string, absl::Duration, std::less<>>
       cold_times_;  // By service.
   std::vector<NewerState> newer_;
--- a/src/direct/direct_router.cc
+++ b/src/direct/direct_router.cc
@@ -50,7 +50,7 @@
                  &events_,
                  options.report_interval),
         failure_detector_(options.zone, servers_, zones_out_.names(), &events_),
-        cold_suspicion_(servers_),
+        cold_suspicion_(servers_, options.restore_grace),
         flows_(options.max_flows),
         flow_monitor_({servers_, flows_, failure_detector_, admission_table_,
                        server_pace_, cold_suspicion_},
@@ -132,7 +132,7 @@
     feeds_.OnConfirmed(feed, confirmed);
   }
   void OnServersInclude(Version version, absl::Time now) {
-    if (cold_suspicion_.OnListIncludes(version)) {
+    if (cold_suspicion_.OnListIncludes(version, now)) {
       zone_balancer_.Update(servers_, fleet_load_, zones_out_.names(), now);
     }
   }
--- a/tests/direct/newer_state_test.cc
+++ b/tests/direct/newer_state_test.cc
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 #include <optional>
 
+#include "gcw/base/store_version.h"
 #include "tests/direct/router_fixture.h"
 
 namespace gcw::direct {
@@ -124,7 +125,8 @@
 TEST_CASE("a zone that a restore had put out waits at the end of its grace") {
   NewerStateFixture f;
   f.TakeOut({"near"});
-  f.revision += Version{1} << 48;
+  f.revision = MakeStoreVersion(1, 1);
+  f.SendServerList();
   f.TakeOut({});
   CHECK(f.PlacedIn("near") == 0);
   f.AdvanceTime(absl::Seconds(11));
@@ -134,6 +136,28 @@
   CHECK(f.PlacedIn("near") > 30);
 }
 
+// The restored list may lack the reports that the servers are cold, until they
+// report again.
+TEST_CASE("a list that was restored does not prove that servers are warm") {
+  NewerStateFixture f;
+  f.TakeOut({"near"});
+  SECTION("if the zone was back before the restore") {
+    f.TakeOut({});
+    f.revision = MakeStoreVersion(1, 1);
+    f.SendServerList();
+  }
+  SECTION("if it is back after it") {
+    f.revision = MakeStoreVersion(1, 1);
+    f.SendServerList();
+    f.TakeOut({"near"});
+    f.TakeOut({});
+    f.router->OnServersInclude(f.revision, f.now);
+  }
+  CHECK(f.PlacedIn("near") == 0);
+  f.AdvanceTime(kColdTime + absl::Milliseconds(100));
+  CHECK(f.PlacedIn("near") > 30);
+}
+
 TEST_CASE(
     "a service that gets its first route waits for its servers' reports") {
   NewerStateFixture f;
