--- a/src/soak/caller.cc
+++ b/src/soak/caller.cc
@@ -21,6 +21,10 @@
 constexpr absl::Duration kAttemptTimeout = absl::Milliseconds(2500);
 // Mean time between the end of a request and the start of the next.
 constexpr absl::Duration kMeanPause = absl::Milliseconds(80);
+// Shortest pause on an idle flow, and by how much more others last. Daemons
+// forget a flow after 15 s without a packet.
+constexpr absl::Duration kMinIdlePause = absl::Seconds(6);
+constexpr absl::Duration kIdlePauseSpread = absl::Seconds(6);
 constexpr std::uint32_t kFirstSequence = 1000;
 // By how much the acknowledged sequence number grows with each answer.
 constexpr std::uint32_t kAnswerBytes = 40;
@@ -32,13 +36,13 @@
                const Endpoint& address,
                std::uint16_t ports,
                const Endpoint& service,
-               bool new_flow_per_request,
+               FlowUse flow_use,
                Send send,
                CallerObserver& observer)
     : scheduler_(scheduler),
       random_(seed),
       service_(service),
-      new_flow_per_request_(new_flow_per_request),
+      flow_use_(flow_use),
       send_(std::move(send)),
       observer_(observer),
       flow_{address, service},
@@ -53,6 +57,12 @@
   }
 }
 
+absl::Duration Caller::DrawPause() {
+  return flow_use_ == FlowUse::kIdle
+             ? kMinIdlePause + random_.Uniform() * kIdlePauseSpread
+             : random_.Exponential(kMeanPause);
+}
+
 void Caller::AfterIfCurrent(absl::Duration delay,
                             std::function<void()> action) {
   scheduler_.After(delay, [this, generation = attempt_generation_,
@@ -205,7 +215,7 @@
   }
   sequence_ += static_cast<std::uint32_t>(request_.size());
   acknowledged_ += kAnswerBytes;
-  const bool close = new_flow_per_request_ || end.packet.fin;
+  const bool close = flow_use_ == FlowUse::kOneRequest || end.packet.fin;
   open_ = !close;
   Acknowledge(close);
   FinishRequest(true);
@@ -225,7 +235,7 @@
   observer_.OnFinished(flow_, started_, answered);
   ++attempt_generation_;
   state_ = State::kIdle;
-  AfterIfCurrent(random_.Exponential(kMeanPause), [this] { StartRequest(); });
+  AfterIfCurrent(DrawPause(), [this] { StartRequest(); });
 }
 
 }  // namespace gcw::soak
--- a/src/soak/caller.h
+++ b/src/soak/caller.h
@@ -32,22 +32,28 @@
   virtual void OnDaemonReset(const direct::FlowKey& flow) = 0;
 };
 
-// Simulated caller: sends one request after the other, over one long flow or a
-// new flow for each, and retransmits and retries like the platform's callers.
-// Not thread-safe; all actions run on the scheduler.
+// How a caller uses its flows.
+enum class FlowUse : std::uint8_t {
+  kBusy,        // One request after the other on one long flow.
+  kIdle,        // The same, with pauses of seconds in between.
+  kOneRequest,  // A new flow for each request.
+};
+
+// Simulated caller: sends one request after the other, and retransmits and
+// retries like the platform's callers. Not thread-safe; all actions run on the
+// scheduler.
 class Caller {
  public:
   using Send = std::function<void(const adapter::EndHostPacket&)>;
 
   // Each new flow uses the next of `ports` ports, beginning with that of
-  // `address`. With `new_flow_per_request` each request opens a flow of its
-  // own. `scheduler` and `observer` must outlive the caller.
+  // `address`. `scheduler` and `observer` must outlive the caller.
   Caller(lab::Scheduler& scheduler,
          std::uint64_t seed,
          const Endpoint& address,
          std::uint16_t ports,
          const Endpoint& service,
-         bool new_flow_per_request,
+         FlowUse flow_use,
          Send send,
          CallerObserver& observer);
 
@@ -67,6 +73,8 @@
     kWaiting,  // Waits for the answer to a request.
   };
 
+  // The time until the next request.
+  absl::Duration DrawPause();
   void StartRequest();
   void StartAttempt();
   // `copy_number` tells apart the SYN (0) and its retransmissions.
@@ -87,7 +95,7 @@
   lab::Scheduler& scheduler_;
   lab::Random random_;
   const Endpoint service_;
-  const bool new_flow_per_request_;
+  const FlowUse flow_use_;
   const Send send_;
   CallerObserver& observer_;
   direct::FlowKey flow_;
--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -41,6 +41,9 @@
 constexpr std::size_t kBurstCallersPerShortFlows = 2;
 // Callers that have ports enough at one address.
 constexpr std::size_t kMaxBurstCallers = 200;
+// Callers of each zone whose flows are mostly idle. Each flow needs few ports.
+constexpr std::size_t kIdleCallers = 20;
+constexpr std::uint16_t kIdlePorts = 50;
 // Addresses that callers connect to.
 constexpr Endpoint kService{0xc6120001, 8443};
 constexpr Endpoint kOptionalService{0xc6120001, 9000};
@@ -143,14 +146,36 @@
   }
 }
 
-void Deployment::RestartServer(std::size_t server) {
+void Deployment::RestartServer(std::size_t server, absl::Duration cold_for) {
   ServerRecord& record = servers_[server];
   record.server->Restart();
   record.reports = 0;
   record.up = true;
   record.draining_since = absl::InfiniteFuture();
   record.probes->Set(ProbeTarget::Mode::kAccept);
+  BecomeCold(server, cold_for);
+}
+
+void Deployment::BecomeCold(std::size_t server, absl::Duration cold_for) {
+  servers_[server].cold_until = now() + cold_for;
   PutServerEntry(server);
+  if (cold_for > absl::ZeroDuration()) {
+    ReportUntilWarm(server);
+  }
+}
+
+void Deployment::ReportUntilWarm(std::size_t server) {
+  const std::uint64_t incarnation = servers_[server].incarnation;
+  loop_->After(kReportInterval, [this, server, incarnation] {
+    const ServerRecord& record = servers_[server];
+    if (!record.up || record.unreported || record.incarnation != incarnation) {
+      return;
+    }
+    PutServerEntry(server);
+    if (now() < record.cold_until) {
+      ReportUntilWarm(server);
+    }
+  });
 }
 
 bool Deployment::TakeZoneOut(std::size_t zone) {
@@ -290,6 +315,9 @@
     configuration.routes.push_back({kOptionalService, "b", {{"s", 1}}});
   }
   configuration.services.push_back({.name = "s"});
+  if (options_.added.cold_servers) {
+    configuration.services[0].cold_time = kColdTime;
+  }
   std::string text = adapter::EncodeConfiguration(configuration);
   const auto written =
       store_->Put(adapter::kConfigurationKey, text, configuration_version_);
@@ -346,6 +374,7 @@
   entry.zone = topology_.zones[record.zone];
   entry.slots = Server::kSlots;
   entry.draining = record.draining_since != absl::InfiniteFuture();
+  entry.cold_for = std::max(record.cold_until - now(), absl::ZeroDuration());
   return entry;
 }
 
@@ -422,6 +451,8 @@
       options_.added.load_patterns
           ? std::min(options_.callers_per_zone * kBurstFactor, kMaxBurstCallers)
           : 0;
+  const std::size_t idle_callers =
+      options_.added.cold_servers ? kIdleCallers : 0;
   for (std::size_t i = 0; i < 2 * kZones; ++i) {
     auto port =
         lab::UdpPort::Make(*loop_, {LoopbackIp(kCallerNet, i), kPacketPort},
@@ -436,6 +467,9 @@
     for (std::size_t j = 0; j < count; ++j) {
       AddCaller(i % kZones, j, burst);
     }
+    for (std::size_t j = 0; !burst && j < idle_callers; ++j) {
+      AddIdleCaller(i % kZones, count + j);
+    }
   }
   return OkStatus();
 }
@@ -452,16 +486,34 @@
   const Endpoint address{
       LoopbackIp(kCallerNet, record.port),
       static_cast<std::uint16_t>(kFirstCallerPort + index * ports)};
+  const bool short_flows =
+      index % (burst ? kBurstCallersPerShortFlows : kCallersPerShortFlows) == 0;
   record.caller = std::make_unique<Caller>(
       *loop_, options_.seed * 1000 + id, address, ports,
       record.optional_route ? kOptionalService : kService,
-      index % (burst ? kBurstCallersPerShortFlows : kCallersPerShortFlows) == 0,
+      short_flows ? FlowUse::kOneRequest : FlowUse::kBusy,
       [this, id](const EndHostPacket& end) { OnCallerPacket(id, end); },
       record.optional_route ? static_cast<CallerObserver&>(ignoring_observer_)
                             : observer_);
   callers_.push_back(std::move(record));
 }
 
+void Deployment::AddIdleCaller(std::size_t zone, std::size_t index) {
+  const std::size_t id = callers_.size();
+  CallerRecord record;
+  record.zone = zone;
+  record.port = zone;
+  const Endpoint address{
+      LoopbackIp(kCallerNet, record.port),
+      static_cast<std::uint16_t>(kFirstCallerPort + index * kPorts)};
+  record.caller = std::make_unique<Caller>(
+      *loop_, options_.seed * 1000 + id, address, kIdlePorts, kService,
+      FlowUse::kIdle,
+      [this, id](const EndHostPacket& end) { OnCallerPacket(id, end); },
+      observer_);
+  callers_.push_back(std::move(record));
+}
+
 void Deployment::OnCallerPacket(std::size_t caller, const EndHostPacket& end) {
   const std::size_t zone = callers_[caller].zone;
   const std::size_t port = callers_[caller].port;
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -30,6 +30,8 @@
 
 // The users' bound on how long daemons may open flows on a draining server.
 inline constexpr absl::Duration kDrainBound = absl::Seconds(3);
+// How long servers stay cold.
+inline constexpr absl::Duration kColdTime = absl::Seconds(2);
 // How often a server reports to the store.
 inline constexpr absl::Duration kReportInterval = absl::Milliseconds(1200);
 
@@ -44,6 +46,8 @@
   std::unique_ptr<lab::UdpPort> port;
   bool up = true;  // While false, the server drops all packets.
   absl::Time draining_since = absl::InfiniteFuture();
+  // Until when the server bears only few flows a second.
+  absl::Time cold_until = absl::InfinitePast();
   config::Version version = 0;  // Of the store entry; 0 if there is none.
   std::uint64_t reports = 0;    // Reports of this incarnation so far.
   // The server's reports do not reach the store, so it has no entry.
@@ -120,8 +124,12 @@
   // Removes the server's store entry.
   void DeleteServerEntry(std::size_t server);
   // Restarts the server without flows, marks it as up and writes its entry. The
-  // server accepts probes again.
-  void RestartServer(std::size_t server);
+  // server accepts probes again, and stays cold for `cold_for`.
+  void RestartServer(std::size_t server,
+                     absl::Duration cold_for = absl::ZeroDuration());
+  // Makes a server that is up cold for `cold_for` from now on. It reports that
+  // at once, and then regularly until it is warm.
+  void BecomeCold(std::size_t server, absl::Duration cold_for);
   // Writes a new configuration version with or without the optional route.
   void WriteConfiguration(bool with_optional_route);
   // Restores the store from the copy that was saved last. The operators write
@@ -191,9 +199,15 @@
   Status StartFleet();
   Status MakeCallers();
   void StartOrStopBurst(std::size_t zone);
+  // Reports again after kReportInterval, until the server has reported that it
+  // is warm, unless it has started anew.
+  void ReportUntilWarm(std::size_t server);
   // Creates the caller with number `index` among the usual callers or the burst
   // callers of the zone.
   void AddCaller(std::size_t zone, std::size_t index, bool burst);
+  // Creates a caller of the zone that leaves its flow idle for seconds between
+  // two requests.
+  void AddIdleCaller(std::size_t zone, std::size_t index);
   // The address 127.OCTET.`net`.(`host` + 1).
   std::uint32_t LoopbackIp(std::uint32_t net, std::size_t host) const;
   // The key of the server's entry in the store.
--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -46,6 +46,9 @@
 // The users' rules count connections that go silent as a reset of all at this
 // moment.
 constexpr absl::Duration kSilencingDuration = absl::Milliseconds(1);
+// Time between the reports of servers that become cold or restart together, and
+// from the last one to the return of their zone.
+constexpr absl::Duration kColdReportGap = absl::Milliseconds(30);
 // Levels of nesting that overflow a stack if each takes a call.
 constexpr std::size_t kManyLevels = 120'000;
 // Large entries of another writer, each below the platform's limit of a value.
@@ -166,6 +169,10 @@
       return BurstDuringRestarts(zone);
     case FaultKind::kLateReport:
       return DelayReport(server, fault.target);
+    case FaultKind::kColdZone:
+      return ReturnZoneCold(zone, fault.duration + kMinZoneOutDuration);
+    case FaultKind::kColdRestarts:
+      return RestartZoneCold(zone, fault.duration);
     case FaultKind::kCount:
       return;
   }
@@ -358,16 +365,17 @@
 
 void FaultInjector::FailServer(std::size_t server,
                                ProbeTarget::Mode mode,
-                               absl::Duration duration) {
+                               absl::Duration duration,
+                               absl::Duration cold_for) {
   ServerRecord& record = deployment_.servers()[server];
   if (!record.in_service()) {
     return;
   }
   record.up = false;
   record.probes->Set(mode);
-  Impair({ServerName(server)}, duration, [this, server] {
+  Impair({ServerName(server)}, duration, [this, server, cold_for] {
     ++deployment_.servers()[server].incarnation;
-    deployment_.RestartServer(server);
+    deployment_.RestartServer(server, cold_for);
   });
 }
 
@@ -442,6 +450,42 @@
   }
 }
 
+void FaultInjector::ReturnZoneCold(std::size_t zone, absl::Duration duration) {
+  if (!deployment_.TakeZoneOut(zone)) {
+    return;
+  }
+  absl::Duration start = duration;
+  for (const std::size_t server : ServersInService(zone)) {
+    deployment_.loop().After(start, [this, server] {
+      if (deployment_.servers()[server].in_service()) {
+        deployment_.BecomeCold(server, kColdTime);
+      }
+    });
+    start += kColdReportGap;
+  }
+  deployment_.loop().After(start,
+                           [this, zone] { deployment_.PutZoneBack(zone); });
+}
+
+void FaultInjector::RestartZoneCold(std::size_t zone, absl::Duration duration) {
+  for (const std::size_t server : ServersInService(zone)) {
+    FailServer(server, ProbeTarget::Mode::kRefuse, duration, kColdTime);
+    duration += kColdReportGap;
+  }
+}
+
+std::vector<std::size_t> FaultInjector::ServersInService(
+    std::size_t zone) const {
+  std::vector<std::size_t> servers;
+  for (std::size_t i = 0; i < deployment_.servers().size(); ++i) {
+    const ServerRecord& record = deployment_.servers()[i];
+    if (record.zone == zone && record.in_service()) {
+      servers.push_back(i);
+    }
+  }
+  return servers;
+}
+
 void FaultInjector::TakeZoneOut(std::size_t zone, absl::Duration duration) {
   if (deployment_.TakeZoneOut(zone)) {
     deployment_.loop().After(duration,
--- a/src/soak/fault_injector.h
+++ b/src/soak/fault_injector.h
@@ -71,10 +71,20 @@
   void DegradeServerLinks(const lab::LinkFaults& faults,
                           absl::Duration duration);
   // The server drops its packets, and probes fail as `mode` says, until it
-  // restarts as a new incarnation. Does nothing if it is not in service.
+  // restarts as a new incarnation, cold for `cold_for`. Does nothing if it is
+  // not in service.
   void FailServer(std::size_t server,
                   ProbeTarget::Mode mode,
-                  absl::Duration duration);
+                  absl::Duration duration,
+                  absl::Duration cold_for = absl::ZeroDuration());
+  // Takes the zone out of service. After `duration` its servers become cold,
+  // one shortly after the other, and the zone is returned shortly after the
+  // last report of it.
+  void ReturnZoneCold(std::size_t zone, absl::Duration duration);
+  // The servers of the zone fail together and are back, cold, after `duration`,
+  // one shortly after the other.
+  void RestartZoneCold(std::size_t zone, absl::Duration duration);
+  std::vector<std::size_t> ServersInService(std::size_t zone) const;
   // Marks the server as draining, keeps it up for 1 s longer than kDrainBound,
   // and 2 s later starts another server at the same address. Does nothing if
   // the server is not in service.
--- a/src/soak/invariant_checker.cc
+++ b/src/soak/invariant_checker.cc
@@ -19,6 +19,9 @@
 // time left for an answer.
 constexpr absl::Duration kMinAnswerTime = absl::Seconds(1);
 constexpr std::size_t kMaxFindings = 20;
+// The users' bound on the flows that all daemons together open on a cold server
+// in a second.
+constexpr std::size_t kMaxColdFlows = 5;
 
 }  // namespace
 
@@ -104,6 +107,7 @@
 void InvariantChecker::OnFlowOpen(std::size_t server,
                                   std::size_t daemon,
                                   const direct::FlowKey& flow) {
+  CheckColdFlows(server, daemon);
   if (!IsInSync(daemon)) {
     return;
   }
@@ -128,6 +132,23 @@
   }
 }
 
+void InvariantChecker::CheckColdFlows(std::size_t server, std::size_t daemon) {
+  const absl::Time now = deployment_->now();
+  if (now >= deployment_->servers()[server].cold_until) {
+    return;
+  }
+  std::deque<absl::Time>& flows = cold_flows_[server];
+  flows.push_back(now);
+  while (now - flows.front() >= absl::Seconds(1)) {
+    flows.pop_front();
+  }
+  if (flows.size() > kMaxColdFlows) {
+    ++counts_.cold_overload;
+    AddFinding(fmt::format("b{} opened flow {} of a second on cold server {}",
+                           daemon, flows.size(), server));
+  }
+}
+
 bool InvariantChecker::IsUnimpaired(std::size_t server) const {
   const absl::Time now = deployment_->now();
   return impairments_.IsSettled(ServerName(server), now) &&
--- a/src/soak/invariant_checker.h
+++ b/src/soak/invariant_checker.h
@@ -2,6 +2,7 @@
 #define GCW_SOAK_INVARIANT_CHECKER_H_
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
@@ -63,6 +64,9 @@
   // neither of them was impaired within the last kSettleTime, and the run is
   // older than that.
   bool IsInSync(std::size_t daemon) const;
+  // Counts a flow that `daemon` opened on `server` against the bound of cold
+  // servers, which holds whatever else is wrong.
+  void CheckColdFlows(std::size_t server, std::size_t daemon);
   // Whether nothing that the server's flows depend on was impaired within the
   // last kSettleTime: the server, the links to servers, the daemons as a whole
   // ("fleet": pauses and partitions) and the links between zones.
@@ -73,6 +77,8 @@
   Deployment* deployment_ = nullptr;
   absl::Time start_;
   std::map<std::string, std::size_t> server_by_request_;  // Where requests ran.
+  // When cold servers got flows within the last second, by server.
+  std::map<std::size_t, std::deque<absl::Time>> cold_flows_;
   LoadWatch load_;
   InvariantCounts counts_;
   std::vector<std::string> findings_;
--- a/src/soak/invariants.cc
+++ b/src/soak/invariants.cc
@@ -42,6 +42,7 @@
   expect_zero("to_leaving_late", counts.to_leaving_late);
   expect_zero("to_out_zone_late", counts.to_out_zone_late);
   expect_zero("old_routes", counts.old_routes);
+  expect_zero("cold_overload", counts.cold_overload);
   expect_zero("refused_with_room", counts.refused_with_room);
   expect_zero("crashes", counts.crashes);
   expect_zero("over_memory", counts.over_memory);
--- a/src/soak/invariants.h
+++ b/src/soak/invariants.h
@@ -35,6 +35,8 @@
   std::uint64_t to_out_zone_late = 0;
   // Flows opened on a removed route later than the users' bound allows.
   std::uint64_t old_routes = 0;
+  // Flows that a cold server got beyond the users' bound in a second.
+  std::uint64_t cold_overload = 0;
   // Requests of callers of a zone under a load pattern while other zones had
   // room and no fault was near.
   std::uint64_t busy_zone_requests = 0;
--- a/src/soak/plan.cc
+++ b/src/soak/plan.cc
@@ -26,7 +26,8 @@
      "odd_entry",          "large_entries",
      "idle_connections",   "taken_port",
      "busy_zone",          "slow_server",
-     "busy_zone_restarts", "late_report"});
+     "busy_zone_restarts", "late_report",
+     "cold_zone",          "cold_restarts"});
 static_assert(kFaultNames.size() ==
               static_cast<std::size_t>(FaultKind::kCount));
 
@@ -53,6 +54,8 @@
 constexpr std::uint64_t kSlowServerSeedOffset = 0x1d8e4e27c47d124f;
 constexpr std::uint64_t kBusyRestartsSeedOffset = 0xeb44accab455d165;
 constexpr std::uint64_t kLateReportSeedOffset = 0x6a09e667f3bcc909;
+constexpr std::uint64_t kColdZoneSeedOffset = 0xbb67ae8584caa73b;
+constexpr std::uint64_t kColdRestartsSeedOffset = 0x3c6ef372fe94f82b;
 constexpr std::uint64_t kLoadPhaseSeedOffset = 0x2127599bf4325c37;
 // Length of a load pattern without restarts in the load phase, and the pause
 // before the next one, in which the daemons' figures return to normal.
@@ -146,6 +149,12 @@
   if (added.late_reports) {
     AddKind(FaultKind::kLateReport, seed + kLateReportSeedOffset, end, plan);
   }
+  if (added.cold_servers) {
+    AddKind(FaultKind::kColdZone, seed + kColdZoneSeedOffset,
+            end - kColdZoneTime, plan);
+    AddKind(FaultKind::kColdRestarts, seed + kColdRestartsSeedOffset, end,
+            plan);
+  }
   std::stable_sort(
       plan.begin(), plan.end(),
       [](const Fault& a, const Fault& b) { return a.start < b.start; });
--- a/src/soak/plan.h
+++ b/src/soak/plan.h
@@ -46,6 +46,11 @@
   // A server restarts or drains while a report of it is under way, which the
   // store executes later than the server's next report.
   kLateReport,
+  // A zone is taken out of service, its servers become cold and report it, and
+  // the zone is returned right after the last report.
+  kColdZone,
+  // All servers of a zone restart under their ids, and are cold then.
+  kColdRestarts,
   kCount,  // Number of kinds; not a fault.
 };
 
@@ -77,6 +82,9 @@
   // the plan.
   bool load_patterns = false;
   bool late_reports = false;  // kLateReport.
+  // kColdZone and kColdRestarts; some callers then leave their flows idle for
+  // seconds between two requests.
+  bool cold_servers = false;
 };
 
 // Formats `fault` as "3.2 s kill_daemon 4 for 1.5 s". Thread-safe.
@@ -100,6 +108,8 @@
 
 // Duration of the load phase.
 inline constexpr absl::Duration kLoadPhase = absl::Seconds(24);
+// How long a kColdZone lasts beyond its duration, at most.
+inline constexpr absl::Duration kColdZoneTime = absl::Seconds(6);
 // How long a daemon that restarts in turn has until the next one does.
 inline constexpr absl::Duration kRestartTurn = absl::Seconds(5);
 // Daemons that kBusyZoneRestarts restarts.
--- a/src/soak/soak_run.h
+++ b/src/soak/soak_run.h
@@ -19,7 +19,7 @@
   // Duration of the run, without the kLoadPhase that follows if load patterns
   // are among the added faults.
   absl::Duration length = absl::Seconds(40);
-  AddedFaults added{true, true, true, true, true, true};
+  AddedFaults added{true, true, true, true, true, true, true};
   std::size_t daemons_per_zone = 2;
   std::size_t servers_per_zone = 4;
   std::size_t callers_per_zone = 20;
--- a/tests/soak/plan_test.cc
+++ b/tests/soak/plan_test.cc
@@ -8,7 +8,7 @@
 namespace gcw::soak {
 namespace {
 
-constexpr AddedFaults kAllAdded{true, true, true, true, true, true};
+constexpr AddedFaults kAllAdded{true, true, true, true, true, true, true};
 
 TEST_CASE("equal seeds give equal plans and different seeds different plans") {
   CHECK(GeneratePlan(7, absl::Seconds(60), kAllAdded) ==
@@ -46,7 +46,9 @@
       {{.load_patterns = true},
        {FaultKind::kBusyZone, FaultKind::kSlowServer,
         FaultKind::kBusyZoneRestarts}},
-      {{.late_reports = true}, {FaultKind::kLateReport}}};
+      {{.late_reports = true}, {FaultKind::kLateReport}},
+      {{.cold_servers = true},
+       {FaultKind::kColdZone, FaultKind::kColdRestarts}}};
   const auto plain = GeneratePlan(49, absl::Seconds(60), {});
   for (const auto& [added, kinds] : cases) {
     INFO(FaultName(*kinds.begin()));
--- a/tests/soak/short_run_test.cc
+++ b/tests/soak/short_run_test.cc
@@ -22,6 +22,7 @@
 constexpr std::uint64_t kExhaustionSeeds[] = {7};
 constexpr std::uint64_t kLoadSeeds[] = {8};
 constexpr std::uint64_t kLateReportSeeds[] = {2, 12};
+constexpr std::uint64_t kColdServerSeeds[] = {2, 6};
 
 // Lengths with which the seeds failed; the plan depends on the length as well.
 absl::Duration LengthOf(std::uint64_t seed) {
@@ -107,5 +108,13 @@
   }
 }
 
+// Cold servers were flooded when they or their zone were back, and idle flows
+// of servers that had restarted were reset by daemons that started later.
+TEST_CASE("short soak runs with cold servers violate no invariant") {
+  for (const std::uint64_t seed : kColdServerSeeds) {
+    RunSeed(seed, {.cold_servers = true});
+  }
+}
+
 }  // namespace
 }  // namespace gcw::soak
--- a/tools/gcw-soak/main.cc
+++ b/tools/gcw-soak/main.cc
@@ -94,6 +94,9 @@
                "busy zones and slow servers, also in a phase after each run");
   app.add_flag("--late-reports,!--no-late-reports", options.added.late_reports,
                "execute reports of servers that restart or drain late");
+  app.add_flag("--cold-servers,!--no-cold-servers", options.added.cold_servers,
+               "servers that are cold when they or their zone are back, and "
+               "idle flows");
   app.add_option("--daemons", options.daemons_per_zone,
                  "daemons in each of 3 availability zones")
       ->check(CLI::Range(1, 60));
