--- a/tests/direct/report_order_test.cc
+++ b/tests/direct/report_order_test.cc
@@ -54,16 +54,7 @@
   }
   // Opens a flow on n1, which answers it, and returns its cookie. The flow's
   // port is `port`.
-  FlowCookie OpenOnN1() {
-    for (int i = 0; i < 40; ++i) {
-      const Decision decision = Send(Syn(++port));
-      if (decision.server_number == kN1) {
-        Send(Data(port, decision.cookie));
-        return decision.cookie;
-      }
-    }
-    return 0;
-  }
+  FlowCookie OpenOnN1() { return OpenOn(kN1, port); }
   bool N1GetsFlows() { return OpenOnN1() != 0; }
   // The same, for a flow that is followed. Fails if n1 gets none.
   TestFlow OpenFlow() {
--- a/tests/direct/restarted_server_test.cc
+++ b/tests/direct/restarted_server_test.cc
@@ -17,7 +17,6 @@
   void RestartN1(bool read) {
     BackendServer& n1 = FindServer("n1");
     n1.incarnation += 20'000;
-    n1.cold_for = absl::ZeroDuration();
     if (read) {
       SendServerList();
       AdvanceTime(absl::Milliseconds(100));
@@ -25,15 +24,9 @@
   }
   // Opens a flow on n1 and returns its cookie. Its port is `port`.
   FlowCookie OpenOnN1() {
-    for (int i = 0; i < 40; ++i) {
-      const Decision decision = Send(Syn(++port));
-      if (decision.server_number == kN1) {
-        Send(Data(port, decision.cookie));
-        return decision.cookie;
-      }
-    }
-    FAIL("n1 got no flow");
-    return 0;
+    const FlowCookie cookie = OpenOn(kN1, port);
+    REQUIRE(cookie != 0);
+    return cookie;
   }
   // Whether the router passes a packet of the flow on to n1.
   bool ReachesN1(FlowCookie cookie) {
--- a/tests/direct/router_fixture.h
+++ b/tests/direct/router_fixture.h
@@ -139,6 +139,20 @@
     return decision.cookie;
   }
 
+  // Opens a flow on the server with this number, which answers it, and returns
+  // its cookie; 0 if the server gets none of 40 flows. The ports are those
+  // after `port`, and the flow's is `port` afterwards.
+  FlowCookie OpenOn(std::uint64_t number, std::uint16_t& port) {
+    for (int i = 0; i < 40; ++i) {
+      const Decision decision = Send(Syn(++port));
+      if (decision.server_number == number) {
+        Send(Data(port, decision.cookie));
+        return decision.cookie;
+      }
+    }
+    return 0;
+  }
+
   // The name of the listed server with this cookie; empty if there is none.
   std::string NameOf(FlowCookie cookie) const {
     for (const BackendServer& server : servers) {
