--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -8,7 +8,6 @@
 #include "gcw/base/hash.h"
 #include "platform/object_format.h"
 #include "platform/packet_header.h"
-#include "platform/resource_codec.h"
 #include "platform/stand_in_form.h"
 #include "platform/stand_in_objects.h"
 
@@ -153,29 +152,7 @@
   record.up = true;
   record.draining_since = absl::InfiniteFuture();
   record.probes->Set(ProbeTarget::Mode::kAccept);
-  BecomeCold(server, cold_for);
-}
-
-void Deployment::BecomeCold(std::size_t server, absl::Duration cold_for) {
-  servers_[server].cold_until = now() + cold_for;
-  PutServerEntry(server);
-  if (cold_for > absl::ZeroDuration()) {
-    ReportUntilWarm(server);
-  }
-}
-
-void Deployment::ReportUntilWarm(std::size_t server) {
-  const std::uint64_t incarnation = servers_[server].incarnation;
-  loop_->After(kReportInterval, [this, server, incarnation] {
-    const ServerRecord& record = servers_[server];
-    if (!record.up || record.unreported || record.incarnation != incarnation) {
-      return;
-    }
-    PutServerEntry(server);
-    if (now() < record.cold_until) {
-      ReportUntilWarm(server);
-    }
-  });
+  reports_->BecomeCold(server, cold_for);
 }
 
 bool Deployment::TakeZoneOut(std::size_t zone) {
@@ -204,9 +181,7 @@
 
 void Deployment::RestoreStore() {
   store_->Restore();
-  for (std::size_t i = 0; i < servers_.size(); ++i) {
-    servers_[i].version = StoredVersion(StoreKey(i));
-  }
+  reports_->ReadVersions();
   WriteOperatorsStateAgain();
 }
 
@@ -231,41 +206,6 @@
   }
 }
 
-void Deployment::WriteServersAgain() {
-  std::set<std::string> present;
-  for (std::size_t i = 0; i < servers_.size(); ++i) {
-    const ServerRecord& record = servers_[i];
-    const bool has_left =
-        !record.up && record.draining_since != absl::InfiniteFuture();
-    if (!has_left) {
-      present.insert(StoreKey(i));
-    }
-    if (record.up && !record.unreported && !IsEntryCurrent(i)) {
-      PutServerEntry(i);
-    } else if (has_left) {
-      DeleteServerEntry(i);
-    }
-  }
-  for (const auto& entry : store_->List(adapter::kServersPrefix).objects) {
-    if (!present.contains(entry.key)) {
-      (void)store_->Delete(entry.key, entry.version);
-    }
-  }
-}
-
-void Deployment::LoseServerEntry(std::size_t server) {
-  servers_[server].unreported = true;
-  DeleteServerEntry(server);
-}
-
-void Deployment::ReportServerAgain(std::size_t server) {
-  ServerRecord& record = servers_[server];
-  record.unreported = false;
-  if (record.up && record.version == 0) {
-    PutServerEntry(server);
-  }
-}
-
 bool Deployment::IsOptional(const direct::FlowKey& flow) {
   return flow.service == kOptionalService;
 }
@@ -332,6 +272,8 @@
 Status Deployment::StartServers() {
   const std::size_t count = kZones * options_.servers_per_zone;
   servers_.resize(count);
+  reports_ =
+      std::make_unique<ServerReports>(*loop_, *store_, topology_, servers_);
   for (std::size_t i = 0; i < count; ++i) {
     ServerRecord& record = servers_[i];
     record.zone = i / options_.servers_per_zone;
@@ -353,80 +295,11 @@
       return port.error();
     }
     record.port = std::move(port).value();
-    PutServerEntry(i);
+    reports_->Put(i);
   }
   return OkStatus();
 }
 
-std::string Deployment::StoreKey(std::size_t server) const {
-  return adapter::ServerKey(servers_[server].number);
-}
-
-direct::BackendServer Deployment::EntryOf(std::size_t server) const {
-  const ServerRecord& record = servers_[server];
-  direct::BackendServer entry;
-  entry.name = StoreKey(server).substr(adapter::kServersPrefix.size());
-  entry.number = record.number;
-  entry.incarnation = static_cast<std::int64_t>(record.incarnation);
-  entry.report_number = record.reports;
-  entry.service = "s";
-  entry.address = record.address;
-  entry.zone = topology_.zones[record.zone];
-  entry.slots = Server::kSlots;
-  entry.draining = record.draining_since != absl::InfiniteFuture();
-  entry.cold_for = std::max(record.cold_until - now(), absl::ZeroDuration());
-  return entry;
-}
-
-bool Deployment::IsEntryCurrent(std::size_t server) const {
-  const direct::BackendServer entry = EntryOf(server);
-  const auto stored = store_->Get(StoreKey(server));
-  if (!stored.ok()) {
-    return false;
-  }
-  const auto decoded = adapter::DecodeServer(entry.name, stored.value().value);
-  return decoded.ok() && direct::SameState(decoded.value(), entry);
-}
-
-void Deployment::PutServerEntry(std::size_t server) {
-  ServerRecord& record = servers_[server];
-  ++record.reports;
-  const auto written = store_->Put(
-      StoreKey(server), adapter::EncodeServer(EntryOf(server)), record.version);
-  if (written.ok()) {
-    record.version = written.value();
-  }
-}
-
-ServerEntryText Deployment::MakeReport(std::size_t server) {
-  ++servers_[server].reports;
-  return {StoreKey(server), adapter::EncodeServer(EntryOf(server))};
-}
-
-void Deployment::ExecuteLate(std::size_t server,
-                             const ServerEntryText& report) {
-  if (!store_->Get(report.key).ok()) {
-    return;
-  }
-  const config::Version version = store_->PutRaw(report.key, report.value);
-  ServerRecord& record = servers_[server];
-  if (report.key == StoreKey(server)) {
-    record.version = version;
-  }
-  loop_->After(kReportInterval, [this, server] {
-    if (servers_[server].up && !servers_[server].unreported) {
-      PutServerEntry(server);
-    }
-  });
-}
-
-void Deployment::DeleteServerEntry(std::size_t server) {
-  ServerRecord& record = servers_[server];
-  if (store_->Delete(StoreKey(server), record.version).ok()) {
-    record.version = 0;
-  }
-}
-
 Status Deployment::StartFleet() {
   FleetOptions options;
   options.program = options_.program;
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -23,7 +23,7 @@
 #include "src/lab/udp_port.h"
 #include "src/soak/caller.h"
 #include "src/soak/fleet.h"
-#include "src/soak/server.h"
+#include "src/soak/server_reports.h"
 #include "src/soak/soak_run.h"
 
 namespace gcw::soak {
@@ -32,39 +32,6 @@
 inline constexpr absl::Duration kDrainBound = absl::Seconds(3);
 // How long servers stay cold.
 inline constexpr absl::Duration kColdTime = absl::Seconds(2);
-// How often a server reports to the store.
-inline constexpr absl::Duration kReportInterval = absl::Milliseconds(1200);
-
-// State of one simulated backend server and its entry in the store.
-struct ServerRecord {
-  std::size_t zone = 0;
-  std::uint64_t number = 0;  // Its id in the store; changes after a drain.
-  std::uint64_t incarnation = 1;
-  Endpoint address;
-  std::unique_ptr<Server> server;
-  std::unique_ptr<ProbeTarget> probes;
-  std::unique_ptr<lab::UdpPort> port;
-  bool up = true;  // While false, the server drops all packets.
-  absl::Time draining_since = absl::InfiniteFuture();
-  // Until when the server bears only few flows a second.
-  absl::Time cold_until = absl::InfinitePast();
-  config::Version version = 0;  // Of the store entry; 0 if there is none.
-  std::uint64_t reports = 0;    // Reports of this incarnation so far.
-  // The server's reports do not reach the store, so it has no entry.
-  bool unreported = false;
-
-  // Whether the server is up, has a store entry and is not draining.
-  bool in_service() const {
-    return up && version != 0 && draining_since == absl::InfiniteFuture();
-  }
-};
-
-// A report of a server, as it is written to the store.
-struct ServerEntryText {
-  std::string key;
-  std::string value;
-};
-
 // Receives what callers and servers observe. `server` and `daemon` are indexes.
 class DeploymentObserver : public CallerObserver {
  public:
@@ -109,40 +76,21 @@
   lab::World& world() { return *world_; }
   std::vector<ServerRecord>& servers() { return servers_; }
   const std::vector<ServerRecord>& servers() const { return servers_; }
+  // The servers' entries in the store.
+  ServerReports& reports() { return *reports_; }
 
   // While `cut`, packets from the zone's daemons to servers in other zones are
   // lost.
   void SetOutboundCut(std::size_t zone, bool cut);
-  // Writes the server's present state to its store entry.
-  void PutServerEntry(std::size_t server);
-  // The report that the server would make now. The next one has a higher
-  // number.
-  ServerEntryText MakeReport(std::size_t server);
-  // Lets the store execute `report` of the server late, if it still has the
-  // entry. The server reports again after kReportInterval.
-  void ExecuteLate(std::size_t server, const ServerEntryText& report);
-  // Removes the server's store entry.
-  void DeleteServerEntry(std::size_t server);
   // Restarts the server without flows, marks it as up and writes its entry. The
   // server accepts probes again, and stays cold for `cold_for`.
   void RestartServer(std::size_t server,
                      absl::Duration cold_for = absl::ZeroDuration());
-  // Makes a server that is up cold for `cold_for` from now on. It reports that
-  // at once, and then regularly until it is warm.
-  void BecomeCold(std::size_t server, absl::Duration cold_for);
   // Writes a new configuration version with or without the optional route.
   void WriteConfiguration(bool with_optional_route);
   // Restores the store from the copy that was saved last. The operators write
   // again at once what it has lost.
   void RestoreStore();
-  // Writes again what the store has lost of the servers' entries in a restore,
-  // and removes entries of servers that have left. Leaves out unreported
-  // servers.
-  void WriteServersAgain();
-  // Removes the entry of a server that goes on serving.
-  void LoseServerEntry(std::size_t server);
-  // Lets the reports of a server reach the store again.
-  void ReportServerAgain(std::size_t server);
   // Takes the zone out of service. Returns false without effect if the zone is
   // out already or only one zone is still in service.
   bool TakeZoneOut(std::size_t zone);
@@ -199,9 +147,6 @@
   Status StartFleet();
   Status MakeCallers();
   void StartOrStopBurst(std::size_t zone);
-  // Reports again after kReportInterval, until the server has reported that it
-  // is warm, unless it has started anew.
-  void ReportUntilWarm(std::size_t server);
   // Creates the caller with number `index` among the usual callers or the burst
   // callers of the zone.
   void AddCaller(std::size_t zone, std::size_t index, bool burst);
@@ -210,19 +155,11 @@
   void AddIdleCaller(std::size_t zone, std::size_t index);
   // The address 127.OCTET.`net`.(`host` + 1).
   std::uint32_t LoopbackIp(std::uint32_t net, std::size_t host) const;
-  // The key of the server's entry in the store.
-  std::string StoreKey(std::size_t server) const;
-
   // The version of the store's object `key`; 0 if there is none.
   config::Version StoredVersion(const std::string& key) const;
   // Writes the latest configuration and the zones out of service again.
   void WriteOperatorsStateAgain();
 
-  // The entry that the server would report now.
-  direct::BackendServer EntryOf(std::size_t server) const;
-  // Whether the store's entry of the server says what the server would report.
-  bool IsEntryCurrent(std::size_t server) const;
-
   // Passes a caller's packet through the link to the daemon that Fleet::Route()
   // picks.
   void OnCallerPacket(std::size_t caller, const adapter::EndHostPacket& end);
@@ -253,6 +190,7 @@
   std::unique_ptr<lab::Network> network_;
   std::unique_ptr<fake_platform::FakePlatform> store_;
   std::vector<ServerRecord> servers_;
+  std::unique_ptr<ServerReports> reports_;
   std::unique_ptr<Fleet> fleet_;
   // Of the usual callers of each zone, then of the burst callers of each zone.
   std::vector<std::unique_ptr<lab::UdpPort>> caller_ports_;
--- a/src/soak/fault_injector.cc
+++ b/src/soak/fault_injector.cc
@@ -228,7 +228,7 @@
   const std::size_t servers = deployment_.servers().size();
   for (std::size_t i = 0; fault.target % 2 == 1 && i < servers; i += 3) {
     if (deployment_.servers()[i].in_service()) {
-      deployment_.DeleteServerEntry(i);
+      deployment_.reports().Delete(i);
       lapsed.push_back(i);
     }
   }
@@ -241,7 +241,7 @@
       for (const std::size_t server : lapsed) {
         const ServerRecord& record = deployment_.servers()[server];
         if (record.up && record.version == 0) {
-          deployment_.PutServerEntry(server);
+          deployment_.reports().Put(server);
         }
       }
     });
@@ -261,7 +261,7 @@
       deployment_.WriteConfiguration(!deployment_.optional_route());
     });
     deployment_.loop().After(kLapsedEntryAbsence,
-                             [this] { deployment_.WriteServersAgain(); });
+                             [this] { deployment_.reports().WriteAllAgain(); });
   });
   deployment_.loop().After(age, [this] {
     ++active_outages_;
@@ -344,9 +344,10 @@
   const std::size_t servers = deployment_.servers().size();
   for (std::size_t i = 0; i < servers; i += kServersPerLostEntry) {
     if (deployment_.servers()[i].in_service()) {
-      deployment_.LoseServerEntry(i);
-      deployment_.loop().After(kLostEntryAbsence,
-                               [this, i] { deployment_.ReportServerAgain(i); });
+      deployment_.reports().Lose(i);
+      deployment_.loop().After(kLostEntryAbsence, [this, i] {
+        deployment_.reports().ReportAgain(i);
+      });
     }
   }
 }
@@ -386,12 +387,12 @@
   }
   record.draining_since = deployment_.now();
   record.server->set_closing(true);
-  deployment_.PutServerEntry(server);
+  deployment_.reports().Put(server);
   deployment_.loop().After(kDrainBound + absl::Seconds(1), [this, server] {
     ServerRecord& drained = deployment_.servers()[server];
     drained.up = false;
     drained.probes->Set(ProbeTarget::Mode::kRefuse);
-    deployment_.DeleteServerEntry(server);
+    deployment_.reports().Delete(server);
   });
   Impair({ServerName(server)}, kDrainBound + absl::Seconds(3), [this, server] {
     auto& servers = deployment_.servers();
@@ -404,16 +405,17 @@
   if (!deployment_.servers()[server].in_service()) {
     return;
   }
-  const ServerEntryText report = deployment_.MakeReport(server);
+  const ServerEntryText report = deployment_.reports().Make(server);
   const bool restarts = number % 2 == 0;
   if (restarts) {
     FailServer(server, ProbeTarget::Mode::kRefuse, kQuickRestart);
   } else {
     DrainServer(server);
   }
-  deployment_.loop().After(
-      restarts ? kLateAfterRestart : kLateAfterDrain,
-      [this, server, report] { deployment_.ExecuteLate(server, report); });
+  deployment_.loop().After(restarts ? kLateAfterRestart : kLateAfterDrain,
+                           [this, server, report] {
+                             deployment_.reports().ExecuteLate(server, report);
+                           });
 }
 
 void FaultInjector::BurstInZone(std::size_t zone, absl::Duration duration) {
@@ -458,7 +460,7 @@
   for (const std::size_t server : ServersInService(zone)) {
     deployment_.loop().After(start, [this, server] {
       if (deployment_.servers()[server].in_service()) {
-        deployment_.BecomeCold(server, kColdTime);
+        deployment_.reports().BecomeCold(server, kColdTime);
       }
     });
     start += kColdReportGap;
